--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Every goal sets up its own virtual environment from a bare Python 3.11 with pip.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core platform node cli
+READY := $(VENV)/.ready
+SOURCES := packages testing examples benchmarks
+
+.PHONY: demo test lint format fuzz bench slopes docs-check clean
+
+$(READY): constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
+		setuptools pytest pytest-timeout hypothesis ruff mypy pillow hdrhistogram \
+		msgspec xxhash pynng cheroot urllib3 aioprometheus python-json-logger click
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
+		$(foreach p,$(PACKAGES),-e packages/paddleshunt-$(p))
+	touch $@
+
+demo: $(READY)
+	$(BIN)/paddleshuntd demo --out demo-out
+
+test: $(READY)
+	$(BIN)/python -m pytest testing
+
+lint: $(READY)
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+clean:
+	rm -rf $(VENV) demo-out
--- /dev/null
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The `paddleshunt` command line for operators and callers."""
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -0,0 +1,381 @@
+"""One entry process: takes callers' requests, and relays configuration and membership."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+import msgspec
+import xxhash
+
+from paddleshunt_core.allotments import Allotment, Holder, divide, share_of
+from paddleshunt_core.calls import Calls
+from paddleshunt_core.effects import Effect, Log, Reply, Send, WriteAllotment
+from paddleshunt_core.ids import Incarnation, InvalidId, mint, parse_id
+from paddleshunt_core.members import Host, Member, Members, Role
+from paddleshunt_core.messages import (
+    Absent,
+    Answer,
+    Body,
+    EntryInfo,
+    Envelope,
+    Exchange,
+    Heartbeat,
+    Misdirected,
+    Running,
+    Submit,
+    View,
+)
+from paddleshunt_core.outcomes import NotAccepted, Outcome, Unknown
+from paddleshunt_core.routing import NoHome, Router
+from paddleshunt_core.table import Row, TableController, TableDocument
+
+PEERS_NEAR = 24
+"""Targets of its own site that a target is told of."""
+
+PEERS_FAR = 8
+"""Targets of other sites that a target is told of."""
+
+ENDED_TOLD = 16
+"""Incarnations that ended last, named in every view."""
+
+WRITE_DELAY = 2.0
+"""Seconds by which each next entry waits before it writes an allotment in another's stead."""
+
+RETRY_MS = 1000
+"""When callers are told to come back if nothing better is known."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Who an entry is, and the heartbeat interval (seconds) it tells its targets."""
+
+    me: Incarnation
+    address: str
+    heartbeat_seconds: float = 1.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Minted:
+    """A new id and the home that it names."""
+
+    submission: str
+    home: Incarnation
+
+
+@final
+@dataclass(slots=True)
+class _Peer:
+    """Another entry: when it was last heard and what it follows."""
+
+    address: str
+    heard: float
+    table_revision: int
+    told: float = 0.0
+
+
+@final
+class Entry:
+    """State of one entry. Feed it requests, messages, store news and ticks."""
+
+    def __init__(self, settings: EntrySettings, rng: Random) -> None:
+        self._settings = settings
+        self._me = settings.me
+        self._rng = rng
+        self.table = TableController()
+        self.members = Members(settings.heartbeat_seconds)
+        self.calls = Calls()
+        self._router = Router(rng)
+        self._allotments: dict[tuple[str, str], Allotment] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._change_since: dict[tuple[str, str], float] = {}
+        self._next_exchange = 0.0
+        self.leaving = False
+
+    # Callers' side.
+
+    def mint(self, now: float, service: str) -> Minted | NotAccepted:
+        """Choose a home for a new submission of `service` and return an id for it."""
+        if self.leaving:
+            return NotAccepted("this entry is leaving", 0)
+        rows = self.table.rows_of(service)
+        home = self._router.choose_home(now, service, rows, self.members)
+        if isinstance(home, NoHome):
+            return NotAccepted(home.reason, RETRY_MS)
+        text = mint(home.incarnation, home.clock_ms(now), self._rng)
+        return Minted(text, home.incarnation)
+
+    def submit(self, now: float, caller: int, message: Submit) -> list[Effect]:
+        """Send a submission to the home that its id names."""
+        home = self._home_of(message.submission)
+        if not isinstance(home, Member):
+            answer = Answer(message.submission, message.digest, home, message.repeatable)
+            return [Reply(caller, answer)]
+        address = home.heartbeat.address
+        return self.calls.submit(now, caller, home.incarnation, address, message)
+
+    def look_up(self, now: float, caller: int, submission: str) -> list[Effect]:
+        """Ask the home that the id names for the submission's state."""
+        home = self._home_of(submission)
+        if not isinstance(home, Member):
+            return [Reply(caller, Answer(submission, b"", home))]
+        address = home.heartbeat.address
+        return self.calls.look_up(now, caller, home.incarnation, address, submission)
+
+    # Peers' side.
+
+    def handle(self, now: float, envelope: Envelope) -> list[Effect]:
+        """Take a message from a peer."""
+        match envelope.body:
+            case Answer() as body:
+                return self.calls.answered(body)
+            case Running() as body:
+                return self.calls.running(now, body)
+            case Absent() as body:
+                return self.calls.absent(now, body)
+            case Heartbeat() as body:
+                return self._heartbeat(now, envelope.sender, body)
+            case Exchange() as body:
+                return self._exchange(now, envelope.sender, envelope.address, body)
+            case Misdirected() as body:
+                return self._ended(now, body.ended)
+            case _:
+                return [Log("message_ignored", fields={"sender": str(envelope.sender)})]
+
+    def undelivered(self, to: Incarnation, body: Body) -> list[Effect]:
+        """Take back a message that provably never left this process."""
+        return self.calls.undelivered(to, body)
+
+    # Platform's side.
+
+    def hosts(self, now: float, hosts: list[Host]) -> list[Effect]:
+        """Take the platform's list of hosts."""
+        if not self.members.listed(hosts):
+            return []
+        return self._tell_targets(now)
+
+    def table_from_store(self, now: float, document: TableDocument | None) -> list[Effect]:
+        """Take the table that the store holds (None: it holds none)."""
+        adopted = self.table.adopt_from_store(document)
+        if self.table.store_went_back_to is not None:
+            fields = {"store": self.table.store_went_back_to, "in_force": self.table.revision}
+            return [Log("store_went_back", fields=dict(fields))]
+        return self._table_adopted(now) if adopted else []
+
+    def table_handed(self, now: float, document: TableDocument) -> list[Effect]:
+        """Take a table that the operators' command line, or another entry, hands over."""
+        return self._table_adopted(now) if self.table.adopt(document) else []
+
+    def allotment(self, now: float, allotment: Allotment) -> list[Effect]:
+        """Take a row's allotment from the store or from another entry."""
+        key = (allotment.service, allotment.site)
+        known = self._allotments.get(key)
+        if known is not None and allotment.revision <= known.revision:
+            return []
+        self._allotments[key] = allotment
+        members = self.members.of_service(allotment.service)
+        return [self._view(now, m) for m in members if m.site == allotment.site]
+
+    # Time.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Act on the passing of time."""
+        effects = self.calls.tick(now, self.members.has_ended)
+        effects += self._divide(now)
+        if now >= self._next_exchange:
+            self._next_exchange = now + self._settings.heartbeat_seconds
+            effects += self._tell_entries(now)
+        return effects
+
+    def greet(self, now: float) -> list[Effect]:
+        """Ask all other entries for table, members and allotments, as a starting entry does."""
+        return [self._exchange_to(now, h.host, h.peers, reply=True) for h in self._other_entries()]
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return a summary of the state for a dump."""
+        return {
+            "incarnation": str(self._me),
+            "table": self.table.document,
+            "store_went_back_to": self.table.store_went_back_to,
+            "calls": len(self.calls),
+            "leaving": self.leaving,
+            "entries": {
+                host: {
+                    "table_revision": peer.table_revision,
+                    "silent_s": round(now - peer.heard, 1),
+                }
+                for host, peer in self._peers.items()
+            },
+            "members": [self._describe_member(now, member) for member in self.members.all()],
+            "allotments": list(self._allotments.values()),
+            "ended": [str(incarnation) for incarnation in self.members.ended],
+        }
+
+    def _describe_member(self, now: float, member: Member) -> dict[str, object]:
+        return {
+            "incarnation": str(member.incarnation),
+            "service": member.service,
+            "site": member.site,
+            "data_hall": member.heartbeat.data_hall,
+            "leaving": member.leaving,
+            "suspect": self.members.is_suspect(member, now),
+            "load": member.load,
+            "table_revision": member.heartbeat.table_revision,
+            "share_revision": member.heartbeat.share_revision,
+            "silent_s": round(now - member.sent, 1),
+        }
+
+    def _home_of(self, submission: str) -> Member | Outcome:
+        """Return the member that the id names, or what a caller can be told without it."""
+        parsed = parse_id(submission)
+        if isinstance(parsed, InvalidId):
+            return NotAccepted(f"no submission id: {parsed.reason}", 0)
+        member = self.members.find(parsed.home)
+        if member is not None:
+            return member
+        if self.members.has_ended(parsed.home):
+            return Unknown(f"its home on {parsed.home.host} was lost")
+        return NotAccepted("its home is not known to this entry", RETRY_MS)
+
+    def _heartbeat(self, now: float, sender: Incarnation, body: Heartbeat) -> list[Effect]:
+        urgent = self.members.heard(now, sender, body, 0.0)
+        effects: list[Effect] = []
+        if urgent:
+            effects += self._tell_targets(now)
+            effects += self._tell_entries(now)
+            return effects
+        member = self.members.find(sender)
+        return [self._view(now, member)] if member else []
+
+    def _exchange(
+        self, now: float, sender: Incarnation, address: str, body: Exchange
+    ) -> list[Effect]:
+        peer = self._peers.get(sender.host)
+        told = peer.told if peer else 0.0
+        self._peers[sender.host] = _Peer(address, now, body.table_revision, told)
+        effects: list[Effect] = []
+        if body.table:
+            document = msgspec.json.decode(body.table, type=TableDocument)
+            effects += self.table_handed(now, document)
+        for raw in body.allotments:
+            effects += self.allotment(now, msgspec.json.decode(raw, type=Allotment))
+        urgent = False
+        for incarnation in body.ended:
+            urgent |= self.members.end(incarnation)
+        for news in body.members:
+            age = news.age_ms / 1000
+            urgent |= self.members.heard(now, news.incarnation, news.heartbeat, age)
+        if urgent:
+            effects += self._tell_targets(now)
+        if body.reply or body.table_revision < self.table.revision:
+            effects.append(self._exchange_to(now, sender.host, address, full=True))
+        return effects
+
+    def _ended(self, now: float, incarnation: Incarnation) -> list[Effect]:
+        if not self.members.end(incarnation):
+            return []
+        return [*self._tell_targets(now), *self._tell_entries(now)]
+
+    def _table_adopted(self, now: float) -> list[Effect]:
+        log = Log("table_adopted", fields={"revision": self.table.revision})
+        told = [
+            self._exchange_to(now, host, peer.address, full=True)
+            for host, peer in self._peers.items()
+        ]
+        return [log, *told, *self._tell_targets(now)]
+
+    # Relaying.
+
+    def _other_entries(self) -> list[Host]:
+        return [h for h in self.members.hosts_of(Role.ENTRY) if h.host != self._me.host]
+
+    def _tell_entries(self, now: float) -> list[Effect]:
+        return [self._exchange_to(now, host.host, host.peers) for host in self._other_entries()]
+
+    def _exchange_to(
+        self, now: float, host: str, address: str, *, reply: bool = False, full: bool = False
+    ) -> Send:
+        peer = self._peers.get(host)
+        since = 0.0
+        if peer is not None:
+            since = 0.0 if full else peer.told
+            peer.told = now
+        body = Exchange(
+            table_revision=self.table.revision,
+            members=self.members.news(now, since),
+            ended=self.members.ended[-ENDED_TOLD:],
+            reply=reply,
+            table=msgspec.json.encode(self.table.document) if full else b"",
+            allotments=[msgspec.json.encode(a) for a in self._allotments.values()] if full else [],
+        )
+        return Send(Incarnation(host, ""), address, body)
+
+    def _tell_targets(self, now: float) -> list[Effect]:
+        return [self._view(now, member) for member in self.members.all()]
+
+    def _view(self, now: float, member: Member) -> Send:
+        """Return what a target needs to know: its rows, its share and its subset of targets."""
+        allotment = self._allotments.get((member.service, member.site))
+        others = self._subset(member)
+        entries = [EntryInfo(host.host, host.peers) for host in self._other_entries()]
+        entries.append(EntryInfo(self._me.host, self._settings.address))
+        view = View(
+            table_revision=self.table.revision,
+            rows=self.table.rows_of(member.service),
+            share=share_of(allotment, member.incarnation) if allotment else None,
+            peers=[self.members.peer_info(other, now) for other in others],
+            entries=entries,
+            ended=self.members.ended[-ENDED_TOLD:],
+            heartbeat_ms=int(self._settings.heartbeat_seconds * 1000),
+        )
+        return Send(member.incarnation, member.heartbeat.address, view)
+
+    def _subset(self, member: Member) -> list[Member]:
+        """Return the targets that `member` may give work to: near ones, itself too, and far."""
+        service = self.members.of_service(member.service)
+        near = [m for m in service if m.site == member.site]
+        far = [m for m in service if m.site != member.site]
+        if len(near) > PEERS_NEAR:
+            near = [member, *sorted(near, key=lambda m: _affinity(member, m))[: PEERS_NEAR - 1]]
+        if len(far) > PEERS_FAR:
+            far = sorted(far, key=lambda m: _affinity(member, m))[:PEERS_FAR]
+        return near + far
+
+    # Allotments.
+
+    def _divide(self, now: float) -> list[Effect]:
+        """Write the allotments that should change, each entry in its turn."""
+        if not self.members.hosts_known:
+            return []
+        effects: list[Effect] = []
+        for row in self.table.document.rows:
+            effects += self._divide_row(now, row)
+        return effects
+
+    def _divide_row(self, now: float, row: Row) -> list[Effect]:
+        key = (row.service, row.site)
+        holders = [
+            Holder(m.incarnation, m.heartbeat.share_revision, m.leaving)
+            for m in self.members.of_service(row.service)
+            if m.site == row.site
+        ]
+        next_one = divide(row, self._allotments.get(key), holders, self.members.has_ended)
+        if next_one is None:
+            self._change_since.pop(key, None)
+            return []
+        since = self._change_since.setdefault(key, now)
+        if now - since < self._rank(now) * WRITE_DELAY:
+            return []
+        self._change_since[key] = now
+        return [WriteAllotment(next_one)]
+
+    def _rank(self, now: float) -> int:
+        """Return how many live entries come before this one."""
+        silent = 3 * self._settings.heartbeat_seconds
+        live = [host for host, peer in self._peers.items() if now - peer.heard < silent]
+        return len([host for host in live if host < self._me.host])
+
+
+def _affinity(member: Member, other: Member) -> int:
+    return xxhash.xxh32_intdigest(f"{member.incarnation.host}/{other.incarnation.host}".encode())
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -0,0 +1,480 @@
+"""The home: accepts submissions whose id names it, places their tasks, and answers once.
+
+A home keeps a record of every id it has seen until the id could no longer be accepted anyway, so
+that forgetting can't run anything twice. It gives a task to a second target only after the first
+one said that it did not and will not start it.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import final
+
+from paddleshunt_core.effects import Effect, Log, Send
+from paddleshunt_core.ids import Incarnation, InvalidId, parse_id
+from paddleshunt_core.job import Job
+from paddleshunt_core.links import Link, Outstanding, TaskKey, group
+from paddleshunt_core.messages import (
+    Absent,
+    Answer,
+    Assign,
+    Body,
+    Inquire,
+    PeerInfo,
+    Query,
+    Report,
+    Running,
+    Submit,
+    Task,
+    TaskBatch,
+    TaskResult,
+)
+from paddleshunt_core.outcomes import (
+    Complete,
+    Conflict,
+    NotAccepted,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from paddleshunt_core.placement import Placement
+
+HOLD_MARGIN = 0.25
+"""Seconds before its deadline at which a job stops assigning and settles what started."""
+
+SLOW_TASK = 0.6
+"""Seconds after which a task without news is asked about: longer than a usual task."""
+
+ASK_AGAIN = 2.0
+"""Seconds between two inquiries about the same task."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HomeLimits:
+    """Bounds of a home's memory and patience.
+
+    `window` and `skew` (seconds) bound when an id is accepted, by the home's own clock.
+    `usual_task` (seconds) is the first guess of a task's length, until tasks have been seen.
+    """
+
+    window: float = 120.0
+    skew: float = 5.0
+    max_records: int = 20_000
+    max_waiting_tasks: int = 20_000
+    answer_bytes: int = 8 << 20
+    usual_task: float = 0.25
+
+
+@dataclass(slots=True)
+class _Closed:
+    """A submission with its outcome; `outcome` is None once the answer was dropped for room."""
+
+    digest: bytes
+    repeatable: bool
+    outcome: Outcome | None
+    bytes: int
+
+
+@final
+class Home:
+    """State of one home. Call `flush` after each batch of inputs to place tasks."""
+
+    def __init__(self, me: Incarnation, limits: HomeLimits, placement: Placement) -> None:
+        self._me = me
+        self._limits = limits
+        self._placement = placement
+        self._jobs: dict[str, Job] = {}
+        self._closed: dict[str, _Closed] = {}
+        self._expiry: deque[tuple[float, str]] = deque()
+        self._kept: deque[str] = deque()
+        self._kept_bytes = 0
+        self._links: dict[Incarnation, Link] = {}
+        self._closed_sites: set[str] = set()
+        self._task_seconds = limits.usual_task
+        # One count for all gates, so that it never falls back when a link is made anew.
+        self._seq = 0
+        self.leaving = False
+
+    @property
+    def jobs(self) -> int:
+        """Submissions without an outcome."""
+        return len(self._jobs)
+
+    def describe(self) -> dict[str, object]:
+        """Return a summary of the state for a dump."""
+        return {
+            "jobs": len(self._jobs),
+            "waiting_tasks": self._waiting_tasks(),
+            "closed_ids": len(self._closed),
+            "kept_answer_bytes": self._kept_bytes,
+            "task_seconds": round(self._task_seconds, 4),
+            "leaving": self.leaving,
+            "links": {
+                str(link.incarnation): {
+                    "site": link.site,
+                    "suspect": link.suspect,
+                    "leaving": link.leaving,
+                    "load": link.load,
+                    "outstanding": len(link.outstanding),
+                }
+                for link in self._links.values()
+            },
+        }
+
+    # Callers' side.
+
+    def submit(self, now: float, entry: Incarnation, address: str, message: Submit) -> list[Effect]:
+        """Accept a submission, attach to the running one, or answer from the record."""
+        name = message.submission
+        job = self._jobs.get(name)
+        if job is not None:
+            return [Send(entry, address, self._attach(job, entry, address, message))]
+        closed = self._closed.get(name)
+        if closed is not None:
+            return [Send(entry, address, _repeat(name, closed, message.digest))]
+        refusal = self._judge_id(now, name)
+        if refusal is not None:
+            return [Send(entry, address, Answer(name, message.digest, refusal, message.repeatable))]
+        return self._accept(now, entry, address, message)
+
+    def query(self, now: float, entry: Incarnation, address: str, message: Query) -> list[Effect]:
+        """Tell what is known of a submission, and answer the entry again when there is more."""
+        name = message.submission
+        job = self._jobs.get(name)
+        if job is not None:
+            job.waiters[entry] = address
+            return [Send(entry, address, Running(name, message.digest))]
+        closed = self._closed.get(name)
+        if closed is not None:
+            return [Send(entry, address, _repeat(name, closed, message.digest or closed.digest))]
+        refusal = self._judge_id(now, name)
+        body: Body = (
+            Absent(name, message.digest)
+            if refusal is None
+            else Answer(name, message.digest, refusal)
+        )
+        return [Send(entry, address, body)]
+
+    # Targets' side.
+
+    def view_peers(self, now: float, peers: Iterable[PeerInfo], closed_sites: set[str]) -> None:
+        """Take the targets of the service as an entry tells them."""
+        self._closed_sites = closed_sites
+        named: set[Incarnation] = set()
+        for peer in peers:
+            named.add(peer.incarnation)
+            link = self._link(now, peer)
+            link.suspect = peer.suspect
+            link.leaving = peer.leaving or link.leaving
+            if now - link.load_at > 0.0:
+                link.take_load(now, peer.load, peer.clock_ms)
+        for incarnation, link in list(self._links.items()):
+            if incarnation not in named and not link.outstanding:
+                del self._links[incarnation]
+            elif incarnation not in named:
+                link.suspect = True
+
+    def target_ended(self, now: float, incarnation: Incarnation) -> list[Effect]:
+        """Give up on the tasks at a target that is known to have ended."""
+        link = self._links.pop(incarnation, None)
+        if link is None:
+            return []
+        effects: list[Effect] = []
+        for submission, index in link.outstanding:
+            job = self._jobs.get(submission)
+            if job is not None:
+                job.lose(index, f"target {incarnation.host} was lost with it")
+                effects += self._settle(now, job)
+        return effects
+
+    def report(self, now: float, gate: Incarnation, message: Report) -> list[Effect]:
+        """Take what a gate says of this home's tasks."""
+        link = self._links.get(gate)
+        if link is None or not link.take_report(now, message):
+            return []
+        touched: dict[str, Job] = {}
+        for result in message.results:
+            self._take_result(now, link, result, touched)
+        for refs in message.refused:
+            for index in refs.indexes:
+                self._take_back(link, (refs.submission, index), message.seen_seq, touched)
+        for refs in message.running:
+            for index in refs.indexes:
+                self._take_started(link, (refs.submission, index), touched)
+        effects: list[Effect] = []
+        for job in touched.values():
+            effects += self._settle(now, job)
+        if link.gap and not link.inquiry:
+            effects += self._ask(now, link, list(link.outstanding), revoke=False)
+        return effects
+
+    def undelivered(self, now: float, gate: Incarnation, message: Body) -> list[Effect]:
+        """Take back tasks of a message that provably never left this process."""
+        link = self._links.get(gate)
+        if link is None or not isinstance(message, Assign):
+            return []
+        touched: dict[str, Job] = {}
+        for batch in message.batches:
+            for task in batch.tasks:
+                self._take_back(link, (batch.submission, task.index), message.seq, touched)
+        link.load = type(link.load)()
+        effects: list[Effect] = []
+        for job in touched.values():
+            effects += self._settle(now, job)
+        return effects
+
+    # Time.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Act on deadlines, ask about slow tasks and forget ids whose window has passed."""
+        effects: list[Effect] = []
+        for job in list(self._jobs.values()):
+            if now >= job.deadline - HOLD_MARGIN and not job.stopping:
+                effects += self._stop(now, job, "deadline")
+            if now >= job.deadline:
+                effects += self._settle(now, job, final_call=True)
+        for link in self._links.values():
+            slow = [key for key, out in link.outstanding.items() if _is_due(out, now)]
+            if slow:
+                effects += self._ask(now, link, slow, revoke=False)
+        while self._expiry and self._expiry[0][0] <= now:
+            self._forget(self._expiry.popleft()[1])
+        return effects
+
+    def flush(self, now: float) -> list[Effect]:
+        """Place waiting tasks, and return one message for each target that gets some."""
+        self._seq += 1
+        for job in self._jobs.values():
+            if not self._place(now, job):
+                break
+        effects: list[Effect] = []
+        for link in self._links.values():
+            if link.batches:
+                batches = list(link.batches.values())
+                link.batches = {}
+                body = Assign(self._seq, link.stamp_ms(now), link.acked, batches)
+                effects.append(Send(link.incarnation, link.address, body))
+        return effects
+
+    def _attach(self, job: Job, entry: Incarnation, address: str, message: Submit) -> Body:
+        if job.digest != message.digest:
+            return _conflict(job.submission, message.digest)
+        job.waiters[entry] = address
+        return Running(job.submission, job.digest)
+
+    def _judge_id(self, now: float, name: str) -> Outcome | None:
+        """Return why an id without a record can't be accepted now, or None if it can."""
+        parsed = parse_id(name)
+        if isinstance(parsed, InvalidId) or parsed.home != self._me:
+            return NotAccepted("the id names another home", 0)
+        minted = parsed.minted_ms / 1000
+        if now > minted + self._limits.window:
+            return Unknown("the id is too old; what was known of it may be forgotten")
+        if now < minted - self._limits.skew:
+            return NotAccepted("the id was minted in the future", 1000)
+        return None
+
+    def _accept(
+        self, now: float, entry: Incarnation, address: str, message: Submit
+    ) -> list[Effect]:
+        if len(self._jobs) + len(self._closed) >= self._limits.max_records:
+            outcome = NotAccepted("the home holds too many ids", 1000)
+            answer = Answer(message.submission, message.digest, outcome, message.repeatable)
+            return [Send(entry, address, answer)]
+        job = Job(
+            submission=message.submission,
+            service=message.service,
+            digest=message.digest,
+            repeatable=message.repeatable,
+            accepted=now,
+            deadline=now + message.deadline_ms / 1000,
+            payloads=message.tasks,
+            waiters={entry: address},
+        )
+        refusal = self._overload(now, len(message.tasks), job.deadline)
+        self._jobs[job.submission] = job
+        self._expiry.append((self._forget_at(now, job.submission), job.submission))
+        if refusal is not None:
+            return self._close(job, refusal)
+        return [Log("accepted", job.submission, {"tasks": len(job.payloads), "entry": entry.host})]
+
+    def _overload(self, now: float, tasks: int, deadline: float) -> NotRun | None:
+        """Return a refusal if the tasks can't be expected to end before the deadline."""
+        if self.leaving:
+            return NotRun("the home is leaving", 0)
+        waiting = self._waiting_tasks()
+        if waiting + tasks > self._limits.max_waiting_tasks:
+            return NotRun("too many tasks wait", int(self._wait(now, waiting) * 1000))
+        wait = self._wait(now, waiting + tasks)
+        if now + wait > deadline - HOLD_MARGIN:
+            return NotRun("overloaded", int(wait * 500))
+        return None
+
+    def _wait(self, now: float, waiting: int) -> float:
+        """Estimate the seconds until `waiting` more tasks of this home could have ended."""
+        usable = [link for link in self._links.values() if link.usable]
+        slots = sum(link.load.slots for link in usable)
+        busy = sum(link.busy(now) for link in usable)
+        if slots == 0:
+            return 0.0
+        return (waiting + busy) / slots * self._task_seconds
+
+    def _waiting_tasks(self) -> int:
+        return sum(len(job.waiting) for job in self._jobs.values())
+
+    def _forget_at(self, now: float, name: str) -> float:
+        """Return when the id can no longer be accepted, whatever this home remembers."""
+        parsed = parse_id(name)
+        if isinstance(parsed, InvalidId):
+            return now + self._limits.window
+        return parsed.minted_ms / 1000 + self._limits.window + self._limits.skew
+
+    def _link(self, now: float, peer: PeerInfo) -> Link:
+        link = self._links.get(peer.incarnation)
+        if link is None:
+            ahead = peer.clock_ms / 1000 - now
+            link = Link(peer.incarnation, peer.address, peer.site, peer.load, now, ahead)
+            self._links[peer.incarnation] = link
+        return link
+
+    def _take_result(
+        self, now: float, link: Link, result: TaskResult, touched: dict[str, Job]
+    ) -> None:
+        out = link.outstanding.pop((result.submission, result.index), None)
+        job = self._jobs.get(result.submission)
+        if out is None or job is None:
+            return
+        touched[job.submission] = job
+        if result.ok is None:
+            job.lose(result.index, "the runner's answer was lost")
+            return
+        self._task_seconds += 0.05 * (now - out.sent - self._task_seconds)
+        job.finish(result.index, ok=result.ok, payload=result.payload)
+
+    def _take_back(self, link: Link, key: TaskKey, seen_seq: int, touched: dict[str, Job]) -> None:
+        """Place a refused task anew, unless it was sent again after what the gate speaks of."""
+        out = link.outstanding.get(key)
+        if out is None or out.seq > seen_seq:
+            return
+        del link.outstanding[key]
+        job = self._jobs.get(key[0])
+        if job is not None:
+            job.put_back(key[1])
+            touched[job.submission] = job
+
+    def _take_started(self, link: Link, key: TaskKey, touched: dict[str, Job]) -> None:
+        out = link.outstanding.get(key)
+        job = self._jobs.get(key[0])
+        if out is not None and job is not None:
+            out.started = True
+            job.confirm_started(key[1])
+            touched[job.submission] = job
+
+    def _place(self, now: float, job: Job) -> bool:
+        """Assign the job's waiting tasks; return False when no target has room."""
+        while job.waiting:
+            link = self._placement.choose(self._links.values(), now, self._closed_sites)
+            if link is None:
+                return False
+            index = job.take()
+            batch = link.batches.get(job.submission)
+            if batch is None:
+                expires_ms = max(0, int((job.deadline - now) * 1000))
+                batch = TaskBatch(job.submission, job.service, expires_ms, [])
+                link.batches[job.submission] = batch
+            batch.tasks.append(Task(index, job.payloads[index]))
+            link.outstanding[(job.submission, index)] = Outstanding(self._seq, now, now)
+        return True
+
+    def _ask(self, now: float, link: Link, keys: list[TaskKey], *, revoke: bool) -> list[Effect]:
+        for key in keys:
+            link.outstanding[key].asked = now
+        self._seq += 1
+        if len(keys) == len(link.outstanding):
+            link.inquiry = self._seq
+        body = Inquire(self._seq, link.stamp_ms(now), link.acked, revoke, group(keys))
+        return [Send(link.incarnation, link.address, body)]
+
+    def _stop(self, now: float, job: Job, reason: str) -> list[Effect]:
+        """Assign no more of the job, and revoke what may not have started."""
+        job.stop(reason)
+        effects = self._settle(now, job)
+        if job.submission in self._jobs:
+            effects += self._revoke(now, job)
+        return effects
+
+    def _revoke(self, now: float, job: Job) -> list[Effect]:
+        effects: list[Effect] = []
+        for link in self._links.values():
+            keys = [key for key in link.outstanding if key[0] == job.submission]
+            if keys:
+                effects += self._ask(now, link, keys, revoke=True)
+        return effects
+
+    def _settle(self, now: float, job: Job, *, final_call: bool = False) -> list[Effect]:
+        """Answer the job if its outcome is settled."""
+        if job.submission not in self._jobs:
+            return []
+        retry_after_ms = int(self._wait(now, self._waiting_tasks()) * 1000)
+        outcome = job.verdict(final_call=final_call, retry_after_ms=retry_after_ms)
+        if outcome is None:
+            return []
+        effects: list[Effect] = []
+        if not isinstance(outcome, Complete):
+            effects += self._revoke(now, job)
+        self._drop_outstanding(job)
+        return effects + self._close(job, outcome)
+
+    def _drop_outstanding(self, job: Job) -> None:
+        for link in self._links.values():
+            for key in [key for key in link.outstanding if key[0] == job.submission]:
+                del link.outstanding[key]
+
+    def _close(self, job: Job, outcome: Outcome) -> list[Effect]:
+        """Record the outcome and answer all who wait for it."""
+        del self._jobs[job.submission]
+        size = sum(map(len, outcome.results)) if isinstance(outcome, Complete) else 0
+        self._closed[job.submission] = _Closed(job.digest, job.repeatable, outcome, size)
+        self._kept_bytes += size
+        if size:
+            self._kept.append(job.submission)
+        self._drop_answers()
+        kind = str(outcome.__struct_config__.tag)
+        effects: list[Effect] = [
+            Send(entry, address, Answer(job.submission, job.digest, outcome, job.repeatable))
+            for entry, address in job.waiters.items()
+        ]
+        return [*effects, Log("answered", job.submission, {"outcome": kind})]
+
+    def _drop_answers(self) -> None:
+        """Drop the oldest answers when they hold too many bytes; their ids stay closed."""
+        while self._kept_bytes > self._limits.answer_bytes and len(self._kept) > 1:
+            closed = self._closed.get(self._kept.popleft())
+            if closed is not None:
+                self._kept_bytes -= closed.bytes
+                closed.bytes = 0
+                closed.outcome = None
+
+    def _forget(self, name: str) -> None:
+        closed = self._closed.pop(name, None)
+        if closed is not None:
+            self._kept_bytes -= closed.bytes
+        elif name in self._jobs:
+            self._expiry.append((self._jobs[name].deadline + 1.0, name))
+
+
+def _conflict(name: str, digest: bytes) -> Answer:
+    return Answer(name, digest, Conflict("the id belongs to another body"))
+
+
+def _repeat(name: str, closed: _Closed, digest: bytes) -> Answer:
+    if closed.digest != digest:
+        return _conflict(name, digest)
+    outcome = closed.outcome or Unknown("it ran; its answer is no longer kept")
+    return Answer(name, digest, outcome, closed.repeatable)
+
+
+def _is_due(out: Outstanding, now: float) -> bool:
+    wait = SLOW_TASK if out.asked == out.sent else ASK_AGAIN
+    return now - out.asked > wait
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/links.py
@@ -0,0 +1,97 @@
+"""What a home knows of one target: its gate's message numbers, the tasks there, and its load."""
+
+from dataclasses import dataclass, field
+from typing import final
+
+from paddleshunt_core.ids import Incarnation
+from paddleshunt_core.messages import Load, Report, TaskBatch, TaskRefs
+
+TaskKey = tuple[str, int]
+
+LOAD_MEMORY = 0.5
+"""Seconds after which the reported load of other homes counts for nothing (a usual task)."""
+
+
+@final
+@dataclass(slots=True)
+class Outstanding:
+    """A task sent to a gate: in which message, when, and when it was last asked about."""
+
+    seq: int
+    sent: float
+    asked: float
+    started: bool = False
+
+
+@final
+@dataclass(slots=True)
+class Link:
+    """A home's side of the exchange with one gate. Times are in the home's seconds."""
+
+    incarnation: Incarnation
+    address: str
+    site: str
+    load: Load
+    load_at: float
+    clock_ahead: float
+    """The gate's clock minus the home's, in seconds, as last heard."""
+    suspect: bool = False
+    leaving: bool = False
+    last_report: int = 0
+    acked: int = 0
+    inquiry: int = 0
+    """Number of the inquiry that must be answered before reports count as complete; 0 if none."""
+    gap: bool = False
+    mine_in_load: int = 0
+    outstanding: dict[TaskKey, Outstanding] = field(default_factory=dict)
+    batches: dict[str, TaskBatch] = field(default_factory=dict)
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may go there."""
+        return not (self.suspect or self.leaving)
+
+    def busy(self, now: float) -> float:
+        """Estimate the tasks that are at the target now, this home's and others'."""
+        reported = self.load.running + self.load.queued - self.mine_in_load
+        age = min(1.0, max(0.0, now - self.load_at) / LOAD_MEMORY)
+        return len(self.outstanding) + max(0, reported) * (1.0 - age)
+
+    def stamp_ms(self, now: float) -> int:
+        """Estimate the gate's clock."""
+        return int((now + self.clock_ahead) * 1000)
+
+    def take_load(self, now: float, load: Load, clock_ms: int) -> None:
+        """Note what the gate, or an entry on its behalf, says of its load and clock."""
+        self.load = load
+        self.load_at = now
+        self.clock_ahead = clock_ms / 1000 - now
+        self.mine_in_load = min(len(self.outstanding), load.running + load.queued)
+
+    def take_report(self, now: float, report: Report) -> bool:
+        """Note a report's number and load; return False if it is late or repeated."""
+        if report.number <= self.last_report:
+            return False
+        if report.number != self.last_report + 1:
+            self.gap = True
+        self.last_report = report.number
+        if report.answers and report.answers == self.inquiry:
+            self.inquiry = 0
+            self.gap = False
+        if not self.gap:
+            self.acked = report.number
+        self.leaving = self.leaving or report.leaving
+        self.take_load(now, report.load, report.clock_ms)
+        return True
+
+    def refs(self) -> list[TaskRefs]:
+        """Name every task that is outstanding at the gate."""
+        return group(list(self.outstanding))
+
+
+def group(keys: list[TaskKey]) -> list[TaskRefs]:
+    """Return `keys` grouped by submission."""
+    groups: dict[str, list[int]] = {}
+    for submission, index in keys:
+        groups.setdefault(submission, []).append(index)
+    return [TaskRefs(submission, indexes) for submission, indexes in groups.items()]
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/target.py
@@ -0,0 +1,221 @@
+"""One target process: home of submissions, gate of its runner, and a member that heartbeats."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+import xxhash
+
+from paddleshunt_core.effects import Effect, Log, Send
+from paddleshunt_core.gate import Gate, GateLimits
+from paddleshunt_core.home import Home, HomeLimits
+from paddleshunt_core.ids import Incarnation
+from paddleshunt_core.messages import (
+    Assign,
+    Body,
+    EntryInfo,
+    Envelope,
+    Heartbeat,
+    Inquire,
+    Load,
+    Misdirected,
+    Query,
+    Report,
+    Submit,
+    View,
+)
+from paddleshunt_core.placement import Placement, Policy
+from paddleshunt_core.table import Row
+
+HEARTBEAT_ENTRIES = 2
+"""Entries that a target sends its regular heartbeats to."""
+
+FIRST_HEARTBEAT = 0.2
+"""Seconds between heartbeats until an entry has answered."""
+
+LINGER = 2.0
+"""Seconds a leaving target without work stays to answer callers that ask again."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class TargetSettings:
+    """Who a target is and what bounds it."""
+
+    me: Incarnation
+    address: str
+    site: str
+    data_hall: str
+    service: str
+    gate: GateLimits
+    home: HomeLimits
+    policy: Policy = Policy.LEAST_LOADED
+    pipeline: int = 2
+
+
+@final
+class Target:
+    """State of one target. Feed it messages and ticks, then call `flush`."""
+
+    def __init__(self, settings: TargetSettings, rng: Random) -> None:
+        self._settings = settings
+        self._me = settings.me
+        placement = Placement(settings.site, rng, settings.policy, settings.pipeline)
+        self.home = Home(settings.me, settings.home, placement)
+        self.gate = Gate(settings.gate)
+        self._entries: dict[str, str] = {}
+        self._rows: list[Row] = []
+        self._table_revision = 0
+        self._heard_entry_at: float | None = None
+        self._heartbeat_seconds = FIRST_HEARTBEAT
+        self._next_heartbeat = 0.0
+        self._leave_at: float | None = None
+
+    @property
+    def load(self) -> Load:
+        """The gate's load, with the jobs this target is home of."""
+        load = self.gate.load
+        return Load(load.slots, load.running, load.queued, self.home.jobs)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target is on its way out."""
+        return self.gate.leaving
+
+    def needs_entries(self, now: float) -> bool:
+        """Whether no entry was heard lately, so that the platform should be asked for some."""
+        heard = self._heard_entry_at
+        return heard is None or now - heard > 5 * max(1.0, self._heartbeat_seconds)
+
+    def describe(self) -> dict[str, object]:
+        """Return a summary of the state for a dump."""
+        return {
+            "incarnation": str(self._me),
+            "service": self._settings.service,
+            "site": self._settings.site,
+            "table_revision": self._table_revision,
+            "rows": self._rows,
+            "entries": self._entries,
+            "home": self.home.describe(),
+            "gate": self.gate.describe(),
+        }
+
+    def know_entries(self, entries: list[EntryInfo]) -> None:
+        """Take entries from the platform's list, while no entry has been heard."""
+        for entry in entries:
+            self._entries[entry.host] = entry.address
+
+    def handle(self, now: float, envelope: Envelope) -> list[Effect]:
+        """Take a message from a peer."""
+        sender, address = envelope.sender, envelope.address
+        if envelope.to != self._me and not _meant_for_any(envelope, self._me):
+            return self._misdirected(envelope)
+        match envelope.body:
+            case Submit() as body:
+                return self.home.submit(now, sender, address, body)
+            case Query() as body:
+                return self.home.query(now, sender, address, body)
+            case Assign() as body:
+                return self.gate.assign(now, sender, address, body)
+            case Inquire() as body:
+                return self.gate.inquire(now, sender, address, body)
+            case Report() as body:
+                return self.home.report(now, sender, body)
+            case Misdirected() as body:
+                return self._ended(now, body.ended)
+            case View() as body:
+                return self._view(now, body)
+            case _:
+                return [Log("message_ignored", fields={"sender": str(sender)})]
+
+    def undelivered(self, now: float, to: Incarnation, body: Body) -> list[Effect]:
+        """Take back a message that provably never left this process."""
+        return self.home.undelivered(now, to, body)
+
+    def leave(self, now: float) -> list[Effect]:
+        """Begin to leave: tell all entries, refuse new work, finish what runs."""
+        if self.leaving:
+            return []
+        self.home.leaving = True
+        self.gate.leave()
+        return [Log("leaving"), *self._heartbeats(now, everyone=True)]
+
+    def may_exit(self, now: float) -> bool:
+        """Whether a leaving target has nothing left to finish."""
+        if not (self.leaving and self.gate.idle and self.home.jobs == 0):
+            self._leave_at = None
+            return False
+        if self._leave_at is None:
+            self._leave_at = now + LINGER
+        return now >= self._leave_at
+
+    def farewell(self, now: float) -> list[Effect]:
+        """Tell all entries that this incarnation ends now."""
+        return self._heartbeats(now, everyone=True, ended=True)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Act on the passing of time."""
+        effects = self.home.tick(now) + self.gate.tick(now)
+        if now >= self._next_heartbeat:
+            effects += self._heartbeats(now, everyone=self.needs_entries(now))
+        return effects
+
+    def flush(self, now: float) -> list[Effect]:
+        """Return the messages that the inputs since the last flush call for."""
+        return self.home.flush(now) + self.gate.flush(now)
+
+    def _misdirected(self, envelope: Envelope) -> list[Effect]:
+        if envelope.to.host != self._me.host or envelope.to.boot > self._me.boot:
+            return [Log("message_for_another", fields={"to": str(envelope.to)})]
+        return [Send(envelope.sender, envelope.address, Misdirected(envelope.to))]
+
+    def _view(self, now: float, view: View) -> list[Effect]:
+        self._heard_entry_at = now
+        self._heartbeat_seconds = view.heartbeat_ms / 1000
+        self._entries = {entry.host: entry.address for entry in view.entries}
+        effects: list[Effect] = []
+        if view.table_revision > self._table_revision:
+            self._table_revision = view.table_revision
+            self._rows = view.rows
+            effects.append(Log("table_adopted", fields={"revision": view.table_revision}))
+        for incarnation in view.ended:
+            effects += self._ended(now, incarnation)
+        closed = {row.site for row in self._rows if row.weight == 0}
+        self.home.view_peers(now, view.peers, closed)
+        if view.share is not None:
+            effects += self.gate.set_share(now, view.share)
+        return effects
+
+    def _ended(self, now: float, incarnation: Incarnation) -> list[Effect]:
+        return [
+            *self.home.target_ended(now, incarnation),
+            *self.gate.home_ended(now, incarnation),
+        ]
+
+    def _heartbeats(self, now: float, *, everyone: bool, ended: bool = False) -> list[Effect]:
+        self._next_heartbeat = now + self._heartbeat_seconds
+        body = Heartbeat(
+            address=self._settings.address,
+            site=self._settings.site,
+            data_hall=self._settings.data_hall,
+            service=self._settings.service,
+            leaving=self.leaving,
+            ended=ended,
+            clock_ms=int(now * 1000),
+            load=self.load,
+            table_revision=self._table_revision,
+            share_revision=self.gate.share_revision,
+        )
+        hosts = sorted(self._entries) if everyone else self._nearest_entries()
+        return [Send(Incarnation(host, ""), self._entries[host], body) for host in hosts]
+
+    def _nearest_entries(self) -> list[str]:
+        """Return the entries that this host's hash favours, the same ones as long as they stay."""
+        return sorted(self._entries, key=self._affinity)[:HEARTBEAT_ENTRIES]
+
+    def _affinity(self, entry: str) -> int:
+        return xxhash.xxh32_intdigest(f"{self._me.host}/{entry}".encode())
+
+
+def _meant_for_any(envelope: Envelope, me: Incarnation) -> bool:
+    return envelope.to.host == me.host and not envelope.to.boot
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/answers.py
@@ -0,0 +1,74 @@
+"""How outcomes look to callers: status, headers and JSON.
+
+Only `not_accepted` has a 5xx status, the one that a balancer may repeat by itself: it is the one
+after which the same request can do no harm.
+"""
+
+import json
+from http import HTTPStatus
+
+from paddleshunt_core.messages import Absent, Answer, Running
+from paddleshunt_core.outcomes import (
+    Complete,
+    Conflict,
+    Failed,
+    NotAccepted,
+    NotRun,
+    Outcome,
+    Unknown,
+    safe_to_ask,
+)
+
+from paddleshunt_node.web import Response
+
+ID_HEADER = "Paddleshunt-Submission"
+
+STATUSES: dict[type[Outcome], HTTPStatus] = {
+    Complete: HTTPStatus.OK,
+    Failed: HTTPStatus.UNPROCESSABLE_ENTITY,
+    NotRun: HTTPStatus.TOO_MANY_REQUESTS,
+    NotAccepted: HTTPStatus.SERVICE_UNAVAILABLE,
+    Unknown: HTTPStatus.GONE,
+    Conflict: HTTPStatus.CONFLICT,
+}
+
+
+def respond(body: Answer | Running | Absent) -> Response:
+    """Return the response that tells a caller of its submission."""
+    match body:
+        case Answer():
+            return _answer(body)
+        case Running():
+            return _state(HTTPStatus.ACCEPTED, body.submission, "running")
+        case Absent():
+            return _state(HTTPStatus.NOT_FOUND, body.submission, "not_submitted")
+
+
+def kind(outcome: Outcome) -> str:
+    """Return the outcome's tag."""
+    return str(outcome.__struct_config__.tag)
+
+
+def _state(status: HTTPStatus, submission: str, state: str) -> Response:
+    body = json.dumps({"id": submission, "state": state})
+    return Response(status, body.encode(), {ID_HEADER: submission})
+
+
+def _answer(answer: Answer) -> Response:
+    outcome = answer.outcome
+    ask_again = safe_to_ask(outcome, repeatable=answer.repeatable).value
+    head = {"id": answer.submission, "outcome": kind(outcome), "ask_again": ask_again}
+    headers = {ID_HEADER: answer.submission}
+    if isinstance(outcome, NotRun | NotAccepted):
+        headers["Retry-After"] = str(max(1, -(-outcome.retry_after_ms // 1000)))
+    status = STATUSES[type(outcome)]
+    if isinstance(outcome, Complete):
+        return Response(status, _with_results(head, outcome.results), headers)
+    detail = {name: getattr(outcome, name) for name in outcome.__struct_fields__}
+    return Response(status, json.dumps(head | detail).encode(), headers)
+
+
+def _with_results(head: dict[str, str], results: list[bytes]) -> bytes:
+    """Return the JSON of a whole answer, with the results as the runners gave them."""
+    start = json.dumps(head).encode().removesuffix(b"}")
+    return start + b', "results": [' + b", ".join(results) + b"]}"
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
@@ -0,0 +1,281 @@
+"""The entry role as a process: HTTP for callers and operators around the core's `Entry`."""
+
+import itertools
+import queue
+import random
+import time
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from threading import Lock
+from typing import final
+
+import msgspec
+from paddleshunt_core.allotments import Allotment
+from paddleshunt_core.effects import Effect, Reply, WriteAllotment
+from paddleshunt_core.entry import Entry, EntrySettings, Minted
+from paddleshunt_core.ids import Incarnation
+from paddleshunt_core.members import Host
+from paddleshunt_core.messages import Answer, Body, Envelope, Submit
+from paddleshunt_core.outcomes import NotAccepted
+from paddleshunt_core.table import TableDocument
+from paddleshunt_platform.etcd import EtcdStore
+from paddleshunt_platform.hosts import HostList
+from paddleshunt_platform.settings import EntryFile
+
+from paddleshunt_node import answers, logs
+from paddleshunt_node.filters import (
+    Call,
+    Filter,
+    Forward,
+    KnownId,
+    KnownService,
+    Mint,
+    Parse,
+    Size,
+    TellId,
+    run_chain,
+)
+from paddleshunt_node.node import LocalEffect, Node, new_incarnation
+from paddleshunt_node.platformthreads import HostsThread, StoreThreads
+from paddleshunt_node.web import JSON, Request, Response, Route, WebServer, error
+
+SPARE_THREADS = 8
+"""Web threads beyond those that may wait for answers, for everything that is quick."""
+
+ASK_SECONDS = 5.0
+"""Seconds that a web thread waits for the loop to answer a quick question."""
+
+REPLY_GRACE = 5.0
+"""Seconds past a submission's deadline after which a web thread gives up on the core."""
+
+
+@dataclass(slots=True)
+class _EntryMachine:
+    """Lets the node drive the core's entry."""
+
+    entry: Entry
+
+    def handle(self, now: float, envelope: Envelope) -> list[Effect]:
+        return self.entry.handle(now, envelope)
+
+    def undelivered(self, now: float, to: Incarnation, body: Body) -> list[Effect]:
+        return self.entry.undelivered(to, body)
+
+    def tick(self, now: float) -> list[Effect]:
+        return self.entry.tick(now)
+
+    def flush(self, now: float) -> list[Effect]:
+        return []
+
+
+@dataclass(slots=True)
+class _Waiters:
+    """Web threads that wait for a reply of the core, by caller number."""
+
+    lock: Lock = field(default_factory=Lock)
+    numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+    boxes: dict[int, "queue.SimpleQueue[Response]"] = field(default_factory=dict)
+
+    def add(self) -> tuple[int, "queue.SimpleQueue[Response]"]:
+        with self.lock:
+            number = next(self.numbers)
+            box: queue.SimpleQueue[Response] = queue.SimpleQueue()
+            self.boxes[number] = box
+            return number, box
+
+    def answer(self, number: int, response: Response) -> None:
+        with self.lock:
+            box = self.boxes.pop(number, None)
+        if box is not None:
+            box.put(response)
+
+    def drop(self, number: int) -> None:
+        with self.lock:
+            self.boxes.pop(number, None)
+
+
+@final
+class EntryProcess:
+    """One entry: start it, then stop it when told to leave."""
+
+    def __init__(self, settings: EntryFile) -> None:
+        rng = random.Random()
+        self._settings = settings
+        self._limits = settings.limits
+        me = new_incarnation(settings.host, rng)
+        core = EntrySettings(me, settings.listen.peers, settings.heartbeat_s)
+        self._entry = Entry(core, rng)
+        self._node = Node(
+            me, settings.listen.peers, _EntryMachine(self._entry), self._perform_local
+        )
+        self._waiters = _Waiters()
+        self._greeted = False
+        store_url = settings.platform.store or ""
+        self._store = StoreThreads(EtcdStore(store_url), self._on_table, self._on_allotment)
+        self._hosts = HostsThread(HostList(settings.platform.hosts), self._on_hosts)
+        threads = self._limits.max_waiting + SPARE_THREADS
+        self._web = WebServer(settings.listen.http, self._routes(), threads)
+        metrics = self._node.metrics
+        metrics.gauge("paddleshunt_calls", "Callers' calls that wait.", self._count_calls)
+        metrics.gauge("paddleshunt_table_revision", "Table in force.", self._revision)
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._node.start()
+        self._hosts.start()
+        self._store.start()
+        self._web.start()
+        logs.event(
+            "started", role="entry", host=self._settings.host, http=self._settings.listen.http
+        )
+
+    def leave(self, patience: float) -> None:
+        """Turn `/healthz` to 503, finish waiting calls for up to `patience` seconds, and end."""
+        self._entry.leaving = True
+        logs.event("leaving", host=self._settings.host)
+        end = time.monotonic() + patience
+        while self._waiters.boxes and time.monotonic() < end:
+            time.sleep(0.02)
+        self._web.stop()
+        self._hosts.stop()
+        self._store.stop()
+        self._node.stop()
+        logs.event("stopped", host=self._settings.host)
+
+    def _routes(self) -> dict[tuple[str, str], Route]:
+        size = Size(self._limits)
+        known = KnownService(self._is_known)
+        mint = Mint(self._mint)
+        forward = Forward(self._limits, self._forward)
+        parse = Parse(self._limits, with_tasks=True)
+        name: list[Filter] = [size, Parse(self._limits, with_tasks=False), known, mint, TellId()]
+        submit: list[Filter] = [size, KnownId(), parse, known, forward]
+        job: list[Filter] = [size, parse, known, mint, forward]
+        return {
+            ("POST", "/v1/submissions"): lambda request: run_chain(name, Call(request)),
+            ("PUT", "/v1/submissions/"): lambda request: run_chain(submit, Call(request)),
+            ("POST", "/v1/jobs"): lambda request: run_chain(job, Call(request)),
+            ("GET", "/v1/submissions/"): self._look_up,
+            ("GET", "/healthz"): self._health,
+            ("GET", "/metrics"): self._metrics_page,
+            ("GET", "/v1/dump"): self._dump,
+            ("PUT", "/v1/table"): self._take_table,
+        }
+
+    # Callers' requests, on web threads.
+
+    def _is_known(self, service: str) -> bool:
+        return any(row.service == service for row in self._entry.table.document.rows)
+
+    def _mint(self, service: str) -> Minted | NotAccepted:
+        box: queue.SimpleQueue[Minted | NotAccepted] = queue.SimpleQueue()
+
+        def ask(now: float) -> list[Effect]:
+            box.put(self._entry.mint(now, service))
+            return []
+
+        self._node.post(ask)
+        return box.get(timeout=ASK_SECONDS)
+
+    def _forward(self, message: Submit) -> Response:
+        if len(self._waiters.boxes) >= self._limits.max_waiting:
+            refusal = NotAccepted("too many callers wait at this entry", 1000)
+            return self._answered(
+                Answer(message.submission, message.digest, refusal, message.repeatable)
+            )
+        number, box = self._waiters.add()
+        self._node.post(lambda now: self._entry.submit(now, number, message))
+        return self._wait(number, box, message.deadline_ms / 1000 + REPLY_GRACE)
+
+    def _look_up(self, request: Request) -> Response:
+        call = Call(request)
+        refusal = KnownId()(call)
+        if refusal is not None:
+            return refusal
+        number, box = self._waiters.add()
+        self._node.post(lambda now: self._entry.look_up(now, number, call.submission))
+        return self._wait(number, box, ASK_SECONDS)
+
+    def _wait(self, number: int, box: "queue.SimpleQueue[Response]", seconds: float) -> Response:
+        try:
+            return box.get(timeout=seconds)
+        except queue.Empty:
+            self._waiters.drop(number)
+            return error(HTTPStatus.GATEWAY_TIMEOUT, "no answer; ask again with the same id")
+
+    def _answered(self, answer: Answer) -> Response:
+        self._node.metrics.answered(answers.kind(answer.outcome))
+        return answers.respond(answer)
+
+    # Operators' requests.
+
+    def _health(self, _request: Request) -> Response:
+        if self._entry.leaving:
+            return error(HTTPStatus.SERVICE_UNAVAILABLE, "leaving")
+        if self._entry.table.revision == 0:
+            return error(HTTPStatus.SERVICE_UNAVAILABLE, "no table yet")
+        return Response(HTTPStatus.OK, b'{"status": "ok"}')
+
+    def _metrics_page(self, _request: Request) -> Response:
+        page = self._node.metrics.page()
+        return Response(HTTPStatus.OK, page, content_type="text/plain; version=0.0.4")
+
+    def _dump(self, _request: Request) -> Response:
+        box: queue.SimpleQueue[bytes] = queue.SimpleQueue()
+
+        def ask(now: float) -> list[Effect]:
+            state = self._entry.describe(now) | {"store_reachable": self._store.reachable}
+            box.put(msgspec.json.encode(state))
+            return []
+
+        self._node.post(ask)
+        return Response(HTTPStatus.OK, box.get(timeout=ASK_SECONDS), content_type=JSON)
+
+    def _take_table(self, request: Request) -> Response:
+        call = Call(request)
+        refusal = Size(self._limits)(call)
+        if refusal is not None:
+            return refusal
+        try:
+            document = msgspec.json.decode(call.raw, type=TableDocument)
+        except msgspec.MsgspecError as problem:
+            return error(HTTPStatus.BAD_REQUEST, str(problem), at="body")
+        self._node.post(lambda now: self._entry.table_handed(now, document))
+        return Response(HTTPStatus.ACCEPTED, b"{}")
+
+    # The platform's news, on its threads.
+
+    def _on_table(self, document: TableDocument | None) -> None:
+        self._node.post(lambda now: self._entry.table_from_store(now, document))
+
+    def _on_allotment(self, allotment: Allotment) -> None:
+        self._node.post(lambda now: self._entry.allotment(now, allotment))
+
+    def _on_hosts(self, hosts: list[Host]) -> None:
+        self._node.post(lambda now: self._take_hosts(now, hosts))
+
+    def _take_hosts(self, now: float, hosts: list[Host]) -> list[Effect]:
+        effects = self._entry.hosts(now, hosts)
+        if not self._greeted:
+            self._greeted = True
+            effects += self._entry.greet(now)
+        return effects
+
+    # The core's effects, on the loop's thread.
+
+    def _perform_local(self, effect: LocalEffect) -> None:
+        match effect:
+            case Reply(caller, Answer() as answer):
+                self._waiters.answer(caller, self._answered(answer))
+            case Reply(caller, body):
+                self._waiters.answer(caller, answers.respond(body))
+            case WriteAllotment(allotment):
+                self._store.write(allotment)
+            case _:
+                logs.event("effect_ignored", effect=type(effect).__name__)
+
+    def _count_calls(self) -> float:
+        return float(len(self._entry.calls))
+
+    def _revision(self) -> float:
+        return float(self._entry.table.revision)
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/loop.py
@@ -0,0 +1,82 @@
+"""The one thread that owns a process's state: it takes inputs in batches and carries out effects.
+
+All other threads post inputs, which are functions of the time that return effects; so the core's
+machines need no locks.
+"""
+
+import queue
+import time
+from collections.abc import Callable
+from threading import Thread
+from typing import final
+
+from paddleshunt_core.effects import Effect
+
+TICK_SECONDS = 0.05
+"""Seconds between two ticks."""
+
+MAX_BATCH = 256
+"""Inputs taken before effects are carried out."""
+
+Input = Callable[[float], list[Effect]]
+
+
+@final
+class Loop:
+    """Runs inputs on its own thread. `tick` and `flush` are the machine's, `perform` the node's."""
+
+    def __init__(
+        self,
+        tick: Input,
+        flush: Input,
+        perform: Callable[[float, list[Effect]], None],
+    ) -> None:
+        self._tick = tick
+        self._flush = flush
+        self._perform = perform
+        self._inputs: queue.SimpleQueue[Input] = queue.SimpleQueue()
+        self._stopped = False
+        self._thread = Thread(target=self._run, name="loop", daemon=True)
+
+    def start(self) -> None:
+        """Begin to run."""
+        self._thread.start()
+
+    def post(self, item: Input) -> None:
+        """Run `item` soon on the loop's thread."""
+        self._inputs.put(item)
+
+    def stop(self) -> None:
+        """Run what was posted, then end."""
+        self.post(self._stop)
+        self._thread.join()
+
+    def _stop(self, _now: float) -> list[Effect]:
+        self._stopped = True
+        return []
+
+    def _run(self) -> None:
+        next_tick = 0.0
+        while not self._stopped:
+            batch = self._take(max(0.0, next_tick - time.monotonic()))
+            now = time.monotonic()
+            effects: list[Effect] = []
+            for item in batch:
+                effects += item(now)
+            if now >= next_tick:
+                effects += self._tick(now)
+                next_tick = now + TICK_SECONDS
+            effects += self._flush(now)
+            self._perform(now, effects)
+
+    def _take(self, timeout: float) -> list[Input]:
+        try:
+            batch = [self._inputs.get(timeout=timeout)]
+        except queue.Empty:
+            return []
+        while len(batch) < MAX_BATCH:
+            try:
+                batch.append(self._inputs.get_nowait())
+            except queue.Empty:
+                break
+        return batch
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/main.py
@@ -0,0 +1,92 @@
+"""The command line of `paddleshuntd`."""
+
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from threading import Event
+from typing import Protocol, TypeVar
+
+import click
+from paddleshunt_platform import settings
+
+from paddleshunt_node import logs
+
+BAD_SETTINGS = 2
+"""Exit status when the settings can't be used."""
+
+PATIENCE = 120.0
+"""Seconds that a leaving process gives its requests to finish."""
+
+_File = TypeVar("_File")
+_FILE = click.Path(path_type=Path, dir_okay=False)
+
+
+class _Process(Protocol):
+    def start(self) -> None: ...
+
+    def leave(self, patience: float) -> None: ...
+
+
+@click.group()
+def main() -> None:
+    """Run a process of paddleshunt."""
+
+
+@main.command()
+@click.option("--settings", "file", type=_FILE, required=True, help="TOML file.")
+def entry(file: Path) -> None:
+    """Run an entry: the HTTP side for callers and operators."""
+    from paddleshunt_node.entryprocess import EntryProcess
+
+    chosen = _checked(lambda: settings.load_entry(file))
+    logs.set_up(chosen.log.level)
+    _serve(EntryProcess(chosen))
+
+
+@main.command()
+@click.option("--settings", "file", type=_FILE, required=True, help="TOML file.")
+def target(file: Path) -> None:
+    """Run a target: the process beside one runner."""
+    from paddleshunt_node.targetprocess import TargetProcess
+
+    chosen = _checked(lambda: settings.load_target(file))
+    logs.set_up(chosen.log.level)
+    _serve(TargetProcess(chosen))
+
+
+@main.command("check-settings")
+@click.argument("file", type=_FILE)
+def check_settings(file: Path) -> None:
+    """Check a settings file without starting anything."""
+    _checked(lambda: settings.load_either(file))
+    click.echo(f"{file}: ok")
+
+
+@main.command()
+@click.option("--out", type=click.Path(path_type=Path, file_okay=False), default=Path("demo-out"))
+@click.option("--examples", type=click.Path(path_type=Path, exists=True), default=Path("examples"))
+def demo(out: Path, examples: Path) -> None:
+    """Try the whole system in one process, with one job of each example."""
+    from paddleshunt_node.demo import run_demo
+
+    logs.set_up("warning")
+    sys.exit(run_demo(out, examples))
+
+
+def _checked(load: Callable[[], _File]) -> _File:
+    try:
+        return load()
+    except settings.SettingsError as problem:
+        click.echo(f"paddleshuntd: {problem}", err=True)
+        sys.exit(BAD_SETTINGS)
+
+
+def _serve(process: _Process) -> None:
+    """Run until SIGTERM or SIGINT, then leave."""
+    told = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told.set())
+    process.start()
+    told.wait()
+    process.leave(PATIENCE)
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/platformthreads.py
@@ -0,0 +1,149 @@
+"""Threads that follow the platform: its store and its list of hosts."""
+
+import queue
+from collections.abc import Callable
+from threading import Event, Thread
+from typing import final
+
+import msgspec
+from paddleshunt_core.allotments import Allotment
+from paddleshunt_core.members import Host
+from paddleshunt_core.table import TableDocument
+from paddleshunt_platform.hosts import HostList, HostsError
+from paddleshunt_platform.store import (
+    ABSENT,
+    ALLOTMENT_PREFIX,
+    PREFIX,
+    TABLE_KEY,
+    Listing,
+    Store,
+    Value,
+    Written,
+    allotment_key,
+)
+
+from paddleshunt_node import logs
+
+HOSTS_SECONDS = 2.0
+"""Seconds between two readings of the host list by an entry."""
+
+RETRY_SECONDS = 1.0
+"""Seconds to wait after the store could not be read."""
+
+
+@final
+class StoreThreads:
+    """Reads and watches the store on one thread, and writes allotments on another."""
+
+    def __init__(
+        self,
+        store: Store,
+        on_table: Callable[[TableDocument | None], None],
+        on_allotment: Callable[[Allotment], None],
+    ) -> None:
+        self._store = store
+        self._on_table = on_table
+        self._on_allotment = on_allotment
+        self._versions: dict[str, int] = {}
+        self._writes: queue.SimpleQueue[Allotment] = queue.SimpleQueue()
+        self._stopped = Event()
+        self.reachable = False
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        Thread(target=self._follow, name="store", daemon=True).start()
+        Thread(target=self._write, name="store-writes", daemon=True).start()
+
+    def write(self, allotment: Allotment) -> None:
+        """Write an allotment soon; the watch brings it back if it took effect."""
+        self._writes.put(allotment)
+
+    def stop(self) -> None:
+        """Stop at the next chance; the threads don't hold up the process's end."""
+        self._stopped.set()
+
+    def _follow(self) -> None:
+        while not self._stopped.is_set():
+            listing = self._store.list(PREFIX)
+            if not isinstance(listing, Listing):
+                self._note_reachable(False, listing.reason)
+                self._stopped.wait(RETRY_SECONDS)
+                continue
+            self._note_reachable(True, "")
+            self._take_all(listing)
+            for item in self._store.watch(PREFIX, listing.revision):
+                if isinstance(item, Value):
+                    self._take(item)
+
+    def _take_all(self, listing: Listing) -> None:
+        for value in listing.values:
+            self._take(value)
+        if all(value.key != TABLE_KEY for value in listing.values):
+            self._on_table(None)
+
+    def _take(self, value: Value) -> None:
+        self._versions[value.key] = value.version
+        try:
+            if value.key == TABLE_KEY:
+                self._on_table(msgspec.json.decode(value.data, type=TableDocument))
+            elif value.key.startswith(ALLOTMENT_PREFIX):
+                self._on_allotment(msgspec.json.decode(value.data, type=Allotment))
+        except msgspec.MsgspecError as problem:
+            logs.event("store_value_refused", key=value.key, reason=str(problem))
+
+    def _write(self) -> None:
+        while not self._stopped.is_set():
+            allotment = self._writes.get()
+            key = allotment_key(allotment.service, allotment.site)
+            version = self._versions.get(key, ABSENT)
+            done = self._store.compare_and_swap(key, msgspec.json.encode(allotment), version)
+            outcome = "written" if isinstance(done, Written) else repr(done)[:200]
+            logs.event(
+                "allotment_write",
+                service=allotment.service,
+                site=allotment.site,
+                revision=allotment.revision,
+                outcome=outcome,
+            )
+
+    def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable != self.reachable:
+            logs.event("store_reachable" if reachable else "store_unreachable", reason=reason)
+        self.reachable = reachable
+
+
+@final
+class HostsThread:
+    """Reads the host list whenever `wanted` says so."""
+
+    def __init__(
+        self,
+        hosts: HostList,
+        on_hosts: Callable[[list[Host]], None],
+        wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._hosts = hosts
+        self._on_hosts = on_hosts
+        self._wanted = wanted
+        self._stopped = Event()
+
+    def start(self) -> None:
+        """Begin to follow the list."""
+        Thread(target=self._run, name="hosts", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop at the next chance."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            if self._wanted():
+                self._fetch()
+            self._stopped.wait(HOSTS_SECONDS)
+
+    def _fetch(self) -> None:
+        found = self._hosts.fetch()
+        if isinstance(found, HostsError):
+            logs.event("hosts_unreachable", reason=found.reason)
+            return
+        self._on_hosts(found)
--- /dev/null
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/etcd.py
@@ -0,0 +1,220 @@
+"""A client of the key-value service over the etcd v3 JSON gateway.
+
+Source of the protocol: the published etcd API reference, v3 gRPC gateway: `kv/range`, `kv/txn`,
+`watch`, `lease/grant` and `lease/keepalive`, with keys and values in base64 and 64-bit numbers as
+decimal strings. Nothing is retried here; the callers decide what a lost answer means.
+"""
+
+import base64
+from collections.abc import Iterator
+from typing import TypeVar, final
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
+
+from paddleshunt_platform.store import (
+    ABSENT,
+    Changed,
+    Listing,
+    StoreError,
+    Unanswered,
+    Unreachable,
+    Value,
+    Written,
+)
+
+CALL_TIMEOUT = 3.0
+"""Seconds a call may take."""
+
+WATCH_TIMEOUT = 30.0
+"""Seconds without news after which a watch ends, so that a dead one is noticed."""
+
+_OK = 200
+
+_T = TypeVar("_T")
+
+
+class _KeyValue(msgspec.Struct):
+    key: str
+    value: str = ""
+    mod_revision: str = "0"
+
+
+class _Header(msgspec.Struct):
+    revision: str = "0"
+
+
+class _Range(msgspec.Struct):
+    header: _Header
+    kvs: list[_KeyValue] = []
+
+
+class _TxnResponse(msgspec.Struct):
+    response_range: _Range | None = None
+
+
+class _Txn(msgspec.Struct):
+    header: _Header
+    succeeded: bool = False
+    responses: list[_TxnResponse] = []
+
+
+class _Event(msgspec.Struct):
+    kv: _KeyValue
+    type: str = "PUT"
+
+
+class _WatchResult(msgspec.Struct):
+    events: list[_Event] = []
+    canceled: bool = False
+
+
+class _WatchLine(msgspec.Struct):
+    result: _WatchResult
+
+
+class _Lease(msgspec.Struct):
+    ID: str = "0"
+    TTL: str = "0"
+
+
+class _LeaseLine(msgspec.Struct):
+    result: _Lease
+
+
+@final
+class EtcdStore:
+    """A store at `url`; safe to share between threads."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager(retries=False, maxsize=2)
+
+    def get(self, key: str) -> Value | StoreError | None:
+        """Return the key's value, None if there is none."""
+        found = self._call("kv/range", {"key": _b64(key)}, _Range)
+        if not isinstance(found, _Range):
+            return found
+        return _value(found.kvs[0]) if found.kvs else None
+
+    def list(self, prefix: str) -> Listing | StoreError:
+        """Return all values whose keys start with `prefix`."""
+        body = {"key": _b64(prefix), "range_end": _b64(_range_end(prefix))}
+        found = self._call("kv/range", body, _Range)
+        if not isinstance(found, _Range):
+            return found
+        return Listing(tuple(_value(kv) for kv in found.kvs), int(found.header.revision))
+
+    def compare_and_swap(
+        self, key: str, data: bytes, version: int
+    ) -> Written | Changed | StoreError:
+        """Write `data` if the key still has `version` (`ABSENT`: if it isn't there)."""
+        name = _b64(key)
+        body = {
+            "compare": [_compare(name, version)],
+            "success": [{"requestPut": {"key": name, "value": _b64(data)}}],
+            "failure": [{"requestRange": {"key": name}}],
+        }
+        done = self._call("kv/txn", body, _Txn)
+        if not isinstance(done, _Txn):
+            return done
+        if done.succeeded:
+            return Written()
+        ranges = [r.response_range for r in done.responses if r.response_range is not None]
+        kvs = ranges[0].kvs if ranges else []
+        return Changed(_value(kvs[0]) if kvs else None)
+
+    def watch(self, prefix: str, after: int) -> Iterator[Value | StoreError]:
+        """Yield values written under `prefix` after a revision; the last item is an error."""
+        request = {
+            "key": _b64(prefix),
+            "range_end": _b64(_range_end(prefix)),
+            "start_revision": str(after + 1),
+        }
+        body = msgspec.json.encode({"create_request": request})
+        timeout = urllib3.Timeout(connect=CALL_TIMEOUT, read=WATCH_TIMEOUT)
+        try:
+            response = self._pool.request(
+                "POST", f"{self._url}/v3/watch", body=body, preload_content=False, timeout=timeout
+            )
+            try:
+                for line in _lines(response):
+                    yield from _watched(line)
+            finally:
+                response.close()
+        except (HTTPError, msgspec.MsgspecError, OSError) as error:
+            yield Unanswered(str(error))
+            return
+        yield Unanswered("the watch ended")
+
+    def grant_lease(self, seconds: int) -> int | StoreError:
+        """Return the number of a new lease."""
+        granted = self._call("lease/grant", {"TTL": str(seconds), "ID": "0"}, _Lease)
+        return int(granted.ID) if isinstance(granted, _Lease) else granted
+
+    def keep_lease(self, lease: int) -> bool | StoreError:
+        """Renew a lease; return False if it has lapsed."""
+        kept = self._call("lease/keepalive", {"ID": str(lease)}, _LeaseLine)
+        return int(kept.result.TTL) > 0 if isinstance(kept, _LeaseLine) else kept
+
+    def _call(self, path: str, body: object, kind: type[_T]) -> _T | StoreError:
+        raw = msgspec.json.encode(body)
+        timeout = urllib3.Timeout(connect=CALL_TIMEOUT, read=CALL_TIMEOUT)
+        try:
+            response = self._pool.request(
+                "POST", f"{self._url}/v3/{path}", body=raw, timeout=timeout
+            )
+        except (NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as error:
+            return Unreachable(str(error))
+        except MaxRetryError as error:
+            return Unanswered(str(error))
+        except (HTTPError, OSError) as error:
+            return Unanswered(str(error))
+        if response.status != _OK:
+            return Unanswered(f"status {response.status}")
+        try:
+            return msgspec.json.decode(response.data, type=kind)
+        except msgspec.MsgspecError as error:
+            return Unanswered(f"answer not understood: {error}")
+
+
+def _b64(text: str | bytes) -> str:
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode()
+
+
+def _range_end(prefix: str) -> bytes:
+    """Return the first key after all that start with `prefix`."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return bytes(raw)
+
+
+def _compare(name: str, version: int) -> dict[str, str]:
+    if version == ABSENT:
+        return {"key": name, "target": "VERSION", "result": "EQUAL", "version": "0"}
+    return {"key": name, "target": "MOD", "result": "EQUAL", "mod_revision": str(version)}
+
+
+def _value(kv: _KeyValue) -> Value:
+    key = base64.b64decode(kv.key).decode()
+    return Value(key, base64.b64decode(kv.value), int(kv.mod_revision))
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the stream's lines as they come."""
+    held = b""
+    while True:
+        chunk = response.read1(65536)
+        if not chunk:
+            return
+        *whole, held = (held + chunk).split(b"\n")
+        yield from (line for line in whole if line.strip())
+
+
+def _watched(line: bytes) -> Iterator[Value]:
+    result = msgspec.json.decode(line, type=_WatchLine).result
+    for event in result.events:
+        if event.type != "DELETE":
+            yield _value(event.kv)
