--- a/packages/paddleshunt-core/src/paddleshunt_core/gate.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/gate.py
@@ -99,6 +99,8 @@
         self._kept_bytes = 0
         self._kept: deque[TaskKey] = deque()
         self._next_sweep = 0.0
+        # Homes that were refused for lack of room, to be told when there is some.
+        self._wanting: dict[Incarnation, None] = {}
         self.leaving = False
 
     @property
@@ -206,6 +208,7 @@
 
     def flush(self, now: float) -> list[Effect]:
         """Return one report for each home that has something to hear."""
+        self._offer_room()
         effects: list[Effect] = []
         for home, channel in self._channels.items():
             if channel.dirty:
@@ -225,6 +228,14 @@
         ceiling = min(self._slots + self._limits.pipeline, self._share.max_in_flight)
         return ceiling - self._running - len(self._queue)
 
+    def _offer_room(self) -> None:
+        """Let as many homes as there is room for hear of it, those that were refused first."""
+        for home in list(self._wanting)[: max(0, self._room)]:
+            del self._wanting[home]
+            channel = self._channels.get(home)
+            if channel is not None:
+                channel.dirty = True
+
     def _open(
         self, now: float, home: Incarnation, address: str, message: Assign | Inquire
     ) -> _Channel | None:
@@ -258,6 +269,8 @@
         if key in self._records:
             self._tell(channel, key, revoke=False)
             return
+        if not stale and self._room <= 0:
+            self._wanting[home] = None
         if stale or self._room <= 0:
             _add(channel.refused, key)
             channel.dirty = True
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -13,7 +13,7 @@
 from paddleshunt_core.effects import Effect, Log, Send
 from paddleshunt_core.ids import Incarnation, InvalidId, parse_id
 from paddleshunt_core.job import Job
-from paddleshunt_core.links import Link, Outstanding, TaskKey, group
+from paddleshunt_core.links import FULL_SECONDS, Link, Outstanding, TaskKey, group
 from paddleshunt_core.messages import (
     Absent,
     Answer,
@@ -191,7 +191,7 @@
     def report(self, now: float, gate: Incarnation, message: Report) -> list[Effect]:
         """Take what a gate says of this home's tasks."""
         link = self._links.get(gate)
-        if link is None or not link.take_report(now, message):
+        if link is None or not link.take_report(message):
             return []
         touched: dict[str, Job] = {}
         for result in message.results:
@@ -202,6 +202,9 @@
         for refs in message.running:
             for index in refs.indexes:
                 self._take_started(link, (refs.submission, index), touched)
+        link.take_room(now, message, self._placement.pipeline)
+        if message.refused and not message.answers:
+            link.full_until = now + FULL_SECONDS
         effects: list[Effect] = []
         for job in touched.values():
             effects += self._settle(now, job)
--- a/packages/paddleshunt-core/src/paddleshunt_core/links.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/links.py
@@ -8,6 +8,9 @@
 
 TaskKey = tuple[str, int]
 
+FULL_SECONDS = 1.0
+"""Seconds after a refusal for which a home waits for the gate to say that it has room."""
+
 LOAD_MEMORY = 0.5
 """Seconds after which the reported load of other homes counts for nothing (a usual task)."""
 
@@ -43,6 +46,8 @@
     """Number of the inquiry that must be answered before reports count as complete; 0 if none."""
     gap: bool = False
     mine_in_load: int = 0
+    full_until: float = 0.0
+    """Until when nothing is sent, as the gate refused for lack of room and will say when it has."""
     outstanding: dict[TaskKey, Outstanding] = field(default_factory=dict)
     batches: dict[str, TaskBatch] = field(default_factory=dict)
 
@@ -66,10 +71,20 @@
         self.load = load
         self.load_at = now
         self.clock_ahead = clock_ms / 1000 - now
-        self.mine_in_load = min(len(self.outstanding), load.running + load.queued)
+        self.mine_in_load = len(self.outstanding)
+
+    def take_room(self, now: float, report: Report, pipeline: int) -> None:
+        """Note a report's load, once its results and refusals have been taken.
 
-    def take_report(self, now: float, report: Report) -> bool:
-        """Note a report's number and load; return False if it is late or repeated."""
+        Tasks sent after what the gate had seen are not in that load.
+        """
+        self.take_load(now, report.load, report.clock_ms)
+        self.mine_in_load = sum(out.seq <= report.seen_seq for out in self.outstanding.values())
+        if report.load.running + report.load.queued < report.load.slots + pipeline:
+            self.full_until = 0.0
+
+    def take_report(self, report: Report) -> bool:
+        """Note a report's number; return False if it is late or repeated."""
         if report.number <= self.last_report:
             return False
         if report.number != self.last_report + 1:
@@ -81,7 +96,6 @@
         if not self.gap:
             self.acked = report.number
         self.leaving = self.leaving or report.leaving
-        self.take_load(now, report.load, report.clock_ms)
         return True
 
     def refs(self) -> list[TaskRefs]:
--- a/packages/paddleshunt-core/src/paddleshunt_core/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/placement.py
@@ -32,7 +32,7 @@
     ) -> None:
         self._site = site
         self._rng = rng
-        self._pipeline = pipeline
+        self.pipeline = pipeline
         self._turn = 0
         choosers: dict[Policy, Chooser] = {
             Policy.LEAST_LOADED: self._least_loaded,
@@ -46,10 +46,14 @@
 
         `closed` are sites that take no work of the service (weight 0 in the table).
         """
-        usable = [link for link in links if link.usable and link.site not in closed]
+        usable = [
+            link
+            for link in links
+            if link.usable and now >= link.full_until and link.site not in closed
+        ]
         near = [link for link in usable if link.site == self._site]
         far = [link for link in usable if link.site != self._site]
-        for extra in (0, self._pipeline):
+        for extra in (0, self.pipeline):
             for group in (near, far):
                 room = [link for link in group if _has_room(link, now, extra)]
                 if room:
