--- a/packages/paddleshunt-core/src/paddleshunt_core/gate.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/gate.py
@@ -99,6 +99,7 @@
         self._kept_bytes = 0
         self._kept: deque[TaskKey] = deque()
         self._next_sweep = 0.0
+        self._highest_report = 0
         # Homes that were refused for lack of room, to be told when there is some.
         self._wanting: dict[Incarnation, None] = {}
         self.leaving = False
@@ -242,7 +243,8 @@
         """Return the home's channel, or None if the message is late or repeated."""
         channel = self._channels.get(home)
         if channel is None:
-            channel = self._channels[home] = _Channel(address, now)
+            channel = _Channel(address, now, reports=self._highest_report)
+            self._channels[home] = channel
         if message.seq <= channel.seen_seq:
             return None
         channel.seen_seq = message.seq
@@ -358,6 +360,8 @@
         busy = {record.home for record in self._records.values()}
         for home in silent:
             if home not in busy:
+                # A home that comes back must not take our next report for one it has had.
+                self._highest_report = max(self._highest_report, self._channels[home].reports)
                 del self._channels[home]
 
     def _report(self, now: float, channel: _Channel) -> Report:
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -37,6 +37,7 @@
     Outcome,
     Unknown,
 )
+from paddleshunt_core.pace import Pace
 from paddleshunt_core.placement import Placement
 
 HOLD_MARGIN = 0.25
@@ -92,6 +93,7 @@
         self._links: dict[Incarnation, Link] = {}
         self._closed_sites: set[str] = set()
         self._task_seconds = limits.usual_task
+        self._pace = Pace()
         # One count for all gates, so that it never falls back when a link is made anew.
         self._seq = 0
         self.leaving = False
@@ -231,7 +233,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Act on deadlines, ask about slow tasks and forget ids whose window has passed."""
-        effects: list[Effect] = []
+        effects = self._shed(now)
         for job in list(self._jobs.values()):
             if now >= job.deadline - HOLD_MARGIN and not job.stopping:
                 effects += self._stop(now, job, "deadline")
@@ -248,9 +250,8 @@
     def flush(self, now: float) -> list[Effect]:
         """Place waiting tasks, and return one message for each target that gets some."""
         self._seq += 1
-        for job in self._jobs.values():
-            if not self._place(now, job):
-                break
+        placed_all = all(self._place(now, job) for job in self._jobs.values())
+        self._pace.waiting(now, any_task=not placed_all)
         effects: list[Effect] = []
         for link in self._links.values():
             if link.batches:
@@ -321,7 +322,28 @@
         busy = sum(link.busy(now) for link in usable)
         if slots == 0:
             return 0.0
-        return (waiting + busy) / slots * self._task_seconds
+        estimate = (waiting + busy) / slots * self._task_seconds
+        pace = self._pace.rate(now)
+        if pace is not None and waiting > 0:
+            # Other homes use the same targets: what this one gets of them is seen by its pace.
+            estimate = max(estimate, waiting / pace)
+        return estimate
+
+    def _shed(self, now: float) -> list[Effect]:
+        """Refuse now the held jobs that can't be expected to end in time.
+
+        They are in the order in which their tasks are placed; only those of which nothing has
+        been sent can be refused. A refusal makes room for the jobs behind it.
+        """
+        effects: list[Effect] = []
+        ahead = 0
+        for job in list(self._jobs.values()):
+            untouched = len(job.waiting) == len(job.payloads)
+            end = now + self._wait(now, ahead + len(job.waiting))
+            if untouched and end > job.deadline - HOLD_MARGIN:
+                effects += self._stop(now, job, "overloaded")
+            ahead += len(job.waiting)
+        return effects
 
     def _waiting_tasks(self) -> int:
         return sum(len(job.waiting) for job in self._jobs.values())
@@ -353,6 +375,7 @@
             job.lose(result.index, "the runner's answer was lost")
             return
         self._task_seconds += 0.05 * (now - out.sent - self._task_seconds)
+        self._pace.ended(now)
         job.finish(result.index, ok=result.ok, payload=result.payload)
 
     def _take_back(self, link: Link, key: TaskKey, seen_seq: int, touched: dict[str, Job]) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/runner.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/runner.py
@@ -13,7 +13,7 @@
 import msgspec
 import urllib3
 from paddleshunt_core.effects import Start
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError, NewConnectionError, ReadTimeoutError
 
 TASK_HEADER = "Paddleshunt-Task"
 
@@ -90,6 +90,8 @@
             )
         except (NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as error:
             return NotReached(str(error))
+        except ReadTimeoutError:
+            return Ended(False, b"ran out of time")
         except (HTTPError, OSError):
             return Ended(None, b"")
         if response.status != _OK:
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -617,7 +617,7 @@
         self._note(Started(self.now, *key, target, SERVICE, process.site))
         seconds = self._task_seconds()
         if seconds > start.timeout:
-            self.at(start.timeout, lambda: self._end_task(process, start, None))
+            self.at(start.timeout, lambda: self._end_task(process, start, False))
             return
         ok = key not in self.fail_tasks
         self.at(seconds, lambda: self._end_task(process, start, ok))
