--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -159,6 +159,8 @@
     drop: Counter[str] = field(default_factory=Counter)
     duplicate: Counter[str] = field(default_factory=Counter)
     delay: dict[str, float] = field(default_factory=dict)
+    late_copy: Counter[str] = field(default_factory=Counter)
+    late_seconds: float = 0.0
     drop_share: float = 0.0
     duplicate_share: float = 0.0
     jitter: float = 0.0
@@ -569,6 +571,9 @@
             return
         if (process.host, send.address) in self.links.cut or self._is_hit(kind):
             return
+        if self.links.late_copy[kind]:
+            self.links.late_copy[kind] -= 1
+            self.at(self.links.late_seconds, lambda: self._deliver(send.address, raw))
         for _ in range(self._copies(kind)):
             delay = self._latency(process, send.address) + self.links.delay.get(kind, 0.0)
             delay += self.rng.random() * self.links.jitter
--- a/testing/scenario.py
+++ b/testing/scenario.py
@@ -144,6 +144,24 @@
         fleet.crash(home_of(fleet, self.job))
 
 
+class CrashOther(_Step, frozen=True, tag="crash_other"):
+    """Crash the first target that is not home of a job."""
+
+    job: str
+
+    def run(self, fleet: Fleet) -> None:
+        fleet.crash(other_than_home(fleet, self.job))
+
+
+class RestartOther(_Step, frozen=True, tag="restart_other"):
+    """Restart that target."""
+
+    job: str
+
+    def run(self, fleet: Fleet) -> None:
+        fleet.start(other_than_home(fleet, self.job))
+
+
 class Restart(_Step, frozen=True, tag="restart"):
     host: str
 
@@ -252,6 +270,18 @@
         fleet.links.duplicate[self.kind] += self.count
 
 
+class LateCopy(_Step, frozen=True, tag="late_copy"):
+    """Let a second copy of the next messages of a kind arrive late."""
+
+    kind: str
+    seconds: float
+    count: int = 1
+
+    def run(self, fleet: Fleet) -> None:
+        fleet.links.late_seconds = self.seconds
+        fleet.links.late_copy[self.kind] += self.count
+
+
 class Delay(_Step, frozen=True, tag="delay"):
     """Delay all messages of a kind from now on (0 ends it)."""
 
@@ -433,6 +463,8 @@
     | Starts
     | Crash
     | CrashHome
+    | CrashOther
+    | RestartOther
     | Restart
     | RestartHome
     | Pause
@@ -447,6 +479,7 @@
     | Heal
     | Drop
     | Duplicate
+    | LateCopy
     | Delay
     | Noise
     | StoreStep
@@ -513,7 +546,12 @@
     """Run a scenario; fails at the first step after which a rule is broken."""
     fleet = Fleet(scenario.fleet.shape(), scenario.seed)
     for number, step in enumerate(scenario.step):
-        step.run(fleet)
+        try:
+            step.run(fleet)
+        except AssertionError:
+            # A broken rule says more than the step that it led astray.
+            assert not fleet.checker.violations, fleet.checker.violations[0]
+            raise
         fleet.check_shares()
         assert not fleet.checker.violations, (number, step, fleet.checker.violations[0])
     fleet.run(5.0)
@@ -528,6 +566,13 @@
     return parsed.home.host
 
 
+def other_than_home(fleet: Fleet, job: str) -> str:
+    """Return the first target that is not home of a job."""
+    home = home_of(fleet, job)
+    targets = [p.host for p in fleet.processes.values() if p.host != home]
+    return next(host for host in targets if not host.startswith("entry"))
+
+
 def running_share(fleet: Fleet, site: str) -> int:
     """Return how many tasks a site's running gates may run together."""
     gates = [fleet.target(p.host).gate for p in fleet.targets() if p.site == site]
--- /dev/null
+++ b/testing/scenarios/test_planted_bugs.py
@@ -0,0 +1,156 @@
+"""Shows that the checker bites: each planted bug breaks the rule that is there to catch it."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import paddleshunt_core.allotments as allotments
+import pytest
+import scenario
+from paddleshunt_core.allotments import Part
+from paddleshunt_core.checker import Rule
+from paddleshunt_core.effects import Effect
+from paddleshunt_core.gate import Gate, _Channel
+from paddleshunt_core.home import Home
+from paddleshunt_core.ids import Incarnation
+from paddleshunt_core.job import Job, TaskState
+from paddleshunt_core.outcomes import Complete, NotRun, Outcome
+from paddleshunt_core.table import Row, TableController, TableDocument
+
+Plant = Callable[[pytest.MonkeyPatch], None]
+
+
+def forget_what_was_seen(patch: pytest.MonkeyPatch) -> None:
+    """A gate takes every copy of a message, however late."""
+    opened = Gate._open
+
+    def open_always(self: Gate, now: float, home: Incarnation, *rest: Any) -> _Channel | None:
+        if home in self._channels:
+            self._channels[home].seen_seq = 0
+        return opened(self, now, home, *rest)
+
+    patch.setattr(Gate, "_open", open_always)
+
+
+def forget_refusals(patch: pytest.MonkeyPatch) -> None:
+    """A home that says not run keeps no record of it."""
+    close = Home._close
+
+    def close_and_forget(self: Home, job: Job, outcome: Outcome) -> list[Effect]:
+        effects = close(self, job, outcome)
+        if isinstance(outcome, NotRun):
+            del self._closed[job.submission]
+        return effects
+
+    patch.setattr(Home, "_close", close_and_forget)
+
+
+def place_lost_tasks_again(patch: pytest.MonkeyPatch) -> None:
+    """A home gives the tasks of a lost target to another one."""
+    patch.setattr(Job, "lose", lambda self, index, why: self.put_back(index))
+
+
+def take_before_given_up(patch: pytest.MonkeyPatch) -> None:
+    """An allotment raises a share as soon as another is lowered."""
+    raise_shares = allotments._raise
+
+    def raise_at_once(
+        row: Row, parts: list[Part], wanted: dict[Incarnation, tuple[int, int]], revision: int
+    ) -> list[Part]:
+        freed = [
+            msgspec.structs.replace(p, held_running=p.running, held_in_flight=p.in_flight)
+            for p in parts
+        ]
+        return raise_shares(row, freed, wanted, revision)
+
+    patch.setattr(allotments, "_raise", raise_at_once)
+
+
+def adopt_any_revision(patch: pytest.MonkeyPatch) -> None:
+    """A process follows whatever table it is given."""
+
+    def adopt(self: TableController, document: TableDocument) -> bool:
+        self.document = document
+        return True
+
+    patch.setattr(TableController, "adopt", adopt)
+    patch.setattr(TableController, "adopt_from_store", lambda self, document: self.adopt(document))
+
+
+def answer_in_part(patch: pytest.MonkeyPatch) -> None:
+    """A job counts as complete with one task to go."""
+
+    def verdict(self: Job, *, final_call: bool, retry_after_ms: int) -> Outcome | None:
+        if self.unfinished > 1:
+            return None
+        done = [r for r, s in zip(self.results, self.states, strict=True) if s == TaskState.DONE]
+        return Complete(done)
+
+    patch.setattr(Job, "verdict", verdict)
+
+
+def mix_answers_up(patch: pytest.MonkeyPatch) -> None:
+    """Results are put in the order in which they came."""
+    finish = Job.finish
+
+    def finish_next(self: Job, index: int, *, ok: bool, payload: bytes) -> None:
+        finish(self, index, ok=ok, payload=payload)
+        self.results[index] = b""
+        self.results[len(self.payloads) - self.unfinished - 1] = payload
+
+    patch.setattr(Job, "finish", finish_next)
+
+
+def start_while_leaving(patch: pytest.MonkeyPatch) -> None:
+    """A leaving gate takes work as before."""
+    patch.setattr(Gate, "leave", lambda self: None)
+    patch.setattr(Home, "view_peers", _view_without_leaving(Home.view_peers))
+
+
+def _view_without_leaving(view: Callable[..., None]) -> Callable[..., None]:
+    def view_peers(self: Home, now: float, peers: object, closed: set[str]) -> None:
+        staying = [msgspec.structs.replace(p, leaving=False) for p in peers]  # type: ignore[attr-defined]
+        view(self, now, staying, closed)
+
+    return view_peers
+
+
+@pytest.mark.parametrize(
+    ("plant", "name", "rule"),
+    [
+        pytest.param(forget_what_was_seen, "late_copies", "START_ONCE", id="dedup off"),
+        pytest.param(
+            forget_refusals, "deadline_before_any_start", "NOT_RUN_TRUE", id="tombstone off"
+        ),
+        pytest.param(
+            place_lost_tasks_again,
+            "target_crash_is_unknown",
+            "START_ONCE",
+            id="retry after unknown",
+        ),
+        pytest.param(
+            take_before_given_up,
+            "paused_target_loses_share_to_newcomer",
+            "WITHIN_LIMITS",
+            id="share taken before given up",
+        ),
+        pytest.param(adopt_any_revision, "store_went_back", "NO_REVERT", id="lower revision"),
+        pytest.param(answer_in_part, "light_load", "WHOLE_ANSWER", id="partial answer"),
+        pytest.param(mix_answers_up, "light_load", "OWN_ANSWER", id="answers mixed up"),
+        pytest.param(
+            start_while_leaving,
+            "planned_stop_under_long_load",
+            "LEAVING_QUIET",
+            id="leaving ignored",
+        ),
+    ],
+)
+def test_planted_bug_is_caught(
+    monkeypatch: pytest.MonkeyPatch, plant: Plant, name: str, rule: str
+) -> None:
+    file = Path(__file__).parent / f"{name}.toml"
+    scenario.run(scenario.load(file))
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match=Rule[rule].value):
+        scenario.run(scenario.load(file))
