--- a/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
@@ -13,8 +13,8 @@
 from msgspec import Meta
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
-ADDRESS_PATTERN = r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$"
-URL_PATTERN = r"^https?://[^\s]+$"
+ADDRESS_PATTERN = "^[0-9A-Za-z.-]+:[0-9]{1,5}$"
+URL_PATTERN = "^https?://[^ ]+$"
 
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Address = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
