--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 clean:
 	rm -rf $(VENV) demo-out
+
+bench: $(READY)
+	$(BIN)/python benchmarks/bench.py $(ARGS)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: not tests, never timed in CI; results go to docs/measurements."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/gate.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/gate.py
@@ -25,6 +25,7 @@
     TaskRefs,
     TaskResult,
 )
+from paddleshunt_core.waste import Waste
 
 TaskKey = tuple[str, int]
 
@@ -89,8 +90,9 @@
 class Gate:
     """State of one gate. Call `flush` after each batch of inputs to get reports for the homes."""
 
-    def __init__(self, limits: GateLimits) -> None:
+    def __init__(self, limits: GateLimits, waste: Waste | None = None) -> None:
         self._limits = limits
+        self._waste = waste or Waste()
         self._share: Share | None = None
         self._records: dict[TaskKey, _Record] = {}
         self._queue: deque[TaskKey] = deque()
@@ -234,7 +236,8 @@
         for home in list(self._wanting)[: max(0, self._room)]:
             del self._wanting[home]
             channel = self._channels.get(home)
-            if channel is not None:
+            if channel is not None and not channel.dirty:
+                self._waste.offers += 1
                 channel.dirty = True
 
     def _open(
@@ -246,6 +249,7 @@
             channel = _Channel(address, now, reports=self._highest_report)
             self._channels[home] = channel
         if message.seq <= channel.seen_seq:
+            self._waste.repeated += 1
             return None
         channel.seen_seq = message.seq
         channel.last_heard = now
@@ -274,6 +278,7 @@
         if not stale and self._room <= 0:
             self._wanting[home] = None
         if stale or self._room <= 0:
+            self._waste.refused += 1
             _add(channel.refused, key)
             channel.dirty = True
             return
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -39,6 +39,7 @@
 )
 from paddleshunt_core.pace import Pace
 from paddleshunt_core.placement import Placement
+from paddleshunt_core.waste import Waste
 
 HOLD_MARGIN = 0.25
 """Seconds before its deadline at which a job stops assigning and settles what started."""
@@ -81,7 +82,14 @@
 class Home:
     """State of one home. Call `flush` after each batch of inputs to place tasks."""
 
-    def __init__(self, me: Incarnation, limits: HomeLimits, placement: Placement) -> None:
+    def __init__(
+        self,
+        me: Incarnation,
+        limits: HomeLimits,
+        placement: Placement,
+        waste: Waste | None = None,
+    ) -> None:
+        self._waste = waste or Waste()
         self._me = me
         self._limits = limits
         self._placement = placement
@@ -194,6 +202,7 @@
         """Take what a gate says of this home's tasks."""
         link = self._links.get(gate)
         if link is None or not link.take_report(message):
+            self._waste.repeated += 1
             return []
         touched: dict[str, Job] = {}
         for result in message.results:
@@ -369,6 +378,7 @@
         out = link.outstanding.pop((result.submission, result.index), None)
         job = self._jobs.get(result.submission)
         if out is None or job is None:
+            self._waste.discarded += 1
             return
         touched[job.submission] = job
         if result.ok is None:
@@ -416,6 +426,7 @@
     def _ask(self, now: float, link: Link, keys: list[TaskKey], *, revoke: bool) -> list[Effect]:
         for key in keys:
             link.outstanding[key].asked = now
+        self._waste.inquiries += 1
         self._seq += 1
         if len(keys) == len(link.outstanding):
             link.inquiry = self._seq
--- a/packages/paddleshunt-core/src/paddleshunt_core/target.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/target.py
@@ -26,6 +26,7 @@
 )
 from paddleshunt_core.placement import Placement, Policy
 from paddleshunt_core.table import Row
+from paddleshunt_core.waste import Waste
 
 HEARTBEAT_ENTRIES = 2
 """Entries that a target sends its regular heartbeats to."""
@@ -61,8 +62,9 @@
         self._settings = settings
         self._me = settings.me
         placement = Placement(settings.site, rng, settings.policy, settings.pipeline)
-        self.home = Home(settings.me, settings.home, placement)
-        self.gate = Gate(settings.gate)
+        self.waste = Waste()
+        self.home = Home(settings.me, settings.home, placement, self.waste)
+        self.gate = Gate(settings.gate, self.waste)
         self._entries: dict[str, str] = {}
         self._rows: list[Row] = []
         self._table_revision = 0
@@ -96,6 +98,7 @@
             "table_revision": self._table_revision,
             "rows": self._rows,
             "entries": self._entries,
+            "waste": self.waste,
             "home": self.home.describe(),
             "gate": self.gate.describe(),
         }
--- a/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
@@ -2,6 +2,8 @@
 
 import queue
 import random
+from dataclasses import fields
+from functools import partial
 from http import HTTPStatus
 from threading import Event
 from typing import final
@@ -14,6 +16,7 @@
 from paddleshunt_core.members import Host, HostState, Role
 from paddleshunt_core.messages import EntryInfo
 from paddleshunt_core.target import Target, TargetSettings
+from paddleshunt_core.waste import Waste
 from paddleshunt_platform.hosts import HostList
 from paddleshunt_platform.settings import TargetFile
 
@@ -53,6 +56,9 @@
         metrics.gauge("paddleshunt_running", "Tasks that run here.", self._count_running)
         metrics.gauge("paddleshunt_queued", "Tasks that wait here.", self._count_queued)
         metrics.gauge("paddleshunt_jobs", "Submissions this is home of.", self._count_jobs)
+        for each in fields(Waste):
+            name, doc = f"paddleshunt_waste_{each.name}", f"For nothing: {each.name}."
+            metrics.gauge(name, doc, partial(self._count_waste, each.name))
 
     def start(self) -> None:
         """Begin to serve."""
@@ -166,6 +172,9 @@
     def _count_queued(self) -> float:
         return float(self._target.load.queued)
 
+    def _count_waste(self, name: str) -> float:
+        return float(getattr(self._target.waste, name))
+
     def _count_jobs(self) -> float:
         return float(self._target.load.jobs)
 
