Keep TLS out of processes that don't need it; tick an idle machine less often

Cause: ssl and OpenSSL's hashes are imported by asyncio, urllib3 and hashlib in case; they held 4.8 MB of a target's 34.7 MB. An idle machine ticked 20 times a second, and an entry looked through all allotments at each tick (212 us).

--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -41,6 +41,9 @@
 WRITE_DELAY = 2.0
 """Seconds by which each next entry waits before it writes an allotment in another's stead."""
 
+DIVIDE_SECONDS = 0.25
+"""Seconds between two looks whether an allotment should change."""
+
 RETRY_MS = 1000
 """When callers are told to come back if nothing better is known."""
 
@@ -91,6 +94,7 @@
         self._peers: dict[str, _Peer] = {}
         self._change_since: dict[tuple[str, str], float] = {}
         self._next_exchange = 0.0
+        self._next_divide = 0.0
         self.leaving = False
 
     # Callers' side.
@@ -182,7 +186,9 @@
     def tick(self, now: float) -> list[Effect]:
         """Act on the passing of time."""
         effects = self.calls.tick(now, self.members.has_ended)
-        effects += self._divide(now)
+        if now >= self._next_divide:
+            self._next_divide = now + DIVIDE_SECONDS
+            effects += self._divide(now)
         if now >= self._next_exchange:
             self._next_exchange = now + self._settings.heartbeat_seconds
             effects += self._tell_entries(now)
--- a/packages/paddleshunt-core/src/paddleshunt_core/target.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/target.py
@@ -83,6 +83,11 @@
         """Whether the target is on its way out."""
         return self.gate.leaving
 
+    @property
+    def idle(self) -> bool:
+        """Whether it has neither tasks nor jobs."""
+        return self.gate.idle and self.home.jobs == 0
+
     def needs_entries(self, now: float) -> bool:
         """Whether no entry was heard lately, so that the platform should be asked for some."""
         heard = self._heard_entry_at
--- a/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
@@ -67,6 +67,10 @@
     def flush(self, now: float) -> list[Effect]:
         return []
 
+    @property
+    def idle(self) -> bool:
+        return len(self.entry.calls) == 0
+
 
 @dataclass(slots=True)
 class _Waiters:
--- a/packages/paddleshunt-node/src/paddleshunt_node/loop.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/loop.py
@@ -13,7 +13,10 @@
 from paddleshunt_core.effects import Effect
 
 TICK_SECONDS = 0.05
-"""Seconds between two ticks."""
+"""Seconds between two ticks while there is work."""
+
+IDLE_TICK_SECONDS = 0.25
+"""Seconds between two ticks of an idle machine."""
 
 MAX_BATCH = 256
 """Inputs taken before effects are carried out."""
@@ -30,10 +33,12 @@
         tick: Input,
         flush: Input,
         perform: Callable[[float, list[Effect]], None],
+        is_idle: Callable[[], bool],
     ) -> None:
         self._tick = tick
         self._flush = flush
         self._perform = perform
+        self._is_idle = is_idle
         self._inputs: queue.SimpleQueue[Input] = queue.SimpleQueue()
         self._stopped = False
         self._thread = Thread(target=self._run, name="loop", daemon=True)
@@ -56,8 +61,9 @@
         return []
 
     def _run(self) -> None:
-        next_tick = 0.0
+        last_tick = 0.0
         while not self._stopped:
+            next_tick = last_tick + (IDLE_TICK_SECONDS if self._is_idle() else TICK_SECONDS)
             batch = self._take(max(0.0, next_tick - time.monotonic()))
             now = time.monotonic()
             effects: list[Effect] = []
@@ -65,7 +71,7 @@
                 effects += item(now)
             if now >= next_tick:
                 effects += self._tick(now)
-                next_tick = now + TICK_SECONDS
+                last_tick = now
             effects += self._flush(now)
             self._perform(now, effects)
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/main.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/main.py
@@ -11,6 +11,7 @@
 from paddleshunt_platform import settings
 
 from paddleshunt_node import logs
+from paddleshunt_node.lean import leave_out_tls
 
 BAD_SETTINGS = 2
 """Exit status when the settings can't be used."""
@@ -37,9 +38,10 @@
 @click.option("--settings", "file", type=_FILE, required=True, help="TOML file.")
 def entry(file: Path) -> None:
     """Run an entry: the HTTP side for callers and operators."""
+    chosen = _checked(lambda: settings.load_entry(file))
+    leave_out_tls([chosen.platform.store, chosen.platform.hosts])
     from paddleshunt_node.entryprocess import EntryProcess
 
-    chosen = _checked(lambda: settings.load_entry(file))
     logs.set_up(chosen.log.level)
     _serve(EntryProcess(chosen))
 
@@ -48,9 +50,10 @@
 @click.option("--settings", "file", type=_FILE, required=True, help="TOML file.")
 def target(file: Path) -> None:
     """Run a target: the process beside one runner."""
+    chosen = _checked(lambda: settings.load_target(file))
+    leave_out_tls([chosen.platform.hosts, chosen.runner.url])
     from paddleshunt_node.targetprocess import TargetProcess
 
-    chosen = _checked(lambda: settings.load_target(file))
     logs.set_up(chosen.log.level)
     _serve(TargetProcess(chosen))
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/node.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/node.py
@@ -38,6 +38,10 @@
     def flush(self, now: float) -> list[Effect]:
         """Return the messages that the inputs since the last flush call for."""
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is under way that needs the passing of time to be looked at often."""
+
 
 LocalEffect = Reply | Start | WriteAllotment
 
@@ -66,7 +70,7 @@
         self._address = address
         self._machine = machine
         self._perform_local = perform_local
-        self._loop = Loop(machine.tick, machine.flush, self._perform)
+        self._loop = Loop(machine.tick, machine.flush, self._perform, self._is_idle)
         self._peers = Peers(address, self._received)
         self._next_idle_check = 0.0
 
@@ -84,6 +88,9 @@
         self._loop.stop()
         self._peers.close()
 
+    def _is_idle(self) -> bool:
+        return self._machine.idle
+
     def _received(self, batch: list[bytes]) -> None:
         for raw in batch:
             envelope = decode(raw)
