Bound what membership and configuration cost on each node as the fleet grows

Changed: members are indexed by service; a target gets a whole view only when something other than load changed; entries tell each other of changes and of 32 other targets in turn, each vouching for the ones it hears; heartbeat intervals grow so that an entry takes 60 a second; rows are looked at when touched; a job counts instead of scanning. A view at the very time of another no longer loses a target's slots.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,6 @@
 
 bench: $(READY)
 	$(BIN)/python benchmarks/bench.py $(ARGS)
+
+slopes: $(READY)
+	$(BIN)/python benchmarks/slopes.py $(ARGS)
--- a/packages/paddleshunt-core/src/paddleshunt_core/allotments.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/allotments.py
@@ -81,7 +81,8 @@
     """
     known = {holder.incarnation: holder for holder in holders}
     old = current or Allotment(row.service, row.site, 0, [])
-    inherited = [_inherit(part, known) for part in old.parts]
+    newest = _newest_boots(known)
+    inherited = [_inherit(part, newest) for part in old.parts]
     settled = [_settle(part, known.get(part.incarnation)) for part in inherited]
     alive = [part for part in settled if not has_ended(part.incarnation)]
     wanted = _wanted(row, known)
@@ -96,10 +97,17 @@
     return Allotment(row.service, row.site, revision, sorted(parts, key=lambda p: p.host))
 
 
-def _inherit(part: Part, known: dict[Incarnation, Holder]) -> Part:
+def _newest_boots(known: Iterable[Incarnation]) -> dict[str, str]:
+    boots: dict[str, str] = {}
+    for incarnation in known:
+        boots[incarnation.host] = max(incarnation.boot, boots.get(incarnation.host, ""))
+    return boots
+
+
+def _inherit(part: Part, newest: dict[str, str]) -> Part:
     """Pass a part, with all it may hold, to a newer incarnation of its host."""
-    newer = [i.boot for i in known if i.host == part.host and i.boot > part.boot]
-    return msgspec.structs.replace(part, boot=max(newer)) if newer else part
+    boot = newest.get(part.host, "")
+    return msgspec.structs.replace(part, boot=boot) if boot > part.boot else part
 
 
 def _settle(part: Part, holder: Holder | None) -> Part:
--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -5,9 +5,8 @@
 from typing import final
 
 import msgspec
-import xxhash
 
-from paddleshunt_core.allotments import Allotment, Holder, divide, share_of
+from paddleshunt_core.allotments import Allotment, Holder, divide
 from paddleshunt_core.calls import Calls
 from paddleshunt_core.effects import Effect, Log, Reply, Send, WriteAllotment
 from paddleshunt_core.ids import Incarnation, InvalidId, mint, parse_id
@@ -20,27 +19,31 @@
     Envelope,
     Exchange,
     Heartbeat,
+    MemberNews,
     Misdirected,
     Running,
     Submit,
-    View,
 )
 from paddleshunt_core.outcomes import NotAccepted, Outcome, Unknown
 from paddleshunt_core.routing import NoHome, Router
 from paddleshunt_core.table import Row, TableController, TableDocument
+from paddleshunt_core.views import Views
 
-PEERS_NEAR = 24
-"""Targets of its own site that a target is told of."""
+ENDED_TOLD = 16
+"""Incarnations that ended last, named in every exchange."""
 
-PEERS_FAR = 8
-"""Targets of other sites that a target is told of."""
+NEWS_PER_EXCHANGE = 32
+"""Targets an entry tells another entry of in one message, those with changes first."""
 
-ENDED_TOLD = 16
-"""Incarnations that ended last, named in every view."""
+HEARTBEATS_PER_SECOND = 60.0
+"""Heartbeats that an entry wants to take; with more targets it asks for longer intervals."""
 
 WRITE_DELAY = 2.0
 """Seconds by which each next entry waits before it writes an allotment in another's stead."""
 
+REWRITE_SECONDS = 0.5
+"""Seconds before an allotment is written again that has not come back from the store."""
+
 DIVIDE_SECONDS = 0.25
 """Seconds between two looks whether an allotment should change."""
 
@@ -58,6 +61,10 @@
     heartbeat_seconds: float = 1.0
 
 
+RowKey = tuple[str, str]
+"""Service and site, the key of a row."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Minted:
@@ -76,6 +83,7 @@
     heard: float
     table_revision: int
     told: float = 0.0
+    turn: int = 0
 
 
 @final
@@ -90,9 +98,10 @@
         self.members = Members(settings.heartbeat_seconds)
         self.calls = Calls()
         self._router = Router(rng)
-        self._allotments: dict[tuple[str, str], Allotment] = {}
+        self._views = Views(self.members, self.table)
+        self._allotments: dict[RowKey, Allotment] = {}
         self._peers: dict[str, _Peer] = {}
-        self._change_since: dict[tuple[str, str], float] = {}
+        self._change_since: dict[RowKey, float] = {}
         self._next_exchange = 0.0
         self._next_divide = 0.0
         self.leaving = False
@@ -155,7 +164,7 @@
 
     def hosts(self, now: float, hosts: list[Host]) -> list[Effect]:
         """Take the platform's list of hosts."""
-        if not self.members.listed(hosts):
+        if not self.members.listed(now, hosts):
             return []
         return self._tell_targets(now)
 
@@ -178,8 +187,9 @@
         if known is not None and allotment.revision <= known.revision:
             return []
         self._allotments[key] = allotment
+        self.members.touched.add(key)
         members = self.members.of_service(allotment.service)
-        return [self._view(now, m) for m in members if m.site == allotment.site]
+        return [self._view(now, m) for m in members if m.site == allotment.site and not m.via]
 
     # Time.
 
@@ -190,8 +200,7 @@
             self._next_divide = now + DIVIDE_SECONDS
             effects += self._divide(now)
         if now >= self._next_exchange:
-            self._next_exchange = now + self._settings.heartbeat_seconds
-            effects += self._tell_entries(now)
+            effects += self._regular_news(now)
         return effects
 
     def greet(self, now: float) -> list[Effect]:
@@ -244,13 +253,21 @@
             return Unknown(f"its home on {parsed.home.host} was lost")
         return NotAccepted("its home is not known to this entry", RETRY_MS)
 
-    def _heartbeat(self, now: float, sender: Incarnation, body: Heartbeat) -> list[Effect]:
-        urgent = self.members.heard(now, sender, body, 0.0)
+    def _regular_news(self, now: float) -> list[Effect]:
+        """Pass on what was heard, and let targets know whom to avoid."""
+        direct = len(self.members.direct())
+        least = self._settings.heartbeat_seconds
+        self.members.heartbeat_seconds = max(least, direct / HEARTBEATS_PER_SECOND)
+        self._next_exchange = now + self.members.heartbeat_seconds
         effects: list[Effect] = []
-        if urgent:
-            effects += self._tell_targets(now)
-            effects += self._tell_entries(now)
-            return effects
+        changed = {member.service for member in self.members.newly_suspect(now)}
+        for service in sorted(changed):
+            effects += self._tell_targets(now, service)
+        return effects + self._tell_entries(now)
+
+    def _heartbeat(self, now: float, sender: Incarnation, body: Heartbeat) -> list[Effect]:
+        if self.members.heard(now, sender, body, 0.0):
+            return [*self._tell_targets(now, body.service), *self._tell_entries(now)]
         member = self.members.find(sender)
         return [self._view(now, member)] if member else []
 
@@ -258,25 +275,37 @@
         self, now: float, sender: Incarnation, address: str, body: Exchange
     ) -> list[Effect]:
         peer = self._peers.get(sender.host)
-        told = peer.told if peer else 0.0
-        self._peers[sender.host] = _Peer(address, now, body.table_revision, told)
+        if peer is None:
+            peer = self._peers[sender.host] = _Peer(address, now, body.table_revision)
+        peer.address = address
+        peer.heard = now
+        peer.table_revision = body.table_revision
+        self.members.heard_entry(now, sender.host)
         effects: list[Effect] = []
         if body.table:
             document = msgspec.json.decode(body.table, type=TableDocument)
             effects += self.table_handed(now, document)
         for raw in body.allotments:
             effects += self.allotment(now, msgspec.json.decode(raw, type=Allotment))
+        effects += self._take_news(now, sender.host, body)
+        if body.reply or body.table_revision < self.table.revision:
+            effects.append(self._exchange_to(now, sender.host, address, full=True))
+        return effects
+
+    def _take_news(self, now: float, entry: str, body: Exchange) -> list[Effect]:
         urgent = False
         for incarnation in body.ended:
             urgent |= self.members.end(incarnation)
         for news in body.members:
-            age = news.age_ms / 1000
-            urgent |= self.members.heard(now, news.incarnation, news.heartbeat, age)
-        if urgent:
-            effects += self._tell_targets(now)
-        if body.reply or body.table_revision < self.table.revision:
-            effects.append(self._exchange_to(now, sender.host, address, full=True))
-        return effects
+            urgent |= self.members.heard(
+                now,
+                news.incarnation,
+                news.heartbeat,
+                news.age_ms / 1000,
+                entry,
+                suspect=news.suspect,
+            )
+        return self._tell_targets(now) if urgent else []
 
     def _ended(self, now: float, incarnation: Incarnation) -> list[Effect]:
         if not self.members.end(incarnation):
@@ -284,6 +313,7 @@
         return [*self._tell_targets(now), *self._tell_entries(now)]
 
     def _table_adopted(self, now: float) -> list[Effect]:
+        self.members.touched.update((row.service, row.site) for row in self.table.document.rows)
         log = Log("table_adopted", fields={"revision": self.table.revision})
         told = [
             self._exchange_to(now, host, peer.address, full=True)
@@ -303,13 +333,9 @@
         self, now: float, host: str, address: str, *, reply: bool = False, full: bool = False
     ) -> Send:
         peer = self._peers.get(host)
-        since = 0.0
-        if peer is not None:
-            since = 0.0 if full else peer.told
-            peer.told = now
         body = Exchange(
             table_revision=self.table.revision,
-            members=self.members.news(now, since),
+            members=self._news(now, peer, full=full),
             ended=self.members.ended[-ENDED_TOLD:],
             reply=reply,
             table=msgspec.json.encode(self.table.document) if full else b"",
@@ -317,46 +343,47 @@
         )
         return Send(Incarnation(host, ""), address, body)
 
-    def _tell_targets(self, now: float) -> list[Effect]:
-        return [self._view(now, member) for member in self.members.all()]
+    def _news(self, now: float, peer: _Peer | None, *, full: bool) -> list[MemberNews]:
+        """Return news of targets heard here: all changes, and some of the others in turn."""
+        if full or peer is None:
+            return [self.members.news(member, now) for member in self.members.all()]
+        direct = self.members.direct()
+        changed = [member for member in direct if member.changed >= peer.told]
+        rest = [member for member in direct if member.changed < peer.told]
+        room = min(len(rest), max(0, NEWS_PER_EXCHANGE - len(changed)))
+        start = peer.turn % len(rest) if rest else 0
+        in_turn = [rest[(start + n) % len(rest)] for n in range(room)]
+        peer.turn = start + room
+        peer.told = now
+        return [self.members.news(member, now) for member in (*changed, *in_turn)]
+
+    def _tell_targets(self, now: float, service: str | None = None) -> list[Effect]:
+        """Send views to the targets that are heard here, of one service or of all."""
+        chosen = self.members.direct()
+        return [self._view(now, m) for m in chosen if service is None or m.service == service]
 
     def _view(self, now: float, member: Member) -> Send:
-        """Return what a target needs to know: its rows, its share and its subset of targets."""
-        allotment = self._allotments.get((member.service, member.site))
-        others = self._subset(member)
         entries = [EntryInfo(host.host, host.peers) for host in self._other_entries()]
         entries.append(EntryInfo(self._me.host, self._settings.address))
-        view = View(
-            table_revision=self.table.revision,
-            rows=self.table.rows_of(member.service),
-            share=share_of(allotment, member.incarnation) if allotment else None,
-            peers=[self.members.peer_info(other, now) for other in others],
-            entries=entries,
-            ended=self.members.ended[-ENDED_TOLD:],
-            heartbeat_ms=int(self._settings.heartbeat_seconds * 1000),
-        )
-        return Send(member.incarnation, member.heartbeat.address, view)
-
-    def _subset(self, member: Member) -> list[Member]:
-        """Return the targets that `member` may give work to: near ones, itself too, and far."""
-        service = self.members.of_service(member.service)
-        near = [m for m in service if m.site == member.site]
-        far = [m for m in service if m.site != member.site]
-        if len(near) > PEERS_NEAR:
-            near = [member, *sorted(near, key=lambda m: _affinity(member, m))[: PEERS_NEAR - 1]]
-        if len(far) > PEERS_FAR:
-            far = sorted(far, key=lambda m: _affinity(member, m))[:PEERS_FAR]
-        return near + far
+        allotment = self._allotments.get((member.service, member.site))
+        return self._views.view(now, member, sorted(entries), allotment)
 
     # Allotments.
 
     def _divide(self, now: float) -> list[Effect]:
-        """Write the allotments that should change, each entry in its turn."""
+        """Write the allotments that should change, each entry in its turn.
+
+        Only rows are looked at whose targets, table row or allotment changed, or whose last look
+        found something to write.
+        """
         if not self.members.hosts_known:
             return []
+        due = self.members.touched | self._change_since.keys()
+        self.members.touched.clear()
+        rows = [self.table.row(*key) for key in sorted(due)]
         effects: list[Effect] = []
-        for row in self.table.document.rows:
-            effects += self._divide_row(now, row)
+        for row in rows:
+            effects += self._divide_row(now, row) if row is not None else []
         return effects
 
     def _divide_row(self, now: float, row: Row) -> list[Effect]:
@@ -373,7 +400,8 @@
         since = self._change_since.setdefault(key, now)
         if now - since < self._rank(now) * WRITE_DELAY:
             return []
-        self._change_since[key] = now
+        # If the write is lost or comes second, it is due again a while later.
+        self._change_since[key] = now + REWRITE_SECONDS
         return [WriteAllotment(next_one)]
 
     def _rank(self, now: float) -> int:
@@ -381,7 +409,3 @@
         silent = 3 * self._settings.heartbeat_seconds
         live = [host for host, peer in self._peers.items() if now - peer.heard < silent]
         return len([host for host in live if host < self._me.host])
-
-
-def _affinity(member: Member, other: Member) -> int:
-    return xxhash.xxh32_intdigest(f"{member.incarnation.host}/{other.incarnation.host}".encode())
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -37,13 +37,15 @@
     Outcome,
     Unknown,
 )
-from paddleshunt_core.pace import Pace
 from paddleshunt_core.placement import Placement, Plan
 from paddleshunt_core.waste import Waste
 
 HOLD_MARGIN = 0.25
 """Seconds before its deadline at which a job stops assigning and settles what started."""
 
+REPORT_FRESH = 0.2
+"""Seconds for which a gate's own report of its load counts more than an entry's word."""
+
 UNSEEN_TASK = 0.6
 """Seconds after which a task is asked about if its gate hasn't said that it saw the message."""
 
@@ -101,7 +103,6 @@
         self._links: dict[Incarnation, Link] = {}
         self._closed_sites: set[str] = set()
         self._task_seconds = limits.usual_task
-        self._pace = Pace()
         # One count for all gates, so that it never falls back when a link is made anew.
         self._seq = 0
         self.leaving = False
@@ -177,7 +178,7 @@
             link = self._link(now, peer)
             link.suspect = peer.suspect
             link.leaving = peer.leaving or link.leaving
-            if now - link.load_at > 0.0:
+            if now - link.load_at > REPORT_FRESH or peer.load.slots != link.load.slots:
                 link.take_load(now, peer.load, peer.clock_ms)
                 self._placement.note(link)
         for incarnation, link in list(self._links.items()):
@@ -260,10 +261,13 @@
 
     def flush(self, now: float) -> list[Effect]:
         """Place waiting tasks, and return one message for each target that gets some."""
+        if not any(job.waiting for job in self._jobs.values()):
+            return []
         self._seq += 1
         plan = self._placement.plan(self._links.values(), now, self._closed_sites)
-        placed_all = all(self._place(now, plan, job) for job in self._jobs.values())
-        self._pace.waiting(now, any_task=not placed_all)
+        for job in self._jobs.values():
+            if not self._place(now, plan, job):
+                break
         effects: list[Effect] = []
         for link in self._links.values():
             if link.batches:
@@ -335,10 +339,11 @@
         if slots == 0:
             return 0.0
         estimate = (waiting + busy) / slots * self._task_seconds
-        pace = self._pace.rate(now)
-        if pace is not None and waiting > 0:
-            # Other homes use the same targets: what this one gets of them is seen by its pace.
-            estimate = max(estimate, waiting / pace)
+        placed = sum(len(link.outstanding) for link in usable)
+        if placed and self._waiting_tasks():
+            # Others use the same targets. What this home gets of them is, by Little's law, the
+            # tasks it has there over the time that each spends there.
+            estimate = max(estimate, waiting * self._task_seconds / placed)
         return estimate
 
     def _shed(self, now: float) -> list[Effect]:
@@ -388,7 +393,6 @@
             job.lose(result.index, "the runner's answer was lost")
             return
         self._task_seconds += 0.05 * (now - out.sent - self._task_seconds)
-        self._pace.ended(now)
         job.finish(result.index, ok=result.ok, payload=result.payload)
 
     def _take_back(self, link: Link, key: TaskKey, seen_seq: int, touched: dict[str, Job]) -> None:
@@ -458,8 +462,9 @@
         """Answer the job if its outcome is settled."""
         if job.submission not in self._jobs:
             return []
-        retry_after_ms = int(self._wait(now, self._waiting_tasks()) * 1000)
-        outcome = job.verdict(final_call=final_call, retry_after_ms=retry_after_ms)
+        # Only a job that stops is told when to come back, and only then is it worth working out.
+        retry_after = self._wait(now, self._waiting_tasks()) if job.stopping else 0.0
+        outcome = job.verdict(final_call=final_call, retry_after_ms=int(retry_after * 1000))
         if outcome is None:
             return []
         effects: list[Effect] = []
--- a/packages/paddleshunt-core/src/paddleshunt_core/job.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/job.py
@@ -44,6 +44,7 @@
     waiting: deque[int] = field(init=False)
     unfinished: int = field(init=False)
     failure: str = ""
+    lost: bool = False
     stopping: str = ""
 
     def __post_init__(self) -> None:
@@ -84,6 +85,7 @@
     def lose(self, index: int, why: str) -> None:
         """Note that nobody can tell any more whether the task ran."""
         self.states[index] = TaskState.LOST
+        self.lost = True
         self.failure = self.failure or f"task {index}: {why}"
 
     def stop(self, reason: str) -> None:
@@ -100,7 +102,7 @@
         """Return the outcome if it is settled; with `final_call`, the truest one there is now."""
         if self.unfinished == 0 and not self.failure:
             return Complete(self.results)
-        if self.indexes(TaskState.LOST):
+        if self.lost:
             return Unknown(self.failure)
         if self.failure:
             return self._failed(self.failure)
--- a/packages/paddleshunt-core/src/paddleshunt_core/members.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/members.py
@@ -1,8 +1,11 @@
-"""Membership: which targets and entries there are, from three sources with a meaning each.
+"""Membership: which targets there are, from three sources with a meaning each.
 
 The platform's list lags and says which hosts exist, leave or are gone. Heartbeats say who can be
 reached, how busy it is and what configuration it follows. A newer incarnation on a host ends all
 earlier ones. A silent target is suspected: it gets no new work, but keeps its name and its share.
+
+An entry hears some targets itself and the others through the entry that hears them. It judges the
+silence of the first by its clock, and takes the other entry's word for the second.
 """
 
 from collections.abc import Iterable
@@ -53,11 +56,20 @@
 @final
 @dataclass(slots=True)
 class Member:
-    """A target's newest incarnation, with its last heartbeat and when it was sent (seconds)."""
+    """A target's newest incarnation, with its last heartbeat and when it was sent (seconds).
+
+    `via` is the entry that heard it, empty if this one did; `told_suspect` is that entry's word.
+    What this entry hears itself, it has from no other while it lasts.
+    `changed` is when something other than its load changed.
+    """
 
     incarnation: Incarnation
     heartbeat: Heartbeat
     sent: float
+    changed: float
+    via: str = ""
+    told_suspect: bool = False
+    was_suspect: bool = False
     listed: HostState | None = None
 
     @property
@@ -91,10 +103,15 @@
 
     def __init__(self, heartbeat_seconds: float) -> None:
         self.heartbeat_seconds = heartbeat_seconds
+        self.hosts_known = False
+        self.touched: set[tuple[str, str]] = set()
+        """Service and site of members whose allotment may have to change; the owner empties it."""
         self._members: dict[str, Member] = {}
+        self._services: dict[str, dict[str, Member]] = {}
+        self._versions: dict[str, int] = {}
         self._hosts: dict[str, Host] = {}
         self._ended: dict[Incarnation, None] = {}
-        self.hosts_known = False
+        self._entries_heard: dict[str, float] = {}
 
     @property
     def ended(self) -> list[Incarnation]:
@@ -117,20 +134,41 @@
         """Return every member that has not ended."""
         return list(self._members.values())
 
+    def direct(self) -> list[Member]:
+        """Return the members that this entry hears itself."""
+        return [member for member in self._members.values() if not member.via]
+
     def of_service(self, service: str) -> list[Member]:
         """Return the members of a service."""
-        return [member for member in self._members.values() if member.service == service]
+        return list(self._services.get(service, {}).values())
+
+    def version(self, service: str) -> int:
+        """Return a number that changes when a member of the service comes or ends."""
+        return self._versions.get(service, 0)
 
     def is_suspect(self, member: Member, now: float) -> bool:
         """Whether the member has been silent for too long."""
-        return now - member.sent > SUSPECT_AFTER * self.heartbeat_seconds
+        limit = SUSPECT_AFTER * self.heartbeat_seconds
+        if not member.via:
+            return now - member.sent > limit
+        heard = max(member.sent, self._entries_heard.get(member.via, 0.0))
+        return member.told_suspect or now - heard > limit
 
     def is_usable(self, member: Member, now: float) -> bool:
         """Whether new work may go to the member."""
         return not member.leaving and not self.is_suspect(member, now)
 
-    def heard(self, now: float, incarnation: Incarnation, heartbeat: Heartbeat, age: float) -> bool:
-        """Take a heartbeat sent `age` seconds ago; return whether others should hear at once."""
+    def heard(
+        self,
+        now: float,
+        incarnation: Incarnation,
+        heartbeat: Heartbeat,
+        age: float,
+        via: str = "",
+        *,
+        suspect: bool = False,
+    ) -> bool:
+        """Take a heartbeat sent `age` seconds ago; return whether targets should hear at once."""
         if self.has_ended(incarnation):
             return False
         if heartbeat.ended:
@@ -138,20 +176,20 @@
         known = self._members.get(incarnation.host)
         sent = now - age
         if known is not None and known.incarnation == incarnation:
-            if sent <= known.sent:
-                return False
-            urgent = heartbeat.leaving != known.heartbeat.leaving
-            known.heartbeat = heartbeat
-            known.sent = sent
-            return urgent
+            return self._heard_again(now, known, heartbeat, sent, via, suspect=suspect)
         if known is not None:
-            self._remember_ended(known.incarnation)
+            self.end(known.incarnation)
         listed = self._hosts.get(incarnation.host)
         state = listed.state if listed else None
-        self._members[incarnation.host] = Member(incarnation, heartbeat, sent, state)
+        member = Member(incarnation, heartbeat, sent, now, via, suspect, suspect, state)
+        self._add(member)
         return True
 
-    def listed(self, hosts: Iterable[Host]) -> bool:
+    def heard_entry(self, now: float, host: str) -> None:
+        """Note that another entry is there, so that its word on its targets still counts."""
+        self._entries_heard[host] = now
+
+    def listed(self, now: float, hosts: Iterable[Host]) -> bool:
         """Take the platform's list; return whether a host newly leaves or is gone."""
         self.hosts_known = True
         self._hosts = {host.host: host for host in hosts}
@@ -164,16 +202,19 @@
             elif state is not member.listed:
                 changed = True
                 member.listed = state
+                self._touch(now, member)
         return changed
 
     def end(self, incarnation: Incarnation) -> bool:
         """Note that an incarnation runs no more; return whether that is new."""
         if incarnation in self._ended:
             return False
-        self._remember_ended(incarnation)
+        self._ended[incarnation] = None
+        while len(self._ended) > ENDED_KEPT:
+            del self._ended[next(iter(self._ended))]
         member = self._members.get(incarnation.host)
         if member is not None and member.incarnation == incarnation:
-            del self._members[incarnation.host]
+            self._remove(member)
         return True
 
     def hosts_of(self, role: Role) -> list[Host]:
@@ -181,13 +222,22 @@
         hosts = self._hosts.values()
         return [h for h in hosts if h.role is role and h.state is not HostState.GONE]
 
-    def news(self, now: float, since: float) -> list[MemberNews]:
-        """Return the heartbeats heard after `since`, with their age."""
-        return [
-            MemberNews(m.incarnation, m.heartbeat, int((now - m.sent) * 1000))
-            for m in self._members.values()
-            if m.sent > since
-        ]
+    def newly_suspect(self, now: float) -> list[Member]:
+        """Return members that became suspected, or ceased to be, since the last call."""
+        found: list[Member] = []
+        for member in self._members.values():
+            suspect = self.is_suspect(member, now)
+            if suspect != member.was_suspect:
+                member.was_suspect = suspect
+                member.changed = now
+                found.append(member)
+        return found
+
+    def news(self, member: Member, now: float) -> MemberNews:
+        """Return what another entry should know of a member."""
+        age_ms = int((now - member.sent) * 1000)
+        suspect = self.is_suspect(member, now)
+        return MemberNews(member.incarnation, member.heartbeat, age_ms, suspect)
 
     def peer_info(self, member: Member, now: float) -> PeerInfo:
         """Return what other targets need to know of a member."""
@@ -201,7 +251,60 @@
             member.leaving,
         )
 
-    def _remember_ended(self, incarnation: Incarnation) -> None:
-        self._ended[incarnation] = None
-        while len(self._ended) > ENDED_KEPT:
-            del self._ended[next(iter(self._ended))]
+    def _heard_again(
+        self,
+        now: float,
+        known: Member,
+        heartbeat: Heartbeat,
+        sent: float,
+        via: str,
+        *,
+        suspect: bool,
+    ) -> bool:
+        if via and not known.via and not self.is_suspect(known, now):
+            return False
+        if sent <= known.sent and not (via and via == known.via):
+            return False
+        urgent = _urgent(heartbeat) != _urgent(known.heartbeat)
+        if _material(heartbeat) != _material(known.heartbeat):
+            self._touch(now, known)
+        known.heartbeat = heartbeat
+        known.sent = max(sent, known.sent)
+        known.via = via
+        known.told_suspect = suspect
+        return urgent
+
+    def _add(self, member: Member) -> None:
+        host = member.incarnation.host
+        self._members[host] = member
+        self._services.setdefault(member.service, {})[host] = member
+        self._count(member)
+
+    def _remove(self, member: Member) -> None:
+        host = member.incarnation.host
+        del self._members[host]
+        del self._services[member.service][host]
+        self._count(member)
+
+    def _count(self, member: Member) -> None:
+        self._versions[member.service] = self._versions.get(member.service, 0) + 1
+        self.touched.add((member.service, member.site))
+
+    def _touch(self, now: float, member: Member) -> None:
+        member.changed = now
+        self.touched.add((member.service, member.site))
+
+
+def _urgent(heartbeat: Heartbeat) -> tuple[bool, int]:
+    """Return what targets of the service must hear of at once."""
+    return heartbeat.leaving, heartbeat.load.slots
+
+
+def _material(heartbeat: Heartbeat) -> tuple[bool, int, int, int]:
+    """Return what other entries must hear of soon."""
+    return (
+        heartbeat.leaving,
+        heartbeat.table_revision,
+        heartbeat.share_revision,
+        heartbeat.load.slots,
+    )
--- a/packages/paddleshunt-core/src/paddleshunt_core/messages.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/messages.py
@@ -197,7 +197,8 @@
     load: Load
     table_revision: int
     share_revision: int
-    entries: list[str] = []
+    view: int = 0
+    """Digest of the last whole view; an entry sends the whole view again when it differs."""
 
 
 @final
@@ -214,7 +215,7 @@
 
 
 @final
-class EntryInfo(msgspec.Struct, frozen=True, array_like=True):
+class EntryInfo(msgspec.Struct, frozen=True, array_like=True, order=True):
     """An entry's host and the address where it hears peers."""
 
     host: str
@@ -222,19 +223,24 @@
 
 
 @final
-class View(_Body, frozen=True, tag="view"):
-    """What an entry tells a target: the rows of its service, its share and a subset of targets.
-
-    `ended` lists incarnations that the receiver still spoke of and that are known to have ended.
-    """
+class Picture(msgspec.Struct, frozen=True, array_like=True):
+    """The rows of a target's service, the targets it may give work to, and the entries."""
 
     table_revision: int
     rows: list[Row]
-    share: Share | None
     peers: list[PeerInfo]
     entries: list[EntryInfo]
-    ended: list[Incarnation]
+
+
+@final
+class View(_Body, frozen=True, tag="view"):
+    """What an entry tells a target: its share and, where that is news, a whole picture."""
+
+    digest: int
     heartbeat_ms: int
+    share: Share | None
+    whole: Picture | None
+    ended: list[Incarnation]
 
 
 @final
@@ -244,6 +250,7 @@
     incarnation: Incarnation
     heartbeat: Heartbeat
     age_ms: int
+    suspect: bool = False
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/table.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/table.py
@@ -81,6 +81,7 @@
 
     def __init__(self) -> None:
         self.document = EMPTY_TABLE
+        self._services: dict[str, list[Row]] = {}
         self.store_went_back_to: int | None = None
 
     @property
@@ -93,6 +94,9 @@
         if document.revision <= self.revision:
             return False
         self.document = document
+        self._services = {}
+        for row in document.rows:
+            self._services.setdefault(row.service, []).append(row)
         return True
 
     def adopt_from_store(self, document: TableDocument | None) -> bool:
@@ -103,8 +107,8 @@
 
     def rows_of(self, service: str) -> list[Row]:
         """Return the rows of a service; none if the table doesn't know it."""
-        return [row for row in self.document.rows if row.service == service]
+        return self._services.get(service, [])
 
     def row(self, service: str, site: str) -> Row | None:
         """Return the row of a service at a site."""
-        return next((r for r in self.document.rows if (r.service, r.site) == (service, site)), None)
+        return next((row for row in self.rows_of(service) if row.site == site), None)
--- a/packages/paddleshunt-core/src/paddleshunt_core/target.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/target.py
@@ -19,6 +19,7 @@
     Inquire,
     Load,
     Misdirected,
+    Picture,
     Query,
     Report,
     Submit,
@@ -67,6 +68,7 @@
         self._entries: dict[str, str] = {}
         self._rows: list[Row] = []
         self._table_revision = 0
+        self._view_digest = 0
         self._heard_entry_at: float | None = None
         self._heartbeat_seconds = FIRST_HEARTBEAT
         self._next_heartbeat = 0.0
@@ -179,18 +181,28 @@
     def _view(self, now: float, view: View) -> list[Effect]:
         self._heard_entry_at = now
         self._heartbeat_seconds = view.heartbeat_ms / 1000
-        self._entries = {entry.host: entry.address for entry in view.entries}
         effects: list[Effect] = []
-        if view.table_revision > self._table_revision:
-            self._table_revision = view.table_revision
-            self._rows = view.rows
-            effects.append(Log("table_adopted", fields={"revision": view.table_revision}))
         for incarnation in view.ended:
             effects += self._ended(now, incarnation)
-        closed = {row.site for row in self._rows if row.weight == 0}
-        self.home.view_peers(now, view.peers, closed)
+        if view.whole is not None:
+            self._view_digest = view.digest
+            effects += self._take_picture(now, view.whole)
         if view.share is not None:
             effects += self.gate.set_share(now, view.share)
+        if any(isinstance(effect, Log) for effect in effects):
+            # Something came into force: let the entries know, who may wait for it.
+            effects += self._heartbeats(now, everyone=False)
+        return effects
+
+    def _take_picture(self, now: float, picture: Picture) -> list[Effect]:
+        self._entries = {entry.host: entry.address for entry in picture.entries}
+        effects: list[Effect] = []
+        if picture.table_revision > self._table_revision:
+            self._table_revision = picture.table_revision
+            self._rows = picture.rows
+            effects.append(Log("table_adopted", fields={"revision": picture.table_revision}))
+        closed = {row.site for row in self._rows if row.weight == 0}
+        self.home.view_peers(now, picture.peers, closed)
         return effects
 
     def _ended(self, now: float, incarnation: Incarnation) -> list[Effect]:
@@ -212,6 +224,7 @@
             load=self.load,
             table_revision=self._table_revision,
             share_revision=self.gate.share_revision,
+            view=self._view_digest,
         )
         hosts = sorted(self._entries) if everyone else self._nearest_entries()
         return [Send(Incarnation(host, ""), self._entries[host], body) for host in hosts]
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/views.py
@@ -0,0 +1,102 @@
+"""Views: what an entry tells each target, whole only when it differs from what the target has.
+
+A target's heartbeat names the digest of the view it has. While nothing but load has changed it
+gets a short answer; so the bytes of a quiet fleet don't grow with the targets a target knows.
+"""
+
+from typing import final
+
+import msgspec
+import xxhash
+
+from paddleshunt_core.allotments import Allotment, share_of
+from paddleshunt_core.effects import Send
+from paddleshunt_core.ids import Incarnation
+from paddleshunt_core.members import Member, Members
+from paddleshunt_core.messages import EntryInfo, Picture, View
+from paddleshunt_core.table import TableController
+
+PEERS_NEAR = 24
+"""Targets of its own site that a target is told of."""
+
+PEERS_FAR = 8
+"""Targets of other sites that a target is told of."""
+
+ENDED_TOLD = 16
+"""Incarnations that ended last, named in every whole view."""
+
+
+@final
+class Views:
+    """Makes views from what an entry knows."""
+
+    def __init__(self, members: Members, table: TableController) -> None:
+        self._members = members
+        self._table = table
+        self._subsets: dict[Incarnation, tuple[int, list[Incarnation]]] = {}
+
+    def view(
+        self,
+        now: float,
+        member: Member,
+        entries: list[EntryInfo],
+        allotment: Allotment | None,
+        *,
+        whole: bool = False,
+    ) -> Send:
+        """Return the view for a member; whole if asked for, or if the member lacks it."""
+        picture = Picture(
+            self._table.revision,
+            self._table.rows_of(member.service),
+            [self._members.peer_info(peer, now) for peer in self._subset(member)],
+            entries,
+        )
+        digest = _digest(picture)
+        whole = whole or digest != member.heartbeat.view
+        view = View(
+            digest=digest,
+            heartbeat_ms=int(self._members.heartbeat_seconds * 1000),
+            share=share_of(allotment, member.incarnation) if allotment else None,
+            whole=picture if whole else None,
+            ended=self._members.ended[-ENDED_TOLD:] if whole else [],
+        )
+        return Send(member.incarnation, member.heartbeat.address, view)
+
+    def _subset(self, member: Member) -> list[Member]:
+        """Return the targets that `member` may give work to: near ones, itself too, and far."""
+        version = self._members.version(member.service)
+        cached = self._subsets.get(member.incarnation)
+        if cached is None or cached[0] != version:
+            chosen = [m.incarnation for m in self._choose(member)]
+            cached = self._subsets[member.incarnation] = (version, chosen)
+        found = [self._members.find(incarnation) for incarnation in cached[1]]
+        return [each for each in found if each is not None]
+
+    def _choose(self, member: Member) -> list[Member]:
+        service = self._members.of_service(member.service)
+        near = [m for m in service if m.site == member.site and m is not member]
+        far = [m for m in service if m.site != member.site]
+        near = _nearest(member, near, PEERS_NEAR - 1)
+        return [member, *near, *_nearest(member, far, PEERS_FAR)]
+
+    def forget(self, incarnation: Incarnation) -> None:
+        """Drop what is kept for a member that has ended."""
+        self._subsets.pop(incarnation, None)
+
+
+def _nearest(member: Member, others: list[Member], most: int) -> list[Member]:
+    """Return the ones that the member's hash favours, the same as long as they stay."""
+    if len(others) <= most:
+        return others
+    return sorted(others, key=lambda other: _affinity(member, other))[:most]
+
+
+def _affinity(member: Member, other: Member) -> int:
+    return xxhash.xxh32_intdigest(f"{member.incarnation.host}/{other.incarnation.host}".encode())
+
+
+def _digest(picture: Picture) -> int:
+    """Return a digest of everything in a picture but load and clocks."""
+    steady = [(p.incarnation, p.suspect, p.leaving, p.load.slots) for p in picture.peers]
+    packed = msgspec.msgpack.encode((picture.table_revision, steady, picture.entries))
+    return xxhash.xxh64_intdigest(packed)
--- a/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
@@ -169,7 +169,7 @@
     # Callers' requests, on web threads.
 
     def _is_known(self, service: str) -> bool:
-        return any(row.service == service for row in self._entry.table.document.rows)
+        return bool(self._entry.table.rows_of(service))
 
     def _mint(self, service: str) -> Minted | NotAccepted:
         box: queue.SimpleQueue[Minted | NotAccepted] = queue.SimpleQueue()
--- a/testing/core/test_members.py
+++ b/testing/core/test_members.py
@@ -50,16 +50,16 @@
 
 
 def test_list_says_leaving_then_gone(members: Members) -> None:
-    assert members.listed([host(HostState.LEAVING)])
+    assert members.listed(10.5, [host(HostState.LEAVING)])
     member = members.find(OLD)
     assert member is not None
     assert member.leaving
-    assert members.listed([host(HostState.GONE)])
+    assert members.listed(10.5, [host(HostState.GONE)])
     assert members.has_ended(OLD)
 
 
 def test_list_without_the_host_says_nothing(members: Members) -> None:
-    members.listed([])
+    members.listed(10.5, [])
     assert members.find(OLD) is not None
 
 
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -255,6 +255,8 @@
         self.processes[name] = process
         if isinstance(machine, Entry):
             self._start_entry(process, machine)
+        else:
+            machine.know_entries(self._listed_entries())
         self._tick(process)
 
     def _target_settings(self, host: Host, me: Incarnation) -> TargetSettings:
@@ -386,12 +388,15 @@
             entry = process.machine
             assert isinstance(entry, Entry)
             self._perform(process, entry.hosts(self.now, self.shown_hosts))
-        entries = [h for h in self.shown_hosts if h.role is Role.ENTRY]
         for process in self._live(Role.TARGET):
             target = process.machine
             assert isinstance(target, Target)
             if target.needs_entries(self.now):
-                target.know_entries([EntryInfo(h.host, h.peers) for h in entries])
+                target.know_entries(self._listed_entries())
+
+    def _listed_entries(self) -> list[EntryInfo]:
+        hosts = [h for h in self.shown_hosts if h.role is Role.ENTRY]
+        return [EntryInfo(host.host, host.peers) for host in hosts]
 
     # Callers and operators.
 
