--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -32,9 +32,12 @@
 ENDED_TOLD = 16
 """Incarnations that ended last, named in every exchange."""
 
-NEWS_PER_EXCHANGE = 32
+NEWS_PER_EXCHANGE = 16
 """Targets an entry tells another entry of in one message, those with changes first."""
 
+EXCHANGE_EVERY = 2
+"""Heartbeat intervals between two regular exchanges; changes are told at once."""
+
 HEARTBEATS_PER_SECOND = 60.0
 """Heartbeats that an entry wants to take; with more targets it asks for longer intervals."""
 
@@ -258,7 +261,7 @@
         direct = len(self.members.direct())
         least = self._settings.heartbeat_seconds
         self.members.heartbeat_seconds = max(least, direct / HEARTBEATS_PER_SECOND)
-        self._next_exchange = now + self.members.heartbeat_seconds
+        self._next_exchange = now + self.members.heartbeat_seconds * EXCHANGE_EVERY
         effects: list[Effect] = []
         changed = {member.service for member in self.members.newly_suspect(now)}
         for service in sorted(changed):
--- a/packages/paddleshunt-core/src/paddleshunt_core/messages.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/messages.py
@@ -226,7 +226,6 @@
 class Picture(msgspec.Struct, frozen=True, array_like=True):
     """The rows of a target's service, the targets it may give work to, and the entries."""
 
-    table_revision: int
     rows: list[Row]
     peers: list[PeerInfo]
     entries: list[EntryInfo]
@@ -234,9 +233,13 @@
 
 @final
 class View(_Body, frozen=True, tag="view"):
-    """What an entry tells a target: its share and, where that is news, a whole picture."""
+    """What an entry tells a target: its share and, where that is news, a whole picture.
+
+    Without a picture, the one that the target has under `digest` holds for `table_revision` too.
+    """
 
     digest: int
+    table_revision: int
     heartbeat_ms: int
     share: Share | None
     whole: Picture | None
--- a/packages/paddleshunt-core/src/paddleshunt_core/target.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/target.py
@@ -186,7 +186,9 @@
             effects += self._ended(now, incarnation)
         if view.whole is not None:
             self._view_digest = view.digest
-            effects += self._take_picture(now, view.whole)
+            effects += self._take_picture(now, view.whole, view.table_revision)
+        elif view.digest == self._view_digest:
+            effects += self._adopt_table(view.table_revision, self._rows)
         if view.share is not None:
             effects += self.gate.set_share(now, view.share)
         if any(isinstance(effect, Log) for effect in effects):
@@ -194,13 +196,17 @@
             effects += self._heartbeats(now, everyone=False)
         return effects
 
-    def _take_picture(self, now: float, picture: Picture) -> list[Effect]:
+    def _adopt_table(self, revision: int, rows: list[Row]) -> list[Effect]:
+        """Follow the rows of a revision, if it is higher than the one in force."""
+        if revision <= self._table_revision:
+            return []
+        self._table_revision = revision
+        self._rows = rows
+        return [Log("table_adopted", fields={"revision": revision})]
+
+    def _take_picture(self, now: float, picture: Picture, revision: int) -> list[Effect]:
         self._entries = {entry.host: entry.address for entry in picture.entries}
-        effects: list[Effect] = []
-        if picture.table_revision > self._table_revision:
-            self._table_revision = picture.table_revision
-            self._rows = picture.rows
-            effects.append(Log("table_adopted", fields={"revision": picture.table_revision}))
+        effects = self._adopt_table(revision, picture.rows)
         closed = {row.site for row in self._rows if row.weight == 0}
         self.home.view_peers(now, picture.peers, closed)
         return effects
--- a/packages/paddleshunt-core/src/paddleshunt_core/views.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/views.py
@@ -46,7 +46,6 @@
     ) -> Send:
         """Return the view for a member; whole if asked for, or if the member lacks it."""
         picture = Picture(
-            self._table.revision,
             self._table.rows_of(member.service),
             [self._members.peer_info(peer, now) for peer in self._subset(member)],
             entries,
@@ -55,6 +54,7 @@
         whole = whole or digest != member.heartbeat.view
         view = View(
             digest=digest,
+            table_revision=self._table.revision,
             heartbeat_ms=int(self._members.heartbeat_seconds * 1000),
             share=share_of(allotment, member.incarnation) if allotment else None,
             whole=picture if whole else None,
@@ -77,7 +77,8 @@
         near = [m for m in service if m.site == member.site and m is not member]
         far = [m for m in service if m.site != member.site]
         near = _nearest(member, near, PEERS_NEAR - 1)
-        return [member, *near, *_nearest(member, far, PEERS_FAR)]
+        chosen = [member, *near, *_nearest(member, far, PEERS_FAR)]
+        return sorted(chosen, key=lambda each: each.incarnation)
 
     def forget(self, incarnation: Incarnation) -> None:
         """Drop what is kept for a member that has ended."""
@@ -96,7 +97,10 @@
 
 
 def _digest(picture: Picture) -> int:
-    """Return a digest of everything in a picture but load and clocks."""
+    """Return a digest of everything in a picture but load and clocks.
+
+    All entries that know the same make the same one: peers come sorted.
+    """
     steady = [(p.incarnation, p.suspect, p.leaving, p.load.slots) for p in picture.peers]
-    packed = msgspec.msgpack.encode((picture.table_revision, steady, picture.entries))
+    packed = msgspec.msgpack.encode((picture.rows, steady, picture.entries))
     return xxhash.xxh64_intdigest(packed)
--- a/packages/paddleshunt-node/src/paddleshunt_node/platformthreads.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/platformthreads.py
@@ -25,7 +25,10 @@
 from paddleshunt_node import logs
 
 HOSTS_SECONDS = 2.0
-"""Seconds between two readings of the host list by an entry."""
+"""Least seconds between two readings of the host list."""
+
+HOSTS_PER_SECOND = 20
+"""Hosts that are read a second on average; a long list is read less often."""
 
 RETRY_SECONDS = 1.0
 """Seconds to wait after the store could not be read."""
@@ -137,13 +140,14 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            if self._wanted():
-                self._fetch()
-            self._stopped.wait(HOSTS_SECONDS)
+            count = self._fetch() if self._wanted() else 0
+            self._stopped.wait(max(HOSTS_SECONDS, count / HOSTS_PER_SECOND))
 
-    def _fetch(self) -> None:
+    def _fetch(self) -> int:
+        """Read the list and pass it on; return how many hosts it has."""
         found = self._hosts.fetch()
         if isinstance(found, HostsError):
             logs.event("hosts_unreachable", reason=found.reason)
-            return
+            return 0
         self._on_hosts(found)
+        return len(found)
