--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,8 @@
 
 slopes: $(READY)
 	$(BIN)/python benchmarks/slopes.py $(ARGS)
+
+# Longer runs with new seeds; FUZZ is the number of runs.
+FUZZ ?= 400
+fuzz: $(READY)
+	PADDLESHUNT_FUZZ=$(FUZZ) $(BIN)/python -m pytest testing/test_fuzz.py -s --timeout=3600
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -492,7 +492,8 @@
             Send(entry, address, Answer(job.submission, job.digest, outcome, job.repeatable))
             for entry, address in job.waiters.items()
         ]
-        return [*effects, Log("answered", job.submission, {"outcome": kind})]
+        results = len(outcome.results) if isinstance(outcome, Complete) else 0
+        return [*effects, Log("answered", job.submission, {"outcome": kind, "results": results})]
 
     def _drop_answers(self) -> None:
         """Drop the oldest answers when they hold too many bytes; their ids stay closed."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
@@ -130,7 +130,11 @@
         self._store.start()
         self._web.start()
         logs.event(
-            "started", role="entry", host=self._settings.host, http=self._settings.listen.http
+            "started",
+            role="entry",
+            host=self._settings.host,
+            incarnation=str(self._node.me),
+            http=self._settings.listen.http,
         )
 
     def leave(self, patience: float) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
@@ -71,6 +71,7 @@
             "started",
             role="target",
             host=settings.host,
+            incarnation=str(self._node.me),
             service=settings.service,
             http=settings.listen.http,
         )
