--- a/packages/paddleshunt-cli/src/paddleshunt_cli/main.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/main.py
@@ -8,6 +8,7 @@
 from paddleshunt_cli.entries import EntryClient, EntryError
 from paddleshunt_cli.options import entries_option
 from paddleshunt_cli.replay import replay, trace
+from paddleshunt_cli.status import status
 from paddleshunt_cli.submit import EXIT_STATUS, load_job, submit_job
 from paddleshunt_cli.table import table
 
@@ -18,6 +19,7 @@
 
 
 main.add_command(table)
+main.add_command(status)
 main.add_command(replay)
 main.add_command(trace)
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/calls.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/calls.py
@@ -74,6 +74,11 @@
         call = _Call(home, address, *key, None, deadline, now + FIRST_PROBE)
         return self._open(key, call, caller, Query(submission))
 
+    def service_of(self, message: Answer) -> str:
+        """Return the service of the submission that an answer is for; empty if none waits."""
+        call = self._calls.get((message.submission, message.digest))
+        return call.submit.service if call is not None and call.submit is not None else ""
+
     def answered(self, message: Answer) -> list[Effect]:
         """Pass an outcome to those who wait for it."""
         effects: list[Effect] = []
--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -1,6 +1,7 @@
 """One entry process: takes callers' requests, and relays configuration and membership."""
 
-from dataclasses import dataclass
+from collections import Counter
+from dataclasses import dataclass, field
 from random import Random
 from typing import final
 
@@ -77,6 +78,15 @@
     home: Incarnation
 
 
+@final
+@dataclass(slots=True)
+class Tally:
+    """Counts of one service since this entry started: ids minted by site, answers by outcome."""
+
+    minted: Counter[str] = field(default_factory=Counter)
+    answers: Counter[str] = field(default_factory=Counter)
+
+
 @final
 @dataclass(slots=True)
 class _Peer:
@@ -107,6 +117,7 @@
         self._change_since: dict[RowKey, float] = {}
         self._next_exchange = 0.0
         self._next_divide = 0.0
+        self._tallies: dict[str, Tally] = {}
         self.leaving = False
 
     # Callers' side.
@@ -119,6 +130,7 @@
         home = self._router.choose_home(now, service, rows, self.members)
         if isinstance(home, NoHome):
             return NotAccepted(home.reason, RETRY_MS)
+        self._tally(service).minted[home.site] += 1
         text = mint(home.incarnation, home.clock_ms(now), self._rng)
         return Minted(text, home.incarnation)
 
@@ -145,7 +157,7 @@
         """Take a message from a peer."""
         match envelope.body:
             case Answer() as body:
-                return self.calls.answered(body)
+                return self._answered(body)
             case Running() as body:
                 return self.calls.running(now, body)
             case Absent() as body:
@@ -218,6 +230,10 @@
             "store_went_back_to": self.table.store_went_back_to,
             "calls": len(self.calls),
             "leaving": self.leaving,
+            "tallies": {
+                service: {"minted": tally.minted, "answers": tally.answers}
+                for service, tally in self._tallies.items()
+            },
             "entries": {
                 host: {
                     "table_revision": peer.table_revision,
@@ -244,6 +260,15 @@
             "silent_s": round(now - member.sent, 1),
         }
 
+    def _tally(self, service: str) -> Tally:
+        return self._tallies.setdefault(service, Tally())
+
+    def _answered(self, body: Answer) -> list[Effect]:
+        service = self.calls.service_of(body)
+        if service:
+            self._tally(service).answers[str(body.outcome.__struct_config__.tag)] += 1
+        return self.calls.answered(body)
+
     def _home_of(self, submission: str) -> Member | Outcome:
         """Return the member that the id names, or what a caller can be told without it."""
         parsed = parse_id(submission)
