Avoid gates that owe an answer; take queued tasks back where slots are free

Cause: a dead target was avoided only after three heartbeats, and its part of all new jobs ended unknown; tasks queued behind stragglers stayed there. Now a gate that has not answered an inquiry for 0.3 s gets nothing new, and tasks not started after 0.55 s are revoked if a slot is free elsewhere.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -17,6 +16,7 @@
 from paddleshunt_core.table import Row
 from paddleshunt_platform.etcd import EtcdStore
 from paddleshunt_platform.standins.hosts import HostsStandIn
+from paddleshunt_platform.standins.ports import free_port
 from paddleshunt_platform.standins.store import StoreStandIn
 from paddleshunt_platform.tableedit import apply_edit
 
@@ -179,10 +179,3 @@
 def get_json(url: str) -> Any:
     """Return the JSON at `url`."""
     return json.loads(urllib3.request("GET", url, timeout=5, retries=False).data)
-
-
-def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -49,6 +49,10 @@
 UNSEEN_TASK = 0.6
 """Seconds after which a task is asked about if its gate hasn't said that it saw the message."""
 
+STUCK_TASK = 0.55
+"""Seconds after which a task that may still be queued is taken back if a slot is free elsewhere;
+a task that started at once has usually ended by then."""
+
 SLOW_TASK = 2.0
 """Seconds after which any task without news is asked about; the time doubles with each question."""
 
@@ -251,6 +255,7 @@
                 effects += self._stop(now, job, "deadline")
             if now >= job.deadline:
                 effects += self._settle(now, job, final_call=True)
+        effects += self._revoke_queued(now)
         for link in self._links.values():
             slow = [key for key, out in link.outstanding.items() if _is_due(link, out, now)]
             if slow:
@@ -333,7 +338,7 @@
 
     def _wait(self, now: float, waiting: int) -> float:
         """Estimate the seconds until `waiting` more tasks of this home could have ended."""
-        usable = [link for link in self._links.values() if link.usable]
+        usable = [link for link in self._links.values() if link.is_usable(now)]
         slots = sum(link.load.slots for link in usable)
         busy = sum(self._placement.busy(link, now) for link in usable)
         if slots == 0:
@@ -436,6 +441,8 @@
             out.asked = now
             out.wait = max(SLOW_TASK, 2 * out.wait)
         self._waste.inquiries += 1
+        if link.asked_at is None:
+            link.asked_at = now
         self._seq += 1
         if len(keys) == len(link.outstanding):
             link.inquiry = self._seq
@@ -450,6 +457,27 @@
             effects += self._revoke(now, job)
         return effects
 
+    def _revoke_queued(self, now: float) -> list[Effect]:
+        """Take back tasks that wait in a target's queue while another one has free slots.
+
+        The gate gives back only what it has not started, so a straggler itself stays where it is.
+        """
+        stuck = {
+            link: keys
+            for link in self._links.values()
+            if link.load.queued
+            and (keys := [k for k, o in link.outstanding.items() if _stuck(o, now)])
+        }
+        if not stuck:
+            return []
+        plan = self._placement.plan(self._links.values(), now, self._closed_sites)
+        if not plan.free_slots:
+            return []
+        effects: list[Effect] = []
+        for link, keys in stuck.items():
+            effects += self._ask(now, link, keys, revoke=True)
+        return effects
+
     def _revoke(self, now: float, job: Job) -> list[Effect]:
         effects: list[Effect] = []
         for link in self._links.values():
@@ -523,6 +551,10 @@
     return Answer(name, digest, outcome, closed.repeatable)
 
 
+def _stuck(out: Outstanding, now: float) -> bool:
+    return not out.started and out.wait == 0.0 and now - out.sent > STUCK_TASK
+
+
 def _is_due(link: Link, out: Outstanding, now: float) -> bool:
     first = SLOW_TASK if link.seen_seq >= out.seq else UNSEEN_TASK
     return now - out.asked > (out.wait or first)
--- a/packages/paddleshunt-core/src/paddleshunt_core/links.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/links.py
@@ -11,6 +11,9 @@
 FULL_SECONDS = 1.0
 """Seconds after a refusal for which a home waits for the gate to say that it has room."""
 
+MUTE_SECONDS = 0.3
+"""Seconds without an answer to an inquiry after which a gate gets no new work."""
+
 LOAD_MEMORY = 0.5
 """Seconds after which the reported load of other homes counts for nothing (a usual task)."""
 
@@ -29,7 +32,7 @@
 
 
 @final
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Link:
     """A home's side of the exchange with one gate. Times are in the home's seconds."""
 
@@ -46,6 +49,8 @@
     acked: int = 0
     inquiry: int = 0
     """Number of the inquiry that must be answered before reports count as complete; 0 if none."""
+    asked_at: float | None = None
+    """When the first inquiry was sent since the gate's last report."""
     gap: bool = False
     mine_in_load: int = 0
     last_sent: float = 0.0
@@ -56,10 +61,13 @@
     outstanding: dict[TaskKey, Outstanding] = field(default_factory=dict)
     batches: dict[str, TaskBatch] = field(default_factory=dict)
 
-    @property
-    def usable(self) -> bool:
+    def is_usable(self, now: float) -> bool:
         """Whether new work may go there."""
-        return not (self.suspect or self.leaving)
+        return not (self.suspect or self.leaving or self.is_mute(now))
+
+    def is_mute(self, now: float) -> bool:
+        """Whether the gate owes an answer for longer than a living one would take."""
+        return self.asked_at is not None and now - self.asked_at > MUTE_SECONDS
 
     @property
     def others(self) -> int:
@@ -98,6 +106,7 @@
         if report.number != self.last_report + 1:
             self.gap = True
         self.last_report = report.number
+        self.asked_at = None
         self.seen_seq = max(self.seen_seq, report.seen_seq)
         if report.answers and report.answers == self.inquiry:
             self.inquiry = 0
--- a/packages/paddleshunt-core/src/paddleshunt_core/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/placement.py
@@ -63,7 +63,7 @@
         """
         spots: list[_Spot] = []
         for link in links:
-            if not link.usable or now < link.full_until or link.site in closed:
+            if not link.is_usable(now) or now < link.full_until or link.site in closed:
                 continue
             spot = self._spot(link, self.busy(link, now), now)
             if spot is not None:
@@ -96,6 +96,11 @@
         self._now = now
         heapq.heapify(spots)
 
+    @property
+    def free_slots(self) -> bool:
+        """Whether some target seems to have a free slot."""
+        return bool(self._spots) and self._spots[0].tier in (_FREE_NEAR, _FREE_FAR)
+
     def take(self) -> Link | None:
         """Return the target for one more task, or None to hold it."""
         if not self._spots:
--- a/packages/paddleshunt-node/src/paddleshunt_node/demo.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/demo.py
@@ -5,7 +5,6 @@
 
 import base64
 import importlib.util
-import socket
 import sys
 import time
 from contextlib import ExitStack
@@ -22,6 +21,7 @@
 from paddleshunt_platform.etcd import EtcdStore
 from paddleshunt_platform.settings import EntryFile, Listen, Platform, Runner, TargetFile
 from paddleshunt_platform.standins.hosts import HostsStandIn
+from paddleshunt_platform.standins.ports import free_port
 from paddleshunt_platform.standins.store import StoreStandIn
 from paddleshunt_platform.tableedit import apply_edit
 
@@ -125,7 +125,7 @@
 
 def _start_runner(stack: ExitStack, module: ModuleType) -> str:
     run = module.ward_standings if hasattr(module, "ward_standings") else module.make_image
-    port = _free_port()
+    port = free_port()
     server = sys.modules["runnerserver"].make_server(run, port, log=False)
     server.prepare()
     thread = Thread(target=server.serve, daemon=True)
@@ -142,13 +142,7 @@
 
 
 def _listen() -> Listen:
-    return Listen(f"127.0.0.1:{_free_port()}", f"127.0.0.1:{_free_port()}")
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    return Listen(f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}")
 
 
 def _wait_ready(entry: str) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/main.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/main.py
@@ -16,6 +16,9 @@
 BAD_SETTINGS = 2
 """Exit status when the settings can't be used."""
 
+CANNOT_START = 1
+"""Exit status when an address can't be listened on."""
+
 PATIENCE = 120.0
 """Seconds that a leaving process gives its requests to finish."""
 
@@ -43,7 +46,7 @@
     from paddleshunt_node.entryprocess import EntryProcess
 
     logs.set_up(chosen.log.level)
-    _serve(EntryProcess(chosen))
+    _serve(lambda: EntryProcess(chosen))
 
 
 @main.command()
@@ -55,7 +58,7 @@
     from paddleshunt_node.targetprocess import TargetProcess
 
     logs.set_up(chosen.log.level)
-    _serve(TargetProcess(chosen))
+    _serve(lambda: TargetProcess(chosen))
 
 
 @main.command("check-settings")
@@ -85,11 +88,16 @@
         sys.exit(BAD_SETTINGS)
 
 
-def _serve(process: _Process) -> None:
+def _serve(make: Callable[[], _Process]) -> None:
     """Run until SIGTERM or SIGINT, then leave."""
     told = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: told.set())
-    process.start()
+    try:
+        process = make()
+        process.start()
+    except OSError as problem:
+        click.echo(f"paddleshuntd: can't start: {problem}", err=True)
+        sys.exit(CANNOT_START)
     told.wait()
     process.leave(PATIENCE)
--- a/packages/paddleshunt-node/src/paddleshunt_node/peers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/peers.py
@@ -38,7 +38,11 @@
         self._used: dict[str, float] = {}
         self._lock = Lock()
         self._pull = pynng.Pull0(recv_buffer_size=SEND_BUFFER, recv_max_size=MAX_MESSAGE)
-        self._pull.listen(f"tcp://{address}")
+        try:
+            self._pull.listen(f"tcp://{address}")
+        except pynng.exceptions.NNGException as error:
+            self._pull.close()
+            raise OSError(f"{address}: {error}") from error
         self._thread = Thread(target=self._run, name="peers", daemon=True)
 
     def start(self) -> None:
--- a/testing/core/test_placement.py
+++ b/testing/core/test_placement.py
@@ -2,7 +2,7 @@
 
 import pytest
 from paddleshunt_core.ids import Incarnation
-from paddleshunt_core.links import FULL_SECONDS, Link, Outstanding
+from paddleshunt_core.links import FULL_SECONDS, MUTE_SECONDS, Link, Outstanding
 from paddleshunt_core.messages import Load
 from paddleshunt_core.placement import PROBE_SECONDS, Placement
 
@@ -46,6 +46,12 @@
     assert take(placement, [only], 1) == [None]
 
 
+def test_target_that_owes_an_answer_gets_nothing(placement: Placement) -> None:
+    only = link("a")
+    only.asked_at = NOW - MUTE_SECONDS - 0.1
+    assert take(placement, [only], 1) == [None]
+
+
 def test_closed_site_and_missing_share_get_nothing(placement: Placement) -> None:
     plan = placement.plan([link("a", "depot"), link("b", slots=0)], NOW, {"depot"})
     assert plan.take() is None
--- a/testing/node/test_main.py
+++ b/testing/node/test_main.py
@@ -1,3 +1,4 @@
+import socket
 from pathlib import Path
 
 from click.testing import CliRunner
@@ -19,3 +20,16 @@
         found = CliRunner().invoke(main, command)
         assert found.exit_code == 2
         assert f"{file}: " in found.output
+
+
+def test_address_in_use_is_told(tmp_path: Path) -> None:
+    text = (SETTINGS / "hall-results.toml").read_text()
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        file = tmp_path / "target.toml"
+        file.write_text(text.replace("127.0.0.1:7201", f"127.0.0.1:{port}"))
+        found = CliRunner().invoke(main, ["target", "--settings", str(file)])
+    assert found.exit_code == 1
+    assert f"can't start: 127.0.0.1:{port}" in found.output
--- a/testing/node/test_runner.py
+++ b/testing/node/test_runner.py
@@ -6,7 +6,8 @@
 import pytest
 from paddleshunt_core.effects import Start
 from paddleshunt_node.runner import Ended, NotReached, Runner, RunnerOutcome
-from system import RunnerStandIn, free_port
+from paddleshunt_platform.standins.ports import free_port
+from system import RunnerStandIn
 
 
 def run_one(url: str, payload: bytes, timeout: float = 10.0) -> RunnerOutcome:
--- a/testing/system.py
+++ b/testing/system.py
@@ -1,7 +1,6 @@
 """A small real system for tests: entries, targets, a runner and stand-ins, over loopback."""
 
 import json
-import socket
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -27,6 +26,7 @@
     TargetFile,
 )
 from paddleshunt_platform.standins.hosts import HostsStandIn
+from paddleshunt_platform.standins.ports import free_port
 from paddleshunt_platform.standins.store import StoreStandIn
 from paddleshunt_platform.tableedit import apply_edit
 
@@ -34,13 +34,6 @@
 SERVICE = "results"
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def wait_for(done: Callable[[], bool]) -> None:
     """Wait until `done`, with a generous bound."""
     end = time.monotonic() + PATIENCE
