--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,6 @@
 FUZZ ?= 400
 fuzz: $(READY)
 	PADDLESHUNT_FUZZ=$(FUZZ) $(BIN)/python -m pytest testing/test_fuzz.py -s --timeout=3600
+
+docs-check: $(READY)
+	$(BIN)/python testing/docs_check.py
