Give a share only to the incarnation that a document names

Cause, found by make fuzz: a target that restarted had its predecessor's share from whatever allotment its entry knew. An entry that had slept knew one in which the share was still there, while a later one had given it to another target: 9 tasks could run of 6 while the store was away. Ruled out: letting the entry ask its peers first (they may be cut off too), and letting the target ask all entries (they may all be stale). restarted_target_has_share_with_store_down asserted the unsafe behaviour; it is replaced by restarted_target_waits_for_store, as strict, and by stale_entry_gives_no_share, which fails before this change and passes after. Conclusion: strict limits go before work during a store outage.

--- a/packages/paddleshunt-core/src/paddleshunt_core/allotments.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/allotments.py
@@ -61,10 +61,11 @@
 def share_of(allotment: Allotment, incarnation: Incarnation) -> Share | None:
     """Return a target's share, or None if it has none yet.
 
-    A newer incarnation of a host has the share of the one that ended there.
+    Only the incarnation that the document names has it. An earlier one's share may have gone to
+    another target by a later document, which an entry that slept or was cut off has not seen.
     """
     for part in allotment.parts:
-        if part.host == incarnation.host and part.boot <= incarnation.boot:
+        if part.incarnation == incarnation:
             return Share(allotment.revision, part.running, part.in_flight)
     return None
 
