Split records, divider and operators' pages out of larger files

home.py held the bookkeeping of closed ids, entry.py the writing of allotments, and both processes the same two pages.

--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -7,9 +7,10 @@
 
 import msgspec
 
-from paddleshunt_core.allotments import Allotment, Holder, divide
+from paddleshunt_core.allotments import Allotment
 from paddleshunt_core.calls import Calls
-from paddleshunt_core.effects import Effect, Log, Reply, Send, WriteAllotment
+from paddleshunt_core.divider import Divider
+from paddleshunt_core.effects import Effect, Log, Reply, Send
 from paddleshunt_core.ids import Incarnation, InvalidId, mint, parse_id
 from paddleshunt_core.members import Host, Member, Members, Role
 from paddleshunt_core.messages import (
@@ -27,7 +28,7 @@
 )
 from paddleshunt_core.outcomes import NotAccepted, Outcome, Unknown
 from paddleshunt_core.routing import NoHome, Router
-from paddleshunt_core.table import Row, TableController, TableDocument
+from paddleshunt_core.table import TableController, TableDocument
 from paddleshunt_core.views import Views
 
 ENDED_TOLD = 16
@@ -42,15 +43,6 @@
 HEARTBEATS_PER_SECOND = 60.0
 """Heartbeats that an entry wants to take; with more targets it asks for longer intervals."""
 
-WRITE_DELAY = 2.0
-"""Seconds by which each next entry waits before it writes an allotment in another's stead."""
-
-REWRITE_SECONDS = 0.5
-"""Seconds before an allotment is written again that has not come back from the store."""
-
-DIVIDE_SECONDS = 0.25
-"""Seconds between two looks whether an allotment should change."""
-
 RETRY_MS = 1000
 """When callers are told to come back if nothing better is known."""
 
@@ -65,10 +57,6 @@
     heartbeat_seconds: float = 1.0
 
 
-RowKey = tuple[str, str]
-"""Service and site, the key of a row."""
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class Minted:
@@ -112,11 +100,9 @@
         self.calls = Calls()
         self._router = Router(rng)
         self._views = Views(self.members, self.table)
-        self._allotments: dict[RowKey, Allotment] = {}
+        self._divider = Divider(self.members, self.table)
         self._peers: dict[str, _Peer] = {}
-        self._change_since: dict[RowKey, float] = {}
         self._next_exchange = 0.0
-        self._next_divide = 0.0
         self._tallies: dict[str, Tally] = {}
         self.leaving = False
 
@@ -197,12 +183,8 @@
 
     def allotment(self, now: float, allotment: Allotment) -> list[Effect]:
         """Take a row's allotment from the store or from another entry."""
-        key = (allotment.service, allotment.site)
-        known = self._allotments.get(key)
-        if known is not None and allotment.revision <= known.revision:
+        if not self._divider.adopt(allotment):
             return []
-        self._allotments[key] = allotment
-        self.members.touched.add(key)
         members = self.members.of_service(allotment.service)
         return [self._view(now, m) for m in members if m.site == allotment.site and not m.via]
 
@@ -211,9 +193,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Act on the passing of time."""
         effects = self.calls.tick(now, self.members.has_ended)
-        if now >= self._next_divide:
-            self._next_divide = now + DIVIDE_SECONDS
-            effects += self._divide(now)
+        effects += self._divider.tick(now, self._rank(now))
         if now >= self._next_exchange:
             effects += self._regular_news(now)
         return effects
@@ -242,7 +222,7 @@
                 for host, peer in self._peers.items()
             },
             "members": [self._describe_member(now, member) for member in self.members.all()],
-            "allotments": list(self._allotments.values()),
+            "allotments": self._divider.all(),
             "ended": [str(incarnation) for incarnation in self.members.ended],
         }
 
@@ -367,7 +347,7 @@
             ended=self.members.ended[-ENDED_TOLD:],
             reply=reply,
             table=msgspec.json.encode(self.table.document) if full else b"",
-            allotments=[msgspec.json.encode(a) for a in self._allotments.values()] if full else [],
+            allotments=[msgspec.json.encode(a) for a in self._divider.all()] if full else [],
         )
         return Send(Incarnation(host, ""), address, body)
 
@@ -393,45 +373,9 @@
     def _view(self, now: float, member: Member) -> Send:
         entries = [EntryInfo(host.host, host.peers) for host in self._other_entries()]
         entries.append(EntryInfo(self._me.host, self._settings.address))
-        allotment = self._allotments.get((member.service, member.site))
+        allotment = self._divider.find(member.service, member.site)
         return self._views.view(now, member, sorted(entries), allotment)
 
-    # Allotments.
-
-    def _divide(self, now: float) -> list[Effect]:
-        """Write the allotments that should change, each entry in its turn.
-
-        Only rows are looked at whose targets, table row or allotment changed, or whose last look
-        found something to write.
-        """
-        if not self.members.hosts_known:
-            return []
-        due = self.members.touched | self._change_since.keys()
-        self.members.touched.clear()
-        rows = [self.table.row(*key) for key in sorted(due)]
-        effects: list[Effect] = []
-        for row in rows:
-            effects += self._divide_row(now, row) if row is not None else []
-        return effects
-
-    def _divide_row(self, now: float, row: Row) -> list[Effect]:
-        key = (row.service, row.site)
-        holders = [
-            Holder(m.incarnation, m.heartbeat.share_revision, m.leaving)
-            for m in self.members.of_service(row.service)
-            if m.site == row.site
-        ]
-        next_one = divide(row, self._allotments.get(key), holders, self.members.has_ended)
-        if next_one is None:
-            self._change_since.pop(key, None)
-            return []
-        since = self._change_since.setdefault(key, now)
-        if now - since < self._rank(now) * WRITE_DELAY:
-            return []
-        # If the write is lost or comes second, it is due again a while later.
-        self._change_since[key] = now + REWRITE_SECONDS
-        return [WriteAllotment(next_one)]
-
     def _rank(self, now: float) -> int:
         """Return how many live entries come before this one."""
         silent = 3 * self._settings.heartbeat_seconds
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -5,7 +5,6 @@
 one said that it did not and will not start it.
 """
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import final
@@ -31,13 +30,13 @@
 )
 from paddleshunt_core.outcomes import (
     Complete,
-    Conflict,
     NotAccepted,
     NotRun,
     Outcome,
     Unknown,
 )
 from paddleshunt_core.placement import Placement, Plan
+from paddleshunt_core.records import Records, conflict
 from paddleshunt_core.waste import Waste
 
 HOLD_MARGIN = 0.25
@@ -74,16 +73,6 @@
     usual_task: float = 0.25
 
 
-@dataclass(slots=True)
-class _Closed:
-    """A submission with its outcome; `outcome` is None once the answer was dropped for room."""
-
-    digest: bytes
-    repeatable: bool
-    outcome: Outcome | None
-    bytes: int
-
-
 @final
 class Home:
     """State of one home. Call `flush` after each batch of inputs to place tasks."""
@@ -100,10 +89,7 @@
         self._limits = limits
         self._placement = placement
         self._jobs: dict[str, Job] = {}
-        self._closed: dict[str, _Closed] = {}
-        self._expiry: deque[tuple[float, str]] = deque()
-        self._kept: deque[str] = deque()
-        self._kept_bytes = 0
+        self._records = Records(limits.answer_bytes)
         self._links: dict[Incarnation, Link] = {}
         self._closed_sites: set[str] = set()
         self._task_seconds = limits.usual_task
@@ -121,8 +107,8 @@
         return {
             "jobs": len(self._jobs),
             "waiting_tasks": self._waiting_tasks(),
-            "closed_ids": len(self._closed),
-            "kept_answer_bytes": self._kept_bytes,
+            "closed_ids": len(self._records),
+            "kept_answer_bytes": self._records.kept_bytes,
             "task_seconds": round(self._task_seconds, 4),
             "leaving": self.leaving,
             "links": {
@@ -145,9 +131,9 @@
         job = self._jobs.get(name)
         if job is not None:
             return [Send(entry, address, self._attach(job, entry, address, message))]
-        closed = self._closed.get(name)
-        if closed is not None:
-            return [Send(entry, address, _repeat(name, closed, message.digest))]
+        answer = self._records.find(name, message.digest)
+        if answer is not None:
+            return [Send(entry, address, answer)]
         refusal = self._judge_id(now, name)
         if refusal is not None:
             return [Send(entry, address, Answer(name, message.digest, refusal, message.repeatable))]
@@ -160,9 +146,9 @@
         if job is not None:
             job.waiters[entry] = address
             return [Send(entry, address, Running(name, message.digest))]
-        closed = self._closed.get(name)
-        if closed is not None:
-            return [Send(entry, address, _repeat(name, closed, message.digest or closed.digest))]
+        answer = self._records.find(name, message.digest)
+        if answer is not None:
+            return [Send(entry, address, answer)]
         refusal = self._judge_id(now, name)
         body: Body = (
             Absent(name, message.digest)
@@ -260,8 +246,7 @@
             slow = [key for key, out in link.outstanding.items() if _is_due(link, out, now)]
             if slow:
                 effects += self._ask(now, link, slow, revoke=False)
-        while self._expiry and self._expiry[0][0] <= now:
-            self._forget(self._expiry.popleft()[1])
+        self._records.forget(now)
         return effects
 
     def flush(self, now: float) -> list[Effect]:
@@ -284,7 +269,7 @@
 
     def _attach(self, job: Job, entry: Incarnation, address: str, message: Submit) -> Body:
         if job.digest != message.digest:
-            return _conflict(job.submission, message.digest)
+            return conflict(job.submission, message.digest)
         job.waiters[entry] = address
         return Running(job.submission, job.digest)
 
@@ -303,7 +288,7 @@
     def _accept(
         self, now: float, entry: Incarnation, address: str, message: Submit
     ) -> list[Effect]:
-        if len(self._jobs) + len(self._closed) >= self._limits.max_records:
+        if len(self._jobs) + len(self._records) >= self._limits.max_records:
             outcome = NotAccepted("the home holds too many ids", 1000)
             answer = Answer(message.submission, message.digest, outcome, message.repeatable)
             return [Send(entry, address, answer)]
@@ -319,9 +304,8 @@
         )
         refusal = self._overload(now, len(message.tasks), job.deadline)
         self._jobs[job.submission] = job
-        self._expiry.append((self._forget_at(now, job.submission), job.submission))
         if refusal is not None:
-            return self._close(job, refusal)
+            return self._close(now, job, refusal)
         return [Log("accepted", job.submission, {"tasks": len(job.payloads), "entry": entry.host})]
 
     def _overload(self, now: float, tasks: int, deadline: float) -> NotRun | None:
@@ -499,57 +483,25 @@
         if not isinstance(outcome, Complete):
             effects += self._revoke(now, job)
         self._drop_outstanding(job)
-        return effects + self._close(job, outcome)
+        return effects + self._close(now, job, outcome)
 
     def _drop_outstanding(self, job: Job) -> None:
         for link in self._links.values():
             for key in [key for key in link.outstanding if key[0] == job.submission]:
                 del link.outstanding[key]
 
-    def _close(self, job: Job, outcome: Outcome) -> list[Effect]:
+    def _close(self, now: float, job: Job, outcome: Outcome) -> list[Effect]:
         """Record the outcome and answer all who wait for it."""
         del self._jobs[job.submission]
-        size = sum(map(len, outcome.results)) if isinstance(outcome, Complete) else 0
-        self._closed[job.submission] = _Closed(job.digest, job.repeatable, outcome, size)
-        self._kept_bytes += size
-        if size:
-            self._kept.append(job.submission)
-        self._drop_answers()
+        answer = Answer(job.submission, job.digest, outcome, job.repeatable)
+        self._records.close(answer, self._forget_at(now, job.submission))
         kind = str(outcome.__struct_config__.tag)
+        results = len(outcome.results) if isinstance(outcome, Complete) else 0
         effects: list[Effect] = [
-            Send(entry, address, Answer(job.submission, job.digest, outcome, job.repeatable))
-            for entry, address in job.waiters.items()
+            Send(entry, address, answer) for entry, address in job.waiters.items()
         ]
-        results = len(outcome.results) if isinstance(outcome, Complete) else 0
         return [*effects, Log("answered", job.submission, {"outcome": kind, "results": results})]
 
-    def _drop_answers(self) -> None:
-        """Drop the oldest answers when they hold too many bytes; their ids stay closed."""
-        while self._kept_bytes > self._limits.answer_bytes and len(self._kept) > 1:
-            closed = self._closed.get(self._kept.popleft())
-            if closed is not None:
-                self._kept_bytes -= closed.bytes
-                closed.bytes = 0
-                closed.outcome = None
-
-    def _forget(self, name: str) -> None:
-        closed = self._closed.pop(name, None)
-        if closed is not None:
-            self._kept_bytes -= closed.bytes
-        elif name in self._jobs:
-            self._expiry.append((self._jobs[name].deadline + 1.0, name))
-
-
-def _conflict(name: str, digest: bytes) -> Answer:
-    return Answer(name, digest, Conflict("the id belongs to another body"))
-
-
-def _repeat(name: str, closed: _Closed, digest: bytes) -> Answer:
-    if closed.digest != digest:
-        return _conflict(name, digest)
-    outcome = closed.outcome or Unknown("it ran; its answer is no longer kept")
-    return Answer(name, digest, outcome, closed.repeatable)
-
 
 def _stuck(out: Outstanding, now: float) -> bool:
     return not out.started and out.wait == 0.0 and now - out.sent > STUCK_TASK
--- a/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
@@ -36,15 +36,13 @@
     run_chain,
 )
 from paddleshunt_node.node import LocalEffect, Node, new_incarnation
+from paddleshunt_node.operatorpages import ASK_SECONDS, OperatorPages
 from paddleshunt_node.platformthreads import HostsThread, StoreThreads
-from paddleshunt_node.web import JSON, Request, Response, Route, WebServer, error
+from paddleshunt_node.web import Request, Response, Route, WebServer, error
 
 SPARE_THREADS = 8
 """Web threads beyond those that may wait for answers, for everything that is quick."""
 
-ASK_SECONDS = 5.0
-"""Seconds that a web thread waits for the loop to answer a quick question."""
-
 REPLY_GRACE = 5.0
 """Seconds past a submission's deadline after which a web thread gives up on the core."""
 
@@ -114,6 +112,7 @@
         )
         self._waiters = _Waiters()
         self._greeted = False
+        self._pages = OperatorPages(self._node, self._describe)
         store_url = settings.platform.store or ""
         self._store = StoreThreads(EtcdStore(store_url), self._on_table, self._on_allotment)
         self._hosts = HostsThread(HostList(settings.platform.hosts), self._on_hosts)
@@ -165,8 +164,7 @@
             ("POST", "/v1/jobs"): lambda request: run_chain(job, Call(request)),
             ("GET", "/v1/submissions/"): self._look_up,
             ("GET", "/healthz"): self._health,
-            ("GET", "/metrics"): self._metrics_page,
-            ("GET", "/v1/dump"): self._dump,
+            **self._pages.routes(),
             ("PUT", "/v1/table"): self._take_table,
         }
 
@@ -224,21 +222,6 @@
             return error(HTTPStatus.SERVICE_UNAVAILABLE, "no table yet")
         return Response(HTTPStatus.OK, b'{"status": "ok"}')
 
-    def _metrics_page(self, _request: Request) -> Response:
-        page = self._node.metrics.page()
-        return Response(HTTPStatus.OK, page, content_type="text/plain; version=0.0.4")
-
-    def _dump(self, _request: Request) -> Response:
-        box: queue.SimpleQueue[bytes] = queue.SimpleQueue()
-
-        def ask(now: float) -> list[Effect]:
-            state = self._entry.describe(now) | {"store_reachable": self._store.reachable}
-            box.put(msgspec.json.encode(state))
-            return []
-
-        self._node.post(ask)
-        return Response(HTTPStatus.OK, box.get(timeout=ASK_SECONDS), content_type=JSON)
-
     def _take_table(self, request: Request) -> Response:
         call = Call(request)
         refusal = Size(self._limits)(call)
@@ -251,6 +234,9 @@
         self._node.post(lambda now: self._entry.table_handed(now, document))
         return Response(HTTPStatus.ACCEPTED, b"{}")
 
+    def _describe(self, now: float) -> dict[str, object]:
+        return self._entry.describe(now) | {"store_reachable": self._store.reachable}
+
     # The platform's news, on its threads.
 
     def _on_table(self, document: TableDocument | None) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
@@ -8,7 +8,6 @@
 from threading import Event
 from typing import final
 
-import msgspec
 from paddleshunt_core.effects import Effect, Start
 from paddleshunt_core.gate import GateLimits
 from paddleshunt_core.home import HomeLimits
@@ -22,6 +21,7 @@
 
 from paddleshunt_node import logs
 from paddleshunt_node.node import LocalEffect, Node, new_incarnation
+from paddleshunt_node.operatorpages import OperatorPages
 from paddleshunt_node.platformthreads import HostsThread
 from paddleshunt_node.runner import Ended, Runner, RunnerOutcome
 from paddleshunt_node.web import Request, Response, Route, WebServer, error
@@ -29,9 +29,6 @@
 WEB_THREADS = 2
 """Threads of a target's web page, which only operators ask."""
 
-ASK_SECONDS = 5.0
-"""Seconds that a web thread waits for the loop."""
-
 EXIT_POLL = 0.05
 """Seconds between two looks whether a leaving target may exit."""
 
@@ -50,6 +47,7 @@
         self._hosts = HostsThread(
             HostList(settings.platform.hosts), self._on_hosts, self._wants_hosts
         )
+        self._pages = OperatorPages(self._node, lambda now: self._target.describe())
         self._web = WebServer(settings.listen.http, self._routes(), WEB_THREADS)
         self._may_exit = Event()
         metrics = self._node.metrics
@@ -92,8 +90,7 @@
     def _routes(self) -> dict[tuple[str, str], Route]:
         return {
             ("GET", "/healthz"): self._health,
-            ("GET", "/metrics"): self._metrics_page,
-            ("GET", "/v1/dump"): self._dump,
+            **self._pages.routes(),
         }
 
     def _check_exit(self, now: float) -> list[Effect]:
@@ -153,20 +150,6 @@
             return error(HTTPStatus.SERVICE_UNAVAILABLE, "leaving")
         return Response(HTTPStatus.OK, b'{"status": "ok"}')
 
-    def _metrics_page(self, _request: Request) -> Response:
-        page = self._node.metrics.page()
-        return Response(HTTPStatus.OK, page, content_type="text/plain; version=0.0.4")
-
-    def _dump(self, _request: Request) -> Response:
-        box: queue.SimpleQueue[bytes] = queue.SimpleQueue()
-
-        def ask(_now: float) -> list[Effect]:
-            box.put(msgspec.json.encode(self._target.describe()))
-            return []
-
-        self._node.post(ask)
-        return Response(HTTPStatus.OK, box.get(timeout=ASK_SECONDS))
-
     def _count_running(self) -> float:
         return float(self._target.load.running)
 
--- a/testing/scenarios/test_planted_bugs.py
+++ b/testing/scenarios/test_planted_bugs.py
@@ -37,10 +37,10 @@
     """A home that says not run keeps no record of it."""
     close = Home._close
 
-    def close_and_forget(self: Home, job: Job, outcome: Outcome) -> list[Effect]:
-        effects = close(self, job, outcome)
+    def close_and_forget(self: Home, now: float, job: Job, outcome: Outcome) -> list[Effect]:
+        effects = close(self, now, job, outcome)
         if isinstance(outcome, NotRun):
-            del self._closed[job.submission]
+            del self._records._records[job.submission]
         return effects
 
     patch.setattr(Home, "_close", close_and_forget)
