--- a/packages/paddleshunt-cli/src/paddleshunt_cli/table.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/table.py
@@ -63,15 +63,24 @@
 @table.command()
 @click.argument("file", type=_FILE)
 @click.option("--base", type=int, help="Revision the file was made from, if it doesn't say.")
+@click.option("--drop", multiple=True, metavar="SERVICE", help="Let a service lose all its rows.")
 @click.option("--wait", default=11.0, show_default=True, help="Seconds to wait for all targets.")
 @store_option
 @entries_option
-def apply(file: Path, base: int | None, wait: float, store: str, entries: tuple[str, ...]) -> None:
+def apply(
+    file: Path,
+    base: int | None,
+    drop: tuple[str, ...],
+    wait: float,
+    store: str,
+    entries: tuple[str, ...],
+) -> None:
     """Apply a table file, and report where it is in force."""
     edited = _read(file)
     revision = edited.base if base is None else base
     if revision is None:
         raise click.UsageError("the file doesn't say its revision; give --base")
+    _check_services(file, edited.rows, _current(store, entries).rows, drop)
     clients = [EntryClient(url) for url in entries]
     edit = secrets.token_hex(8)
     in_force = newest_table(clients)
@@ -115,6 +124,15 @@
     raise SystemExit(BAD_TABLE)
 
 
+def _check_services(file: Path, rows: list[Row], current: list[Row], drop: tuple[str, ...]) -> None:
+    """Refuse a table in which a service would lose its last row unasked."""
+    kept = {row.service for row in rows} | set(drop)
+    for service in sorted({row.service for row in current} - kept):
+        text = f"column service: expected a row for {service}, or --drop {service}"
+        click.echo(f"{file}: {text}", err=True)
+        raise SystemExit(BAD_TABLE)
+
+
 def _current(store: str, entries: tuple[str, ...]) -> TableDocument:
     """Return the newest table that the store holds or an entry follows."""
     stored = read_table(EtcdStore(store))
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -504,7 +504,7 @@
 
 
 def _stuck(out: Outstanding, now: float) -> bool:
-    return not out.started and out.wait == 0.0 and now - out.sent > STUCK_TASK
+    return not out.started and now - out.asked > STUCK_TASK
 
 
 def _is_due(link: Link, out: Outstanding, now: float) -> bool:
--- a/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
@@ -210,7 +210,9 @@
             return error(HTTPStatus.GATEWAY_TIMEOUT, "no answer; ask again with the same id")
 
     def _answered(self, answer: Answer) -> Response:
-        self._node.metrics.answered(answers.kind(answer.outcome))
+        kind = answers.kind(answer.outcome)
+        self._node.metrics.answered(kind)
+        logs.event("replied", submission=answer.submission, outcome=kind)
         return answers.respond(answer)
 
     # Operators' requests.
--- a/testing/cli/test_commands.py
+++ b/testing/cli/test_commands.py
@@ -73,6 +73,13 @@
     assert "conflict" in late.output
 
 
+def test_service_does_not_lose_its_last_row_unasked(run: Run, shown: Path) -> None:
+    shown.write_text(shown.read_text().replace(SERVICE, "other"))
+    found = run("table", "apply", str(shown))
+    assert found.exit_code == 2
+    assert f"expected a row for {SERVICE}, or --drop {SERVICE}" in found.output
+
+
 def test_bad_table_is_refused_with_line_and_column(run: Run, shown: Path) -> None:
     shown.write_text(shown.read_text().replace("hall,", "hall,-"))
     for command in ("check", "diff", "apply"):
