--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -72,6 +72,8 @@
 
     size: Size
     folder: Path
+    runner_url: str = ""
+    """A runner that is there already; empty to start the one that sleeps."""
     store: StoreStandIn = field(default_factory=StoreStandIn)
     hosts: HostsStandIn = field(default_factory=lambda: HostsStandIn([]))
     daemons: dict[str, Daemon] = field(default_factory=dict)
@@ -84,13 +86,11 @@
             for site, count in self.size.sites.items()
         ]
         apply_edit(EtcdStore(self.store.url), rows, 0, "bench")
-        port = free_port()
-        command = [sys.executable, str(HERE / "runner_standin.py"), str(port)]
-        self.daemons["runner"] = Daemon("runner", "runner", subprocess.Popen(command))
+        url = self.runner_url or self._start_runner()
         site = next(iter(self.size.sites))
         for number in range(self.size.entries):
             self._write(f"entry-{number}", "entry", site, "")
-        runner = f'service = "{SERVICE}"\n', f'[runner]\nurl = "http://127.0.0.1:{port}/"\n'
+        runner = f'service = "{SERVICE}"\n', f'[runner]\nurl = "{url}"\n'
         for site, count in self.size.sites.items():
             for number in range(count):
                 extra = runner[1] + f"slots = {self.size.slots}\n"
@@ -99,6 +99,12 @@
             self.launch(name)
         self.wait_ready()
 
+    def _start_runner(self) -> str:
+        port = free_port()
+        command = [sys.executable, str(HERE / "runner_standin.py"), str(port)]
+        self.daemons["runner"] = Daemon("runner", "runner", subprocess.Popen(command))
+        return f"http://127.0.0.1:{port}/"
+
     def _write(self, name: str, role: str, site: str, extra: str, top: str = "") -> None:
         peers = f"127.0.0.1:{free_port()}"
         text = (
