Hand a table over only with the operators' key; mend a target that fell silent locally

Cause: anyone who reached an entry's HTTP address could put a higher revision in force, which never reverts. Now PUT /v1/table needs the key of the settings. After a send that failed locally a home took the target for one without slots; views no longer repeat load, so it never used it again. A test of a killed target raced with entries that still knew the killed incarnation (answered unknown, truthfully); it waits for the new one now.

--- a/packages/paddleshunt-cli/src/paddleshunt_cli/entries.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/entries.py
@@ -41,8 +41,9 @@
 class EntryClient:
     """One entry at `url`; nothing is repeated by itself."""
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, key: str = "") -> None:
         self.url = url.rstrip("/")
+        self._headers = {"Paddleshunt-Key": key} if key else {}
         self._pool = urllib3.PoolManager(retries=False)
 
     def call(
@@ -50,7 +51,9 @@
     ) -> Reply | EntryError:
         """Make one call and return what came of it."""
         try:
-            response = self._pool.request(method, self.url + path, body=body, timeout=seconds)
+            response = self._pool.request(
+                method, self.url + path, body=body, timeout=seconds, headers=self._headers
+            )
         except (HTTPError, OSError) as error:
             return EntryError(self.url, str(error))
         try:
@@ -74,7 +77,7 @@
         if isinstance(reply, EntryError):
             return reply
         if reply.status != _ACCEPTED:
-            return EntryError(self.url, f"status {reply.status}")
+            return EntryError(self.url, f"status {reply.status}: {reply.body.get('error', '')}")
         return None
 
 
--- a/packages/paddleshunt-cli/src/paddleshunt_cli/table.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/table.py
@@ -63,6 +63,7 @@
 @table.command()
 @click.argument("file", type=_FILE)
 @click.option("--base", type=int, help="Revision the file was made from, if it doesn't say.")
+@click.option("--key", envvar="PADDLESHUNT_KEY", default="", help="The operators' key.")
 @click.option("--drop", multiple=True, metavar="SERVICE", help="Let a service lose all its rows.")
 @click.option("--wait", default=11.0, show_default=True, help="Seconds to wait for all targets.")
 @store_option
@@ -71,6 +72,7 @@
     file: Path,
     base: int | None,
     drop: tuple[str, ...],
+    key: str,
     wait: float,
     store: str,
     entries: tuple[str, ...],
@@ -81,7 +83,7 @@
     if revision is None:
         raise click.UsageError("the file doesn't say its revision; give --base")
     _check_services(file, edited.rows, _current(store, entries).rows, drop)
-    clients = [EntryClient(url) for url in entries]
+    clients = [EntryClient(url, key) for url in entries]
     edit = secrets.token_hex(8)
     in_force = newest_table(clients)
     outcome = apply_edit(EtcdStore(store), edited.rows, revision, edit, in_force)
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -225,7 +225,7 @@
         for batch in message.batches:
             for task in batch.tasks:
                 self._take_back(link, (batch.submission, task.index), message.seq, touched)
-        link.load = type(link.load)()
+        link.full_until = now + FULL_SECONDS
         effects: list[Effect] = []
         for job in touched.values():
             effects += self._settle(now, job)
--- a/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/entryprocess.py
@@ -1,5 +1,6 @@
 """The entry role as a process: HTTP for callers and operators around the core's `Entry`."""
 
+import hmac
 import itertools
 import queue
 import random
@@ -225,6 +226,9 @@
         return Response(HTTPStatus.OK, b'{"status": "ok"}')
 
     def _take_table(self, request: Request) -> Response:
+        key = self._settings.operators.key
+        if not key or not hmac.compare_digest(request.key.encode(), key.encode()):
+            return error(HTTPStatus.FORBIDDEN, "expected the operators' key", at="Paddleshunt-Key")
         call = Call(request)
         refusal = Size(self._limits)(call)
         if refusal is not None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/filters.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/filters.py
@@ -67,6 +67,8 @@
         length = call.request.length
         if length is None:
             return error(HTTPStatus.LENGTH_REQUIRED, "expected a Content-Length")
+        if length < 0:
+            return error(HTTPStatus.BAD_REQUEST, "expected a Content-Length from 0")
         if length > self._most:
             problem = f"expected at most {self._most} bytes"
             return error(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, problem)
--- a/packages/paddleshunt-node/src/paddleshunt_node/web.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/web.py
@@ -23,6 +23,8 @@
     rest: str
     length: int | None
     read: Callable[[int], bytes]
+    key: str = ""
+    """What the header `Paddleshunt-Key` says."""
 
 
 @final
@@ -87,8 +89,9 @@
         route, rest = self._find(method, path)
         if route is None:
             return error(HTTPStatus.NOT_FOUND, f"nothing at {method} {path}")
+        key = environ.get("HTTP_PADDLESHUNT_KEY", "")
         size = int(length) if length is not None else None
-        return route(Request(method, rest, size, environ["wsgi.input"].read))
+        return route(Request(method, rest, size, environ["wsgi.input"].read, key))
 
     def _find(self, method: str, path: str) -> tuple[Route | None, str]:
         route = self._routes.get((method, path))
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
@@ -76,6 +76,13 @@
     level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
+@final
+class Operators(_Section, frozen=True):
+    """The key that hands over a table; with an empty one nobody may."""
+
+    key: Annotated[str, Meta(max_length=200)] = ""
+
+
 @final
 class Limits(_Section, frozen=True):
     """Bounds of what callers may send to an entry, and of how many may wait."""
@@ -107,6 +114,7 @@
     platform: Platform
     log: LogSettings = LogSettings()
     limits: Limits = Limits()
+    operators: Operators = Operators()
     heartbeat_s: Seconds = 1.0
 
 
--- a/testing/cli/test_commands.py
+++ b/testing/cli/test_commands.py
@@ -7,7 +7,7 @@
 import pytest
 from click.testing import CliRunner, Result
 from paddleshunt_cli.main import main
-from system import SERVICE, System, wait_for
+from system import KEY, SERVICE, System, wait_for
 
 Run = Callable[..., Result]
 
@@ -15,6 +15,7 @@
 @pytest.fixture
 def run(system: System) -> Run:
     env = {
+        "PADDLESHUNT_KEY": KEY,
         "PADDLESHUNT_STORE": system.store.url,
         "PADDLESHUNT_ENTRIES": " ".join(system.entry_urls),
     }
--- a/testing/core/test_home.py
+++ b/testing/core/test_home.py
@@ -6,6 +6,7 @@
 from paddleshunt_core.effects import Effect, Send
 from paddleshunt_core.home import Home, HomeLimits
 from paddleshunt_core.ids import Incarnation, mint
+from paddleshunt_core.links import FULL_SECONDS
 from paddleshunt_core.messages import (
     Absent,
     Answer,
@@ -169,6 +170,9 @@
     (assign,) = bodies(home.flush(NOW))
     home.undelivered(NOW, GATE, assign)
     assert home.describe()["waiting_tasks"] == 2
+    assert home.flush(NOW) == []
+    (again,) = bodies(home.flush(NOW + FULL_SECONDS))
+    assert isinstance(again, Assign)
 
 
 def test_lost_target_makes_the_job_unknown_and_revokes_the_rest(rng: Random) -> None:
--- a/testing/docs_check.py
+++ b/testing/docs_check.py
@@ -53,6 +53,7 @@
         "PATH": f"{BIN}:{os.environ['PATH']}",
         "PADDLESHUNT_STORE": STORE,
         "PADDLESHUNT_ENTRIES": " ".join(ENTRIES),
+        "PADDLESHUNT_KEY": "change me",
         "ENTRY": ENTRIES[0],
         "LOGS": " ".join(daemons),
     }
--- a/testing/node/test_faults.py
+++ b/testing/node/test_faults.py
@@ -83,6 +83,25 @@
     return max(jobs, key=lambda name: jobs[name])
 
 
+def restart_killed(fleet: Fleet, name: str) -> None:
+    """Kill a target, start it again, and wait until every entry knows the new incarnation.
+
+    Until then an entry may mint an id for the killed one, and what it answers is `unknown`.
+    """
+    entries = fleet.of_role("entry")
+    killed = {incarnation_of(entry.url, name) for entry in entries}
+    fleet.daemons[name].process.kill()
+    fleet.daemons[name].process.wait()
+    fleet.launch(name)
+    wait_for(lambda: all(incarnation_of(entry.url, name) not in killed for entry in entries))
+
+
+def incarnation_of(url: str, host: str) -> str:
+    """Return the incarnation of a host that an entry knows; empty if none."""
+    names = [str(m["incarnation"]) for m in get_json(url + "/v1/dump")["members"]]
+    return next((name for name in names if name.startswith(f"{host}~")), "")
+
+
 def check_after(callers: Callers, runner: RunnerStandIn) -> None:
     """No task was ever started twice, and a new job completes."""
     assert set(runner.seen.values()) == {1}, runner.seen
@@ -97,9 +116,7 @@
     submission = start_held_job(callers, runner)
     home = home_host(fleet)
     victim = next(d.name for d in fleet.of_role("target") if d.name != home)
-    fleet.daemons[victim].process.kill()
-    fleet.daemons[victim].process.wait()
-    fleet.launch(victim)
+    restart_killed(fleet, victim)
     callers.join()
     assert callers.answers[submission][0]["outcome"] == "unknown"
     runner.release()
@@ -111,9 +128,7 @@
     callers = Callers(fleet)
     submission = start_held_job(callers, runner)
     home = home_host(fleet)
-    fleet.daemons[home].process.kill()
-    fleet.daemons[home].process.wait()
-    fleet.launch(home)
+    restart_killed(fleet, home)
     callers.join()
     assert callers.answers[submission][0]["outcome"] == "unknown"
     callers.put(submission, [["wait", number] for number in range(TASKS)], entry=1)
--- a/testing/node/test_processes.py
+++ b/testing/node/test_processes.py
@@ -1,5 +1,6 @@
 """The whole path through real processes' parts: HTTP, filters, sockets, gates and a runner."""
 
+import json
 from contextlib import ExitStack
 from threading import Thread
 from typing import Any
@@ -7,7 +8,7 @@
 import pytest
 import urllib3
 from paddleshunt_core.ids import Incarnation, mint
-from system import SERVICE, System, start_system, wait_for
+from system import KEY, SERVICE, System, start_system, wait_for
 
 
 def times_seen(system: System, submission: str) -> list[int]:
@@ -117,6 +118,29 @@
     assert system.call("GET", url + "/nothing")[0] == 404
 
 
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [({}, 403), ({"Paddleshunt-Key": "guess"}, 403), ({"Paddleshunt-Key": KEY}, 202)],
+    ids=["no key", "another key", "the key"],
+)
+def test_only_operators_hand_a_table_over(
+    system: System, headers: dict[str, str], status: int
+) -> None:
+    url = system.urls["entry-0"]
+    table = system.call("GET", url + "/v1/dump")[1]["table"]
+    revision = table["revision"]
+    body = json.dumps(table | {"revision": revision + 1}).encode()
+    found = urllib3.request("PUT", url + "/v1/table", body=body, headers=headers, retries=False)
+    assert found.status == status
+
+    def in_force() -> int:
+        return int(system.call("GET", url + "/v1/dump")[1]["table"]["revision"])
+
+    if status == 202:
+        wait_for(lambda: in_force() == revision + 1)
+    assert in_force() == revision + (status == 202)
+
+
 def test_planned_stop_of_a_target_cuts_off_nothing() -> None:
     with ExitStack() as stack:
         system = start_system(stack)
--- a/testing/system.py
+++ b/testing/system.py
@@ -21,6 +21,7 @@
     EntryFile,
     Limits,
     Listen,
+    Operators,
     Platform,
     Runner,
     TargetFile,
@@ -32,6 +33,7 @@
 
 PATIENCE = 30.0
 SERVICE = "results"
+KEY = "operators only"
 
 
 def wait_for(done: Callable[[], bool]) -> None:
@@ -139,7 +141,16 @@
 def _start_entry(system: System, name: str, platform: Platform) -> None:
     listen = _listen()
     limits = Limits(max_tasks=50, max_body_bytes=64 * 1024, max_waiting=20)
-    settings = EntryFile(name, "hall", "h1", listen, platform, limits=limits, heartbeat_s=0.5)
+    settings = EntryFile(
+        name,
+        "hall",
+        "h1",
+        listen,
+        platform,
+        limits=limits,
+        operators=Operators(KEY),
+        heartbeat_s=0.5,
+    )
     system.hosts.put(Host(name, Role.ENTRY, "hall", "h1", listen.peers))
     system.entries[name] = EntryProcess(settings)
     system.urls[name] = f"http://{listen.http}"
