Measure message sizes for the capacity page instead of assuming them

Cause: bytes of heartbeats, short views and listed hosts were constants (150, 70, 130), not measured.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -37,9 +37,6 @@
 EXCHANGE_EVERY = 2
 PEERS = 32
 HOSTS_PER_SECOND = 20
-HOST_BYTES = 130
-HEARTBEAT_BYTES = 150
-SHORT_VIEW_BYTES = 70
 WATCH_SECONDS = 30.0
 WRITES_A_LOSS = 3
 WRITES_A_CHANGE = 3
@@ -75,6 +72,9 @@
         memory = record["memory"]
         assert isinstance(memory, dict)
         self.memory: dict[str, float] = memory
+        sizes = record["sizes"]
+        assert isinstance(sizes, dict)
+        self.sizes: dict[str, int] = sizes
 
     def slope(self, name: str) -> float:
         """Return a slope."""
@@ -94,6 +94,11 @@
         """Seconds between a target's heartbeats."""
         return max(1.0, self.direct / HEARTBEATS_PER_SECOND)
 
+    @property
+    def beat_bytes(self) -> int:
+        """Bytes of a heartbeat and of the short view that answers it."""
+        return self.sizes["heartbeat"] + self.sizes["short_view"]
+
     def entry_cpu(self) -> float:
         """Milliseconds a second: idle process, heartbeats with views, exchanges, changes."""
         beats = self.direct / self.interval
@@ -105,11 +110,11 @@
 
     def entry_kb(self) -> float:
         """Kilobytes a second in and out: heartbeats, views, exchanges, the host list, changes."""
-        beats = self.direct / self.interval * (HEARTBEAT_BYTES + SHORT_VIEW_BYTES)
+        beats = self.direct / self.interval * self.beat_bytes
         rounds = self.interval * EXCHANGE_EVERY
         exchanges = 2 * (ENTRIES - 1) / rounds * self.at("exchange", TARGETS)
-        hosts = HOSTS_PER_SECOND * HOST_BYTES
-        short = SHORT_VIEW_BYTES * self.direct
+        hosts = HOSTS_PER_SECOND * self.sizes["host"]
+        short = self.sizes["short_view"] * self.direct
         whole = self.at("view", PEERS) * PEERS
         changes = (CHANGES_A_DAY * (short + whole) + LOSSES_A_DAY * whole) / DAY
         return (beats + exchanges + hosts + changes) / 1000
@@ -127,7 +132,7 @@
 
     def target_kb(self) -> float:
         """Kilobytes a second in and out of control: heartbeats, views and changes."""
-        beats = HEARTBEAT_ENTRIES / self.interval * (HEARTBEAT_BYTES + SHORT_VIEW_BYTES)
+        beats = HEARTBEAT_ENTRIES / self.interval * self.beat_bytes
         whole = HEARTBEAT_ENTRIES * self.at("view", PEERS)
         return (beats + (CHANGES_A_DAY + LOSSES_A_DAY) / DAY * whole) / 1000
 
@@ -218,6 +223,9 @@
     ]
     out += ["", "| work of dispatching | at the letter's size |", "|---|---|"]
     out += [f"| {what} | {value} |" for what, value in model.work()]
+    sizes = ", ".join(f"{name.replace('_', ' ')} {size}" for name, size in model.sizes.items())
+    memory = ", ".join(f"{name.split('_')[0]} {size} MB" for name, size in model.memory.items())
+    out += ["", f"Bytes: {sizes}. Memory of an idle process: {memory}."]
     out += ["", "| slope | a | slope | intercept | largest miss |", "|---|---|---|---|---|"]
     slopes = record["slopes"]
     assert isinstance(slopes, list)
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -44,6 +44,7 @@
     Task,
     TaskBatch,
     TaskResult,
+    View,
     encode,
 )
 from paddleshunt_core.placement import Placement
@@ -369,6 +370,26 @@
     return made
 
 
+def message_sizes() -> dict[str, int]:
+    """Return the bytes of messages of fixed size, and of a host in the platform's list."""
+    entry = _entry(100)
+    member = entry.members.all()[0]
+    name = member.incarnation
+    beat = encode(Envelope(1, name, "10.0.0.1:7000", ENTRY, _heartbeat(1)))
+    whole = entry._view(NOW, member).body
+    assert isinstance(whole, View)
+    entry.members.heard(
+        NOW + 1.0, name, msgspec.structs.replace(_heartbeat(0), view=whole.digest), 0.0
+    )
+    short = encode(Envelope(1, ENTRY, "a:1", name, entry._view(NOW, member).body))
+    host = Host("target-0001", Role.TARGET, "hall-0", "hall-0", "10.0.0.1:7000", "service-1")
+    return {
+        "heartbeat": len(beat),
+        "short_view": len(short),
+        "host": len(msgspec.json.encode(host)),
+    }
+
+
 # Real sockets.
 
 
@@ -504,7 +525,12 @@
             f"| {each.intercept:.4g} | {each.error}% |"
         )
     if "--dry" not in sys.argv:
-        record = {"commit": commit, "memory": memory, "slopes": [asdict(each) for each in slopes]}
+        record = {
+            "commit": commit,
+            "memory": memory,
+            "sizes": message_sizes(),
+            "slopes": [asdict(each) for each in slopes],
+        }
         OUT.write_text(json.dumps(record, indent=1) + "\n")
 
 
