State the slopes' errors with repeats and drift between runs

Cause: the stated error was the fit's miss only; two runs of the same code differed by up to a factor of two in processor time. Bytes agree exactly. The page now states the larger of miss, half spread and drift.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -226,7 +226,7 @@
     sizes = ", ".join(f"{name.replace('_', ' ')} {size}" for name, size in model.sizes.items())
     memory = ", ".join(f"{name.split('_')[0]} {size} MB" for name, size in model.memory.items())
     out += ["", f"Bytes: {sizes}. Memory of an idle process: {memory}."]
-    out += ["", "| slope | a | slope | intercept | largest miss |", "|---|---|---|---|---|"]
+    out += ["", "| slope | a | slope | intercept | error |", "|---|---|---|---|---|"]
     slopes = record["slopes"]
     assert isinstance(slopes, list)
     out += [
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -14,7 +14,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True)
 class Slope:
-    """A fitted line: `y = intercept + slope * x`; `error` is the largest miss in percent of y."""
+    """A fitted line: `y = intercept + slope * x`; `error` is in percent of y."""
 
     name: str
     unit: str
@@ -85,12 +85,20 @@
 def sweep(
     name: str, unit: str, per: str, sizes: list[int], measure: Callable[[int], float]
 ) -> Slope:
-    """Measure at each size, take the median of some repeats, and fit."""
-    points = [
-        (float(size), round(statistics.median(measure(size) for _ in range(REPEATS)), 3))
-        for size in sizes
-    ]
-    return fit(name, unit, per, points)
+    """Measure at each size, take the median of some repeats, and fit.
+
+    The error is the larger of the fit's miss and half of what the repeats differ by; `with_drift`
+    widens it to what two recorded runs differ by.
+    """
+    points: list[tuple[float, float]] = []
+    spread = 0.0
+    for size in sizes:
+        found = sorted(measure(size) for _ in range(REPEATS))
+        middle = statistics.median(found)
+        points.append((float(size), round(middle, 3)))
+        spread = max(spread, (found[-1] - found[0]) / 2 / max(abs(middle), 1e-9) * 100)
+    fitted = fit(name, unit, per, points)
+    return replace(fitted, error=max(fitted.error, round(spread, 1)))
 
 
 def spent_us(action: Callable[[], object]) -> float:
@@ -506,6 +514,22 @@
     return slopes, memory
 
 
+def with_drift(slopes: list[Slope]) -> list[Slope]:
+    """Widen each error to what the slope differs by from the one recorded before."""
+    if not OUT.exists():
+        return slopes
+    before = {each["name"]: each["slope"] for each in json.loads(OUT.read_text())["slopes"]}
+    return [
+        replace(s, error=max(s.error, _percent_apart(s.slope, before.get(s.name, s.slope))))
+        for s in slopes
+    ]
+
+
+def _percent_apart(one: float, other: float) -> float:
+    largest = max(abs(one), abs(other))
+    return round(abs(one - other) / largest * 100, 1) if largest else 0.0
+
+
 def main() -> None:
     """Measure, print and record."""
     commit = subprocess.run(
@@ -517,8 +541,8 @@
     ).stdout.strip()
     slopes = all_slopes()
     processes, memory = process_slopes()
-    slopes += processes
-    print("| slope | per | slope | intercept | largest miss |\n|---|---|---|---|---|")
+    slopes = with_drift([*slopes, *processes])
+    print("| slope | per | slope | intercept | error |\n|---|---|---|---|---|")
     for each in slopes:
         print(
             f"| {each.name} ({each.unit}) | {each.per} | {each.slope:.4g} "
