--- a/packages/paddleshunt-core/src/paddleshunt_core/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/placement.py
@@ -1,6 +1,6 @@
 """Placement: which target gets the next task of a home, or none for now.
 
-The home's own site comes first, another site when the own one has no free slot, and a place in a
+The home's own site comes first up to half of its slots, then any free slot, and a place in a
 target's short queue when no slot is free anywhere. Among targets that are alike in this the least
 loaded one is taken; docs/design/placement.md has what was compared.
 """
@@ -16,10 +16,14 @@
 PROBE_SECONDS = 0.5
 """Seconds after which a target that seems full gets one task, to learn whether it still is."""
 
+NEAR_SHARE = 0.5
+"""Part of a target's slots up to which the own site goes first; the rest is left for jobs of other
+homes there, whose tasks this home sees too late."""
+
 USUAL_STEP = 0.1
 """Weight of each new report in the mean load of other homes."""
 
-_FREE_NEAR, _FREE_FAR, _QUEUE_NEAR, _QUEUE_FAR, _PROBE = range(5)
+_FREE_NEAR, _FREE_ANY, _QUEUE_NEAR, _QUEUE_FAR, _PROBE = range(5)
 
 
 @dataclass(slots=True, order=True)
@@ -76,7 +80,7 @@
             return None
         near = link.site == self.site
         if busy < slots:
-            tier = _FREE_NEAR if near else _FREE_FAR
+            tier = _FREE_NEAR if near and busy < slots * NEAR_SHARE else _FREE_ANY
         elif busy < slots + self.pipeline:
             tier = _QUEUE_NEAR if near else _QUEUE_FAR
         elif not link.outstanding and now - link.last_sent >= PROBE_SECONDS:
@@ -99,7 +103,7 @@
     @property
     def free_slots(self) -> bool:
         """Whether some target seems to have a free slot."""
-        return bool(self._spots) and self._spots[0].tier in (_FREE_NEAR, _FREE_FAR)
+        return bool(self._spots) and self._spots[0].tier in (_FREE_NEAR, _FREE_ANY)
 
     def take(self) -> Link | None:
         """Return the target for one more task, or None to hold it."""
--- a/testing/core/test_placement.py
+++ b/testing/core/test_placement.py
@@ -34,6 +34,13 @@
     assert take(placement, links, 2) == ["b", "b"] or take(placement, links, 1) == ["b"]
 
 
+def test_half_of_the_own_site_then_free_slots_anywhere(placement: Placement) -> None:
+    links = [link("near", slots=4), link("far", "depot", slots=4)]
+    taken = take(placement, links, 8)
+    assert taken[:2] == ["near", "near"]
+    assert sorted(str(host) for host in taken[2:]) == ["far"] * 4 + ["near"] * 2
+
+
 def test_own_site_then_other_site_then_queues(placement: Placement) -> None:
     links = [link("near", slots=1), link("far", "depot", slots=1)]
     assert take(placement, links, 7) == ["near", "far", "near", "near", "far", "far", None]
