Name an outcome's kind in one place; remove dead state found in re-reading

The tag of an outcome was read in four places, and the number of ended incarnations told stood twice. Dead: Job.accepted, Link.refs, and in Views an argument and a method that nobody called; so its chosen subsets of ended incarnations were never dropped. They are kept by service and host now, which bounds them; the service's version still makes a new choice.

--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -26,13 +26,10 @@
     Running,
     Submit,
 )
-from paddleshunt_core.outcomes import NotAccepted, Outcome, Unknown
+from paddleshunt_core.outcomes import NotAccepted, Outcome, Unknown, kind_of_outcome
 from paddleshunt_core.routing import NoHome, Router
 from paddleshunt_core.table import TableController, TableDocument
-from paddleshunt_core.views import Views
-
-ENDED_TOLD = 16
-"""Incarnations that ended last, named in every exchange."""
+from paddleshunt_core.views import ENDED_TOLD, Views
 
 NEWS_PER_EXCHANGE = 16
 """Targets an entry tells another entry of in one message, those with changes first."""
@@ -246,7 +243,7 @@
     def _answered(self, body: Answer) -> list[Effect]:
         service = self.calls.service_of(body)
         if service:
-            self._tally(service).answers[str(body.outcome.__struct_config__.tag)] += 1
+            self._tally(service).answers[kind_of_outcome(body.outcome)] += 1
         return self.calls.answered(body)
 
     def _home_of(self, submission: str) -> Member | Outcome:
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -34,6 +34,7 @@
     NotRun,
     Outcome,
     Unknown,
+    kind_of_outcome,
 )
 from paddleshunt_core.placement import Placement, Plan
 from paddleshunt_core.records import Records, conflict
@@ -297,7 +298,6 @@
             service=message.service,
             digest=message.digest,
             repeatable=message.repeatable,
-            accepted=now,
             deadline=now + message.deadline_ms / 1000,
             payloads=message.tasks,
             waiters={entry: address},
@@ -495,7 +495,7 @@
         del self._jobs[job.submission]
         answer = Answer(job.submission, job.digest, outcome, job.repeatable)
         self._records.close(answer, self._forget_at(now, job.submission))
-        kind = str(outcome.__struct_config__.tag)
+        kind = kind_of_outcome(outcome)
         results = len(outcome.results) if isinstance(outcome, Complete) else 0
         effects: list[Effect] = [
             Send(entry, address, answer) for entry, address in job.waiters.items()
--- a/packages/paddleshunt-core/src/paddleshunt_core/job.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/job.py
@@ -35,7 +35,6 @@
     service: str
     digest: bytes
     repeatable: bool
-    accepted: float
     deadline: float
     payloads: list[bytes]
     waiters: dict[Incarnation, str]
--- a/packages/paddleshunt-core/src/paddleshunt_core/links.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/links.py
@@ -116,10 +116,6 @@
         self.leaving = self.leaving or report.leaving
         return True
 
-    def refs(self) -> list[TaskRefs]:
-        """Name every task that is outstanding at the gate."""
-        return group(list(self.outstanding))
-
 
 def group(keys: list[TaskKey]) -> list[TaskRefs]:
     """Return `keys` grouped by submission."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/outcomes.py
@@ -72,6 +72,11 @@
 Outcome = Complete | Failed | NotRun | NotAccepted | Unknown | Conflict
 
 
+def kind_of_outcome(outcome: Outcome) -> str:
+    """Return the outcome's tag, as used in answers, metrics and logs."""
+    return str(outcome.__struct_config__.tag)
+
+
 def safe_to_ask(outcome: Outcome, *, repeatable: bool) -> Safe:
     """Return how a caller may ask again after `outcome`.
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/views.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/views.py
@@ -23,7 +23,7 @@
 """Targets of other sites that a target is told of."""
 
 ENDED_TOLD = 16
-"""Incarnations that ended last, named in every whole view."""
+"""Incarnations that ended last, named in every whole view and every exchange."""
 
 
 @final
@@ -33,7 +33,8 @@
     def __init__(self, members: Members, table: TableController) -> None:
         self._members = members
         self._table = table
-        self._subsets: dict[Incarnation, tuple[int, list[Incarnation]]] = {}
+        self._subsets: dict[tuple[str, str], tuple[int, list[Incarnation]]] = {}
+        """Chosen targets by service and host, with the service's version they were chosen at."""
 
     def view(
         self,
@@ -41,17 +42,15 @@
         member: Member,
         entries: list[EntryInfo],
         allotment: Allotment | None,
-        *,
-        whole: bool = False,
     ) -> Send:
-        """Return the view for a member; whole if asked for, or if the member lacks it."""
+        """Return the view for a member; whole if the member lacks it."""
         picture = Picture(
             self._table.rows_of(member.service),
             [self._members.peer_info(peer, now) for peer in self._subset(member)],
             entries,
         )
         digest = _digest(picture)
-        whole = whole or digest != member.heartbeat.view
+        whole = digest != member.heartbeat.view
         view = View(
             digest=digest,
             table_revision=self._table.revision,
@@ -65,10 +64,11 @@
     def _subset(self, member: Member) -> list[Member]:
         """Return the targets that `member` may give work to: near ones, itself too, and far."""
         version = self._members.version(member.service)
-        cached = self._subsets.get(member.incarnation)
+        key = (member.service, member.incarnation.host)
+        cached = self._subsets.get(key)
         if cached is None or cached[0] != version:
             chosen = [m.incarnation for m in self._choose(member)]
-            cached = self._subsets[member.incarnation] = (version, chosen)
+            cached = self._subsets[key] = (version, chosen)
         found = [self._members.find(incarnation) for incarnation in cached[1]]
         return [each for each in found if each is not None]
 
@@ -80,10 +80,6 @@
         chosen = [member, *near, *_nearest(member, far, PEERS_FAR)]
         return sorted(chosen, key=lambda each: each.incarnation)
 
-    def forget(self, incarnation: Incarnation) -> None:
-        """Drop what is kept for a member that has ended."""
-        self._subsets.pop(incarnation, None)
-
 
 def _nearest(member: Member, others: list[Member], most: int) -> list[Member]:
     """Return the ones that the member's hash favours, the same as long as they stay."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/answers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/answers.py
@@ -16,6 +16,7 @@
     NotRun,
     Outcome,
     Unknown,
+    kind_of_outcome,
     safe_to_ask,
 )
 
@@ -44,11 +45,6 @@
             return _state(HTTPStatus.NOT_FOUND, body.submission, "not_submitted")
 
 
-def kind(outcome: Outcome) -> str:
-    """Return the outcome's tag."""
-    return str(outcome.__struct_config__.tag)
-
-
 def _state(status: HTTPStatus, submission: str, state: str) -> Response:
     body = json.dumps({"id": submission, "state": state})
     return Response(status, body.encode(), {ID_HEADER: submission})
@@ -57,7 +53,7 @@
 def _answer(answer: Answer) -> Response:
     outcome = answer.outcome
     ask_again = safe_to_ask(outcome, repeatable=answer.repeatable).value
-    head = {"id": answer.submission, "outcome": kind(outcome), "ask_again": ask_again}
+    head = {"id": answer.submission, "outcome": kind_of_outcome(outcome), "ask_again": ask_again}
     headers = {ID_HEADER: answer.submission}
     if isinstance(outcome, NotRun | NotAccepted):
         headers["Retry-After"] = str(max(1, -(-outcome.retry_after_ms // 1000)))
--- a/testing/core/test_job.py
+++ b/testing/core/test_job.py
@@ -5,7 +5,7 @@
 
 @pytest.fixture
 def job() -> Job:
-    return Job("s", "results", b"", False, 0.0, 10.0, [b"a", b"b"], {})
+    return Job("s", "results", b"", False, 10.0, [b"a", b"b"], {})
 
 
 def verdict(job: Job, *, final_call: bool = False) -> Outcome | None:
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -41,7 +41,7 @@
     encode,
     kind_of,
 )
-from paddleshunt_core.outcomes import Complete, NotAccepted
+from paddleshunt_core.outcomes import Complete, NotAccepted, kind_of_outcome
 from paddleshunt_core.table import Row, TableDocument
 from paddleshunt_core.target import Target, TargetSettings
 from paddleshunt_platform.store import (
@@ -648,7 +648,7 @@
 
     def _answer(self, job: Job, answer: Answer) -> None:
         outcome = answer.outcome
-        kind = str(outcome.__struct_config__.tag)
+        kind = kind_of_outcome(outcome)
         job.answers.append(kind)
         job.answered_at.append(self.now)
         job.retry_after_ms = getattr(outcome, "retry_after_ms", 0)
