--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core platform node cli
 READY := $(VENV)/.ready
-SOURCES := packages testing examples benchmarks
+SOURCES := packages platform testing examples benchmarks
 
 .PHONY: demo test lint format fuzz bench slopes docs-check clean
 
@@ -12,7 +12,7 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
 		setuptools pytest pytest-timeout hypothesis ruff mypy pillow hdrhistogram \
-		msgspec xxhash pynng cheroot urllib3 aioprometheus python-json-logger click
+		msgspec xxhash pynng cheroot urllib3 aioprometheus python-json-logger click h11
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
 		$(foreach p,$(PACKAGES),-e packages/paddleshunt-$(p))
 	touch $@
--- a/packages/paddleshunt-core/src/paddleshunt_core/effects.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/effects.py
@@ -49,6 +49,11 @@
     fields: dict[str, str | int | float] = field(default_factory=dict)
 
 
+def note(event: str, submission: str = "", /, **fields: str | int | float) -> Log:
+    """Return the line of one event about a submission, or about none."""
+    return Log(event, submission, fields)
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class WriteAllotment:
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -0,0 +1,79 @@
+"""Bounds that a deployment sets, and the lengths of the nested leases that follow from them."""
+
+from dataclasses import dataclass
+from typing import final
+
+CLOCK_DRIFT = 0.02
+"""Share by which a runner's steady clock may be slow."""
+
+LEASE_MARGIN = 0.1
+"""Seconds left between the end of the last lease and the moment a caller sends again."""
+
+SESSION_SHARE = 0.4
+"""Part of the time before a caller's retry that the session's lease takes."""
+
+HEARTBEATS_A_SESSION = 5
+"""Heartbeats that fit into a session's lease: so many must be lost in a row to end it."""
+
+MIN_LEASE = 0.05
+"""Seconds below which a lease can't be renewed reliably."""
+
+
+class BoundsError(ValueError):
+    """The bounds leave no room for the leases."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a deployment promises and asks, in seconds.
+
+    `resend`: a caller that met silence or a broken connection sends again after this long.
+    `hold_max`: the longest lease that a runner grants. `stop`: how long a stop takes at most.
+    `drain`: after it, a target that leaves may start nothing. `grace`: time from SIGTERM to
+    SIGKILL. `config_apply`: in it, an accepted configuration is in force.
+    """
+
+    resend: float = 1.3
+    hold_max: float = 1.0
+    stop: float = 0.05
+    drain: float = 2.0
+    grace: float = 6.0
+    config_apply: float = 2.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LeaseTimes:
+    """Lengths of the leases, in seconds.
+
+    `session` + `hold` * (1 + drift) + `stop` + margin never exceeds the bound `resend`.
+    """
+
+    heartbeat: float
+    session: float
+    hold: float
+    stop: float
+
+    @property
+    def run_end(self) -> float:
+        """Seconds from a runner's last renewal until nothing can run there any more."""
+        return self.hold * (1 + CLOCK_DRIFT) + self.stop
+
+    @property
+    def session_end(self) -> float:
+        """Seconds from an entry's last sign of life until nothing of it can run any more."""
+        return self.session + self.run_end
+
+
+def lease_times(bounds: Bounds) -> LeaseTimes:
+    """Divide the time before a caller's retry among the nested leases."""
+    budget = bounds.resend - bounds.stop - LEASE_MARGIN
+    session = budget * SESSION_SHARE
+    hold = min(bounds.hold_max, (budget - session) / (1 + CLOCK_DRIFT))
+    if session < MIN_LEASE or hold < MIN_LEASE:
+        raise BoundsError(
+            f"resend {bounds.resend} s, hold {bounds.hold_max} s and stop {bounds.stop} s"
+            " leave no time for leases"
+        )
+    return LeaseTimes(session / HEARTBEATS_A_SESSION, session, hold, bounds.stop)
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -0,0 +1,471 @@
+"""The entry: home of each job it takes, for as long as the caller's connection lives.
+
+It refuses what can't end in time, places tasks on targets by their reports, places them again when
+they can't be running any more, and answers once all have ended. Feed it requests, callers that
+leave, frames of targets and ticks; it returns answers, and frames to send lie in its sessions.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import final
+
+from paddleshunt_core.effects import Log, note
+from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.jobs import (
+    STALE_STEP,
+    JobRecord,
+    JobRequest,
+    TaskPhase,
+    TaskRecord,
+    new_job,
+)
+from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, JobOutcome, Refused
+from paddleshunt_core.leased.placement import Placement
+from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.targets import TargetRecord
+from paddleshunt_core.leased.wire import (
+    Assign,
+    Body,
+    End,
+    Ended,
+    Frame,
+    Health,
+    Hello,
+    RunId,
+    RunnerReport,
+    Stop,
+)
+
+THAW_SECONDS = 0.1
+"""Seconds after a stand-still in which new requests are refused: they may be old."""
+
+RETRY_SECONDS = 1.0
+"""When a refused caller is told to come back, if nothing better is known."""
+
+FORGET_SECONDS = 60.0
+"""Seconds after which a silent target is forgotten."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AnswerJob:
+    """Tell a caller the outcome of its job."""
+
+    caller: int
+    key: str
+    outcome: JobOutcome
+    waited: float
+
+
+Effect = AnswerJob | Log
+
+
+@final
+class Dispatcher:
+    """State of one entry's jobs and targets."""
+
+    def __init__(self, times: LeaseTimes, zone: str) -> None:
+        self._times = times
+        self._placement = Placement(zone, times)
+        self._jobs: dict[int, JobRecord] = {}
+        self._by_key: dict[str, JobRecord] = {}
+        self._targets: dict[str, TargetRecord] = {}
+        self._sessions = 0
+        self._moved: float | None = None
+        self._thawed = float("-inf")
+
+    @property
+    def jobs(self) -> int:
+        """Jobs held."""
+        return len(self._jobs)
+
+    def targets(self) -> list[TargetRecord]:
+        """Return all known targets."""
+        return list(self._targets.values())
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return a summary of the state for a dump."""
+        return {
+            "jobs": len(self._jobs),
+            "waiting_tasks": sum(len(job.waiting()) for job in self._jobs.values()),
+            "targets": {
+                target.name: {
+                    "session": target.session.number if target.session else 0,
+                    "silent_s": round(now - target.heard, 2),
+                    "report": target.report,
+                    "placed": len(target.placed),
+                    "held": len(target.held),
+                }
+                for target in self._targets.values()
+            },
+        }
+
+    # Callers.
+
+    def submit(self, now: float, caller: int, request: JobRequest, queue: Queue) -> list[Effect]:
+        """Take a job, or refuse it."""
+        effects = self._notice_pause(now)
+        if now < self._thawed + THAW_SECONDS:
+            return [*effects, self._refusal(caller, request, "stood_still", THAW_SECONDS)]
+        if request.key in self._by_key:
+            return [*effects, self._refusal(caller, request, "runs_already", RETRY_SECONDS)]
+        job = new_job(caller, request, queue, now)
+        wait = self._expected_wait(now, job)
+        if wait is None or now + wait > job.useless_after:
+            reason = "no_target" if wait is None else "no_room"
+            after = RETRY_SECONDS if wait is None else wait
+            return [*effects, self._refusal(caller, request, reason, after)]
+        self._jobs[caller] = job
+        self._by_key[request.key] = job
+        fields: dict[str, str | int | float] = {
+            "queue": queue.name,
+            "tasks": request.count,
+            "estimate_ms": round(request.estimate * 1000),
+            "wait_ms": round(wait * 1000),
+        }
+        return [*effects, note("job_admitted", request.key, **fields), *self._place(now)]
+
+    def caller_left(self, now: float, caller: int) -> list[Effect]:
+        """Stop the job of a caller that doesn't wait any more."""
+        job = self._jobs.get(caller)
+        if job is None:
+            return []
+        self._drop(job)
+        age = round((now - job.arrived) * 1000)
+        return [note("caller_left", job.request.key, after_ms=age), *self._place(now)]
+
+    # Targets.
+
+    def greeted(self, now: float, hello: Hello) -> tuple[Session | None, list[Effect]]:
+        """Take a target's greeting; return the session, or None if the one it names is over.
+
+        A target names no session only if nothing of an earlier one is left with it.
+        """
+        target = self._targets.get(hello.name)
+        if target is None:
+            target = self._targets[hello.name] = TargetRecord(hello.name, hello.zone, hello.life)
+        target.connected = True
+        target.heard = now
+        session = target.session
+        if session is not None and target.life == hello.life and session.number == hello.session:
+            session.resume(hello.received)
+            return session, []
+        if hello.session:
+            target.connected = False
+            return None, []
+        return self._new_session(now, target, hello)
+
+    def disconnected(self, now: float, name: str) -> None:
+        """Note that a target's connection broke; the session goes on for a while."""
+        target = self._targets.get(name)
+        if target is not None:
+            target.connected = False
+
+    def session(self, name: str) -> Session | None:
+        """Return the session with a target."""
+        target = self._targets.get(name)
+        return target.session if target else None
+
+    def heard(self, now: float, name: str, frame: Frame) -> list[Effect]:
+        """Take a frame of a target."""
+        effects = self._notice_pause(now)
+        target = self._targets.get(name)
+        if target is None or target.session is None:
+            return effects
+        bodies = target.session.accept(frame)
+        target.heard = now
+        for body in bodies:
+            effects += self._take(now, target, frame, body)
+        if bodies:
+            effects += self._place(now)
+        return effects
+
+    # Time.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Act on the passing of time."""
+        effects = self._notice_pause(now)
+        for target in list(self._targets.values()):
+            effects += self._check_target(now, target)
+        for job in list(self._jobs.values()):
+            effects += self._check_job(now, job)
+        return effects + self._place(now)
+
+    def finish(self, now: float) -> list[Effect]:
+        """Answer all that is left, as the process ends."""
+        return [self._give_up(now, job, "leaving") for job in list(self._jobs.values())]
+
+    # Inside: callers.
+
+    def _refusal(
+        self, caller: int, request: JobRequest, reason: str, retry_after: float
+    ) -> AnswerJob:
+        return AnswerJob(caller, request.key, Refused(reason, retry_after), 0.0)
+
+    def _expected_wait(self, now: float, job: JobRecord) -> float | None:
+        """Return how long the job's tasks would wait for room; None if nobody could run them."""
+        service = job.queue.service
+        targets = [t for t in self._targets.values() if t.takes(now, service, self._times)]
+        if not targets:
+            return None
+        if any(job.request.need.fits(target.free) for target in targets):
+            return 0.0
+        capacity = sum(t.report.capacity.processor for t in targets if t.report)
+        queued = sum(t.report.queued_ms for t in targets if t.report) / 1000
+        ahead = sum(
+            other.request.need.processor * other.request.estimate * len(other.waiting())
+            for other in self._jobs.values()
+            if other.start_by <= job.start_by
+        )
+        return (ahead + queued) / max(1, capacity)
+
+    def _check_job(self, now: float, job: JobRecord) -> list[Effect]:
+        if now > job.expires:
+            return [self._give_up(now, job, "deadline")]
+        if not job.begun and now > job.useless_after:
+            return [self._give_up(now, job, "no_room")]
+        return []
+
+    def _give_up(self, now: float, job: JobRecord, reason: str) -> AnswerJob:
+        """Answer a job that can't be of use; the answer says truly whether it has run."""
+        outcome: JobOutcome
+        if job.begun:
+            outcome = GivenUp(reason)
+        else:
+            wait = self._expected_wait(now, job)
+            outcome = Refused(reason, RETRY_SECONDS if wait is None else wait)
+        return self._answer(now, job, outcome)
+
+    def _answer(self, now: float, job: JobRecord, outcome: JobOutcome) -> AnswerJob:
+        self._drop(job)
+        return AnswerJob(job.caller, job.request.key, outcome, now - job.arrived)
+
+    def _drop(self, job: JobRecord) -> None:
+        """Forget a job, and stop what it has running."""
+        del self._jobs[job.caller]
+        del self._by_key[job.request.key]
+        by_target: dict[str, list[RunId]] = {}
+        for task in job.tasks:
+            if task.phase is TaskPhase.PLACED:
+                by_target.setdefault(task.target, []).append(task.run)
+        for name, runs in by_target.items():
+            target = self._targets[name]
+            if target.session is not None:
+                target.session.send(Stop(runs))
+            for run in runs:
+                target.placed.pop(run, None)
+
+    def _notice_pause(self, now: float) -> list[Effect]:
+        """Give up all jobs if this process stood still: their callers may have gone elsewhere."""
+        before = self._moved
+        self._moved = now
+        if before is None or now - before <= self._times.session:
+            return []
+        self._thawed = now
+        fields: dict[str, str | int | float] = {
+            "seconds": round(now - before, 2),
+            "jobs": len(self._jobs),
+        }
+        effects: list[Effect] = [note("stood_still", **fields)]
+        for job in list(self._jobs.values()):
+            outcome: JobOutcome = GivenUp("stood_still")
+            if not job.begun:
+                outcome = Refused("stood_still", THAW_SECONDS)
+            effects.append(self._answer(now, job, outcome))
+        return effects
+
+    # Inside: targets.
+
+    def _new_session(
+        self, now: float, target: TargetRecord, hello: Hello
+    ) -> tuple[Session, list[Effect]]:
+        """Begin anew with a target: it opens a session only when nothing of an old one is left."""
+        self._sessions += 1
+        target.life = hello.life
+        target.zone = hello.zone
+        session = target.session = Session(self._sessions, int(now * 1000))
+        target.report = None
+        target.unseen.clear()
+        lost = [*target.placed, *target.held]
+        target.placed.clear()
+        target.held.clear()
+        fields: dict[str, str | int | float] = {
+            "target": target.name,
+            "session": self._sessions,
+            "lost": len(lost),
+        }
+        log = note("session_opened", **fields)
+        return session, [log, *self._run_again(now, lost, "session_replaced")]
+
+    def _check_target(self, now: float, target: TargetRecord) -> list[Effect]:
+        if target.session is not None:
+            if target.is_fresh(now, self._times) or now < target.heard + self._times.session:
+                return []
+            return self._end_session(now, target)
+        if target.held and now > target.lost_at:
+            lost = list(target.held)
+            target.held.clear()
+            return self._run_again(now, lost, "lease_lapsed")
+        if now > target.heard + FORGET_SECONDS:
+            del self._targets[target.name]
+        return []
+
+    def _end_session(self, now: float, target: TargetRecord) -> list[Effect]:
+        """Give a silent target up; what it has can't be placed again before the leases are over."""
+        assert target.session is not None  # noqa: S101
+        target.lost_at = target.session.renewed_ms / 1000 + self._times.session_end
+        target.session = None
+        target.report = None
+        target.held |= set(target.placed)
+        target.placed.clear()
+        for run in target.held:
+            task = self._task(run)
+            if task is not None:
+                task.phase = TaskPhase.HELD
+        fields: dict[str, str | int | float] = {
+            "target": target.name,
+            "silent_ms": round((now - target.heard) * 1000),
+            "held": len(target.held),
+        }
+        return [note("session_ended", **fields)]
+
+    def _take(self, now: float, target: TargetRecord, frame: Frame, body: Body) -> list[Effect]:
+        match body:
+            case RunnerReport():
+                target.covered(frame)
+                target.take_report(now, body)
+            case Ended():
+                effects: list[Effect] = []
+                for run, end in body.ends:
+                    effects += self._ended(now, target, run, end)
+                return effects
+        return []
+
+    def _ended(self, now: float, target: TargetRecord, run: RunId, end: End) -> list[Effect]:
+        target.placed.pop(run, None)
+        task = self._task(run)
+        if task is None or task.phase is not TaskPhase.PLACED:
+            return []
+        job = self._by_key[run.task.job]
+        if end is End.DONE:
+            task.phase = TaskPhase.DONE
+            if all(other.phase is TaskPhase.DONE for other in job.tasks):
+                return [self._answer(now, job, Completed())]
+            return []
+        task.phase = TaskPhase.WAITING
+        task.ran = task.ran or end not in (End.NOT_STARTED, End.STALE)
+        fields: dict[str, str | int | float] = {
+            "target": target.name,
+            "run": run.number,
+            "end": end.name.lower(),
+        }
+        log = note("task_returned", run.task.job, **{"index": run.task.index, **fields})
+        if end is End.FAILED:
+            return [log, *self._failed(now, target, job, task)]
+        if end is End.STALE:
+            task.number += STALE_STEP
+        if end in (End.STUCK, End.LOST):
+            task.avoid.add(target.name)
+        return [log]
+
+    def _failed(
+        self, now: float, target: TargetRecord, job: JobRecord, task: TaskRecord
+    ) -> list[Effect]:
+        """Count a failure, unless the runner fails all; the next try goes elsewhere."""
+        task.avoid.add(target.name)
+        if target.report is None or target.report.health is Health.GOOD:
+            task.failures += 1
+        if task.failures >= job.queue.max_attempts:
+            return [self._answer(now, job, Failed("attempts"))]
+        return []
+
+    def _run_again(self, now: float, runs: Iterable[RunId], reason: str) -> list[Effect]:
+        """Place tasks again whose runs can't be at work any more."""
+        effects: list[Effect] = []
+        for run in runs:
+            task = self._task(run)
+            if task is None or task.phase is TaskPhase.DONE:
+                continue
+            task.phase = TaskPhase.WAITING
+            task.ran = True
+            fields: dict[str, str | int | float] = {
+                "index": run.task.index,
+                "target": task.target,
+                "end": reason,
+            }
+            effects.append(note("task_returned", run.task.job, **fields))
+        return effects
+
+    def _task(self, run: RunId) -> TaskRecord | None:
+        job = self._by_key.get(run.task.job)
+        if job is None:
+            return None
+        task = job.tasks[run.task.index]
+        return task if task.number == run.number else None
+
+    # Inside: placement.
+
+    def _place(self, now: float) -> list[Effect]:
+        waiting = [job for job in self._jobs.values() if job.waiting()]
+        if not waiting:
+            return []
+        waiting.sort(key=lambda job: (job.start_by < now, job.start_by))
+        usable: dict[str, list[TargetRecord]] = {}
+        effects: list[Effect] = []
+        for job in waiting:
+            service = job.queue.service
+            if service not in usable:
+                usable[service] = [
+                    t for t in self._targets.values() if t.takes(now, service, self._times)
+                ]
+            effects += self._place_job(now, job, usable[service])
+        return effects
+
+    def _place_job(self, now: float, job: JobRecord, targets: list[TargetRecord]) -> list[Effect]:
+        chosen: dict[str, list[TaskRecord]] = {}
+        for task in job.waiting():
+            target = self._placement.choose(now, job, task, targets)
+            if target is None:
+                break
+            task.number += 1
+            task.phase = TaskPhase.PLACED
+            task.target = target.name
+            task.placed = now
+            target.placed[task.run] = job.request.need
+            # The number is filled in once the message is queued.
+            target.unseen.append((_NOT_SENT, job.request.need))
+            chosen.setdefault(target.name, []).append(task)
+        return [self._send(now, job, self._targets[name], tasks) for name, tasks in chosen.items()]
+
+    def _send(
+        self, now: float, job: JobRecord, target: TargetRecord, tasks: list[TaskRecord]
+    ) -> Log:
+        assert target.session is not None  # noqa: S101
+        request = job.request
+        message = Assign(
+            job=request.key,
+            step=0,
+            spec=request.spec,
+            need=request.need,
+            estimate_ms=round(request.estimate * 1000),
+            start_within_ms=round((job.start_by - now) * 1000),
+            expires_ms=round((job.expires - now) * 1000),
+            runs=[(task.id.index, task.number) for task in tasks],
+        )
+        load = target.load
+        number = target.session.send(message)
+        for _ in tasks:
+            target.unseen.pop()
+        target.unseen.extend((number, request.need) for _ in tasks)
+        fields: dict[str, str | int | float] = {
+            "target": target.name,
+            "indexes": ",".join(str(task.id.index) for task in tasks),
+            "load": round(load, 2),
+            "report_age_ms": round((now - target.reported) * 1000),
+        }
+        return note("job_placed", request.key, **fields)
+
+
+_NOT_SENT = 1 << 62
+"""Number of a message that is about to be queued."""
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
@@ -0,0 +1,65 @@
+"""How far a target trusts its runner: failures in a row, runs that stand still, and speed."""
+
+from collections import deque
+from typing import final
+
+from paddleshunt_core.leased.wire import Health
+
+FAILURES_IN_A_ROW = 3
+"""Failed runs in a row, with none done between, after which a runner counts as sick."""
+
+SICK_SECONDS = 2.0
+"""Seconds for which a sick runner is given nothing, before it may prove itself with one task."""
+
+SPEED_WINDOW = 0.8
+"""Seconds over which speed is measured."""
+
+LEAST_EVIDENCE = 0.25
+"""Run-seconds in the window below which no speed is told."""
+
+
+@final
+class RunnerHealth:
+    """Evidence about one life of a runner."""
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._sick_until = 0.0
+        self._proved = True
+        self._progress: deque[tuple[float, float, float]] = deque()
+
+    def level(self, now: float) -> Health:
+        """Return how far the runner is trusted."""
+        if now < self._sick_until:
+            return Health.SICK
+        return Health.GOOD if self._proved else Health.PROBATION
+
+    def done(self) -> None:
+        """Note a run that ended well."""
+        self._failures = 0
+        self._proved = True
+
+    def failed(self, now: float) -> None:
+        """Note a run that failed; it may have been the task's own fault."""
+        self._failures += 1
+        if not self._proved or self._failures >= FAILURES_IN_A_ROW:
+            self.suspect(now)
+
+    def suspect(self, now: float) -> None:
+        """Trust the runner with nothing for a while, then with one task."""
+        self._sick_until = now + SICK_SECONDS
+        self._proved = False
+        self._progress.clear()
+
+    def progressed(self, now: float, work: float, seconds: float) -> None:
+        """Note that a run did `work` seconds of its estimate within `seconds`."""
+        self._progress.append((now, work, seconds))
+
+    def speed(self, now: float) -> float:
+        """Return work done a second of running, against the estimates; 1.0 if unknown."""
+        while self._progress and self._progress[0][0] < now - SPEED_WINDOW:
+            self._progress.popleft()
+        seconds = sum(entry[2] for entry in self._progress)
+        if seconds < LEAST_EVIDENCE:
+            return 1.0
+        return sum(entry[1] for entry in self._progress) / seconds
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -0,0 +1,111 @@
+"""Records of the jobs that an entry is home of."""
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import final
+
+from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.wire import RunId, TaskId
+
+STALE_STEP = 16
+"""By how much a run's number rises when a runner knows a later run of the task."""
+
+LATE_FACTOR = 3.0
+"""A job that takes longer than so many times its objective is worth nothing."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class JobRequest:
+    """A job as its caller hands it in: one step of `count` equal tasks.
+
+    `deadline` is how long the caller waits, in seconds; `estimate` a rough guess of a task's
+    length in seconds.
+    """
+
+    key: str
+    spec: str
+    count: int
+    need: Resources
+    estimate: float
+    deadline: float
+
+
+class TaskPhase(Enum):
+    """Where a task is. HELD: its target fell silent, and it may still run there."""
+
+    WAITING = auto()
+    PLACED = auto()
+    HELD = auto()
+    DONE = auto()
+
+
+@final
+@dataclass(slots=True)
+class TaskRecord:
+    """One task: where it is, and how often it has been placed and has failed."""
+
+    id: TaskId
+    number: int = 0
+    phase: TaskPhase = TaskPhase.WAITING
+    target: str = ""
+    failures: int = 0
+    placed: float = 0.0
+    ran: bool = False
+    """Whether an earlier run of it may have started."""
+    avoid: set[str] = field(default_factory=set)
+    """Targets where it failed or stood still."""
+
+    @property
+    def run(self) -> RunId:
+        """Id of the task's newest run."""
+        return RunId(self.id, self.number)
+
+
+@final
+@dataclass(slots=True)
+class JobRecord:
+    """One job and its caller. Times are steady seconds."""
+
+    caller: int
+    request: JobRequest
+    queue: Queue
+    arrived: float
+    tasks: list[TaskRecord]
+
+    @property
+    def begun(self) -> bool:
+        """Whether a task may have started."""
+        return any(task.ran or task.phase is not TaskPhase.WAITING for task in self.tasks)
+
+    @property
+    def objective(self) -> float:
+        """Seconds in which the job should end."""
+        return self.queue.stretch * self.request.estimate + self.queue.latency
+
+    @property
+    def start_by(self) -> float:
+        """When its tasks must start to end in time."""
+        return self.arrived + self.objective - self.request.estimate
+
+    @property
+    def useless_after(self) -> float:
+        """When an untried task can't be of use any more."""
+        late = self.arrived + LATE_FACTOR * self.objective - self.request.estimate
+        return min(late, self.arrived + self.request.deadline - self.request.estimate)
+
+    @property
+    def expires(self) -> float:
+        """When the caller stops waiting."""
+        return self.arrived + self.request.deadline
+
+    def waiting(self) -> list[TaskRecord]:
+        """Return the tasks to place."""
+        return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
+
+
+def new_job(caller: int, request: JobRequest, queue: Queue, now: float) -> JobRecord:
+    """Return the record of a job that has just come."""
+    tasks = [TaskRecord(TaskId(request.key, 0, index)) for index in range(request.count)]
+    return JobRecord(caller, request, queue, now, tasks)
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -0,0 +1,38 @@
+"""What a caller of a leased job is told, and what its route is."""
+
+from dataclasses import dataclass
+from typing import final
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """Every task ended well."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """A task failed as often as the queue allows."""
+
+    reason: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Nothing has run and nothing will; ask again after `retry_after` seconds."""
+
+    reason: str
+    retry_after: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """Its tasks may have run, but it did not end here; it may be asked for again."""
+
+    reason: str
+
+
+JobOutcome = Completed | Failed | Refused | GivenUp
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -0,0 +1,60 @@
+"""Chooses a target for one task."""
+
+from typing import final
+
+from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.jobs import JobRecord, TaskRecord
+from paddleshunt_core.leased.targets import TargetRecord
+
+QUEUE_SHARE = 0.12
+"""Part of a runner's processors for which work may be queued at its target."""
+
+PROBE_PERIOD = 1.0
+"""Seconds between two tasks that an entry gives to a runner on probation."""
+
+
+@final
+class Placement:
+    """Chooses among an entry's targets; remembers when it last probed one."""
+
+    def __init__(self, zone: str, times: LeaseTimes) -> None:
+        self._zone = zone
+        self._times = times
+        self._probed: dict[str, float] = {}
+
+    def choose(
+        self, now: float, job: JobRecord, task: TaskRecord, targets: list[TargetRecord]
+    ) -> TargetRecord | None:
+        """Return the target to send the task to, or None to hold it."""
+        usable = [t for t in targets if t.name not in task.avoid]
+        need = job.request.need
+        probe = self._probe(now, usable)
+        if probe is not None and need.fits(probe.free):
+            self._probed[probe.name] = now
+            return probe
+        good = [t for t in usable if not t.on_probation and not t.is_slow]
+        best = self._least_loaded([t for t in good if need.fits(t.free)])
+        if best is None and now > job.start_by:
+            slow = [t for t in usable if t.is_slow and not t.on_probation]
+            best = self._least_loaded([t for t in slow if need.fits(t.free)])
+        if best is None:
+            best = self._least_loaded([t for t in good if _may_queue(t)])
+        return best
+
+    def _probe(self, now: float, targets: list[TargetRecord]) -> TargetRecord | None:
+        for target in targets:
+            if target.on_probation and now > self._probed.get(target.name, 0.0) + PROBE_PERIOD:
+                return target
+        return None
+
+    def _least_loaded(self, targets: list[TargetRecord]) -> TargetRecord | None:
+        return min(targets, key=lambda t: (t.load, t.zone != self._zone, t.name), default=None)
+
+
+def _may_queue(target: TargetRecord) -> bool:
+    report = target.report
+    if report is None:
+        return False
+    overdraft = report.capacity.processor * QUEUE_SHARE
+    queued = sum(need.processor for _, need in target.unseen)
+    return report.queued == 0 and queued - max(0, report.free.processor) < overdraft
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -0,0 +1,94 @@
+"""The runs that a target knows of, and the room that they take on its runner."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import final
+
+from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.wire import End, RunId
+
+
+class Phase(Enum):
+    """Where a run is on its way. From STARTING to the end of STOPPING it takes room."""
+
+    QUEUED = auto()
+    STARTING = auto()
+    RUNNING = auto()
+    STOPPING = auto()
+
+
+@final
+@dataclass(slots=True)
+class Run:
+    """One run: whose it is, what it needs, and how far it is. Times are steady seconds."""
+
+    id: RunId
+    entry: str
+    spec: str
+    need: Resources
+    estimate: float
+    start_by: float
+    expires: float
+    phase: Phase = Phase.QUEUED
+    not_before: float = 0.0
+    ordered: float = 0.0
+    """When the last order about it was sent."""
+    settled: float | None = None
+    """When the runner confirmed that order; None while it has not."""
+    percent: int = 0
+    moved: float = 0.0
+    """When `percent` last rose."""
+    seen: float = 0.0
+    """When `percent` was last read."""
+    ending: End = End.STOPPED
+    """What to tell the entry once a stop is done."""
+
+
+@final
+class RunTable:
+    """All runs of one runner's life."""
+
+    def __init__(self) -> None:
+        self._runs: dict[RunId, Run] = {}
+        self.used = NOTHING
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def __iter__(self) -> Iterator[Run]:
+        return iter(list(self._runs.values()))
+
+    def get(self, run: RunId) -> Run | None:
+        """Return the run, if it is known."""
+        return self._runs.get(run)
+
+    def add(self, run: Run) -> None:
+        """Add a queued run."""
+        self._runs[run.id] = run
+
+    def take_room(self, run: Run) -> None:
+        """Count a queued run's need as used from now on."""
+        run.phase = Phase.STARTING
+        self.used += run.need
+
+    def drop(self, run: Run) -> None:
+        """Forget a run and free what it used."""
+        del self._runs[run.id]
+        if run.phase is not Phase.QUEUED:
+            self.used -= run.need
+
+    def queued(self) -> list[Run]:
+        """Return the queued runs, the most urgent first."""
+        waiting = [run for run in self._runs.values() if run.phase is Phase.QUEUED]
+        return sorted(waiting, key=lambda run: run.start_by)
+
+    def of_entry(self, entry: str) -> list[Run]:
+        """Return the runs of one entry's session."""
+        return [run for run in self._runs.values() if run.entry == entry]
+
+    def queued_work(self) -> tuple[int, int]:
+        """Return how many runs are queued, and their work in core-milliseconds."""
+        waiting = [run for run in self._runs.values() if run.phase is Phase.QUEUED]
+        work = sum(run.need.processor * run.estimate for run in waiting)
+        return len(waiting), round(work)
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
@@ -0,0 +1,77 @@
+"""A session between an entry and a target: an ordered, resumable stream, and a lease.
+
+Either side numbers what it sends and keeps it until the other has it, so a session outlives its
+connection. The target's side is a lease of the entry: it ends when the entry's last echo of the
+target's own clock is older than the lease. Delays on the way can only shorten it.
+"""
+
+from collections import deque
+from typing import final
+
+from paddleshunt_core.leased.wire import Body, Frame
+
+
+@final
+class Session:
+    """One side of a session.
+
+    `opened_ms` is the own steady clock at the opening.
+    """
+
+    def __init__(self, number: int, opened_ms: int) -> None:
+        self.number = number
+        self.received = 0
+        self.confirmed_ms = opened_ms
+        """The newest own stamp that the peer has echoed: it was alive then or later."""
+        self.renewed_ms = opened_ms
+        """When this side last sent an echo that may prolong the peer's lease."""
+        self._heard_stamp = 0
+        self._echoed_stamp = 0
+        self._next = 1
+        self._unacknowledged: deque[tuple[int, Body]] = deque()
+        self._unsent: deque[tuple[int, Body]] = deque()
+
+    def send(self, body: Body) -> int:
+        """Queue `body` for the next frame and return its number."""
+        number = self._next
+        self._next += 1
+        self._unsent.append((number, body))
+        return number
+
+    @property
+    def pending(self) -> bool:
+        """Whether a frame is due before the next heartbeat."""
+        return bool(self._unsent)
+
+    def frame(self, now_ms: int) -> Frame:
+        """Return the next frame: what is queued, acknowledgement, stamp and echo."""
+        first = self._unsent[0][0] if self._unsent else self._next
+        bodies = [body for _, body in self._unsent]
+        self._unacknowledged.extend(self._unsent)
+        self._unsent.clear()
+        if self._heard_stamp > self._echoed_stamp:
+            self._echoed_stamp = self._heard_stamp
+            self.renewed_ms = now_ms
+        return Frame(first, self.received, now_ms, self._heard_stamp, bodies)
+
+    def accept(self, frame: Frame) -> list[Body]:
+        """Take a frame and return the bodies that are new."""
+        self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
+        self.confirmed_ms = max(self.confirmed_ms, frame.echo_ms)
+        self._acknowledged(frame.received)
+        skip = self.received + 1 - frame.first
+        if skip < 0:
+            return []
+        fresh = frame.bodies[skip:]
+        self.received += len(fresh)
+        return fresh
+
+    def resume(self, received: int) -> None:
+        """Go on over a new connection with a peer that has bodies up to `received`."""
+        self._acknowledged(received)
+        self._unsent.extendleft(reversed(self._unacknowledged))
+        self._unacknowledged.clear()
+
+    def _acknowledged(self, received: int) -> None:
+        while self._unacknowledged and self._unacknowledged[0][0] <= received:
+            self._unacknowledged.popleft()
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -0,0 +1,90 @@
+"""What an entry knows of each target: its session, its last report, and what is on its way."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import final
+
+from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.wire import Frame, Health, RunId, RunnerReport, RunnerState
+
+FRESH_HEARTBEATS = 3.0
+"""Heartbeats without a word after which a target is given nothing new."""
+
+SLOW = 0.5
+"""Speed, against the estimates, below which a runner counts as slow."""
+
+
+@final
+@dataclass(slots=True)
+class TargetRecord:
+    """One target. `held` are the runs whose fate is not known since its session ended."""
+
+    name: str
+    zone: str
+    life: str
+    session: Session | None = None
+    connected: bool = False
+    heard: float = 0.0
+    lost_at: float = 0.0
+    """When nothing of an ended session can run there any more."""
+    report: RunnerReport | None = None
+    reported: float = 0.0
+    unseen: deque[tuple[int, Resources]] = field(default_factory=deque)
+    """Needs of assignments that the last report doesn't cover, by their number."""
+    placed: dict[RunId, Resources] = field(default_factory=dict)
+    held: set[RunId] = field(default_factory=set)
+
+    def take_report(self, now: float, report: RunnerReport) -> None:
+        """Adopt a report."""
+        self.report = report
+        self.reported = now
+
+    def covered(self, frame: Frame) -> None:
+        """Forget the assignments that a report in `frame` covers."""
+        while self.unseen and self.unseen[0][0] <= frame.received:
+            self.unseen.popleft()
+
+    def is_fresh(self, now: float, times: LeaseTimes) -> bool:
+        """Whether it was heard just now over a connection that stands."""
+        return self.connected and now - self.heard <= times.heartbeat * FRESH_HEARTBEATS
+
+    def takes(self, now: float, service: str, times: LeaseTimes) -> bool:
+        """Whether tasks of `service` may be sent there."""
+        report = self.report
+        return (
+            report is not None
+            and self.session is not None
+            and report.service == service
+            and report.state is RunnerState.READY
+            and report.health is not Health.SICK
+            and self.is_fresh(now, times)
+        )
+
+    @property
+    def free(self) -> Resources:
+        """Room there, less what is on its way."""
+        if self.report is None:
+            return NOTHING
+        free = self.report.free
+        for _, need in self.unseen:
+            free -= need
+        return free
+
+    @property
+    def load(self) -> float:
+        """Share of its capacity that is in use, queued runs and those on their way included."""
+        if self.report is None:
+            return 1.0
+        return (self.report.capacity - self.free).share_of(self.report.capacity)
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether its runner works far slower than the estimates say."""
+        return self.report is not None and self.report.speed < SLOW
+
+    @property
+    def on_probation(self) -> bool:
+        """Whether it may have one task to prove itself with."""
+        return self.report is not None and self.report.health is Health.PROBATION
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -0,0 +1,190 @@
+"""What entries and targets say to one another about leased jobs.
+
+A connection opens with one `Hello` each way; after that it carries `Frame`s.
+"""
+
+from enum import IntEnum
+from typing import final
+
+import msgspec
+
+from paddleshunt_core.leased.catalog import Catalog
+from paddleshunt_core.leased.resources import Resources
+
+
+@final
+class TaskId(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A task of a job: the job's key, the number of its step and the task's index in it."""
+
+    job: str
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job}.{self.step}.{self.index}"
+
+
+@final
+class RunId(msgspec.Struct, frozen=True, array_like=True):
+    """One start of a task; `number` rises with each."""
+
+    task: TaskId
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.task}#{self.number}"
+
+
+class End(IntEnum):
+    """How a run ended.
+
+    LOST: it ran or may have run, and can't any more. NOT_STARTED: it never ran. STALE: the runner
+    knows a later run of the task and refused this one. STUCK: stopped, as it made no progress.
+    """
+
+    DONE = 0
+    FAILED = 1
+    STOPPED = 2
+    LOST = 3
+    NOT_STARTED = 4
+    STALE = 5
+    STUCK = 6
+
+
+class RunnerState(IntEnum):
+    """What a target may be given: READY; LEAVING or DOWN: nothing."""
+
+    READY = 0
+    LEAVING = 1
+    DOWN = 2
+
+
+class Health(IntEnum):
+    """How far a runner is trusted. PROBATION: one task at a time. SICK: none."""
+
+    GOOD = 0
+    PROBATION = 1
+    SICK = 2
+
+
+class _Body(msgspec.Struct, frozen=True, array_like=True):
+    """Base of what a frame carries."""
+
+
+@final
+class Assign(_Body, frozen=True, tag=1):
+    """Run tasks of one step of a job.
+
+    `estimate_ms` is a rough guess of a task's length; `start_within_ms` is the time left to start
+    in, if the job is to end in time; after `expires_ms` nobody waits for it.
+    """
+
+    job: str
+    step: int
+    spec: str
+    need: Resources
+    estimate_ms: int
+    start_within_ms: int
+    expires_ms: int
+    runs: list[tuple[int, int]]
+
+
+@final
+class Stop(_Body, frozen=True, tag=2):
+    """Drop the runs if they are queued, stop them if they run."""
+
+    runs: list[RunId]
+
+
+@final
+class Return(_Body, frozen=True, tag=3):
+    """Give back the runs that have not been started."""
+
+    runs: list[RunId]
+
+
+@final
+class Ended(_Body, frozen=True, tag=4):
+    """Runs that ended, and how."""
+
+    ends: list[tuple[RunId, End]]
+
+
+@final
+class RunnerReport(_Body, frozen=True, tag=5):
+    """State of a runner and its target's queue. `queued_ms`: core-milliseconds queued there."""
+
+    service: str
+    runner: str
+    state: RunnerState
+    health: Health
+    speed: float
+    capacity: Resources
+    free: Resources
+    queued: int
+    queued_ms: int
+
+
+@final
+class EntryAddress(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """An entry's name and the host:port on which it listens for peers."""
+
+    name: str
+    address: str
+
+
+@final
+class Entries(_Body, frozen=True, tag=6):
+    """The entries that the sender knows to be alive."""
+
+    entries: list[EntryAddress]
+
+
+@final
+class CatalogNews(_Body, frozen=True, tag=7):
+    """A configuration in force at the sender."""
+
+    catalog: Catalog
+
+
+@final
+class CatalogVersion(_Body, frozen=True, tag=8):
+    """The version in force at the sender; 0 for none."""
+
+    version: int
+
+
+Body = Assign | Stop | Return | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
+
+
+@final
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    """First message of a connection, each way.
+
+    `life` is new at each start of the process. A target's `session` is the one that it would go on
+    with, or 0 if nothing of an earlier one is left with it; an entry's is the one to use, or 0 if
+    it doesn't go on with the one named. `received` is the last body that the sender had in it.
+    """
+
+    name: str
+    life: str
+    entry: bool
+    zone: str
+    address: str
+    session: int
+    received: int
+
+
+@final
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """Bodies numbered from `first`; `received` acknowledges the peer's.
+
+    `stamp_ms` is the sender's steady clock; `echo_ms` is the highest stamp that it had from the
+    peer, which so learns how fresh the sender's knowledge of it is.
+    """
+
+    first: int
+    received: int
+    stamp_ms: int
+    echo_ms: int
+    bodies: list[Body]
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
@@ -0,0 +1,88 @@
+"""Keeps connections to a changing set of peers."""
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+from paddleshunt_node.aio.framing import PeerHandler, PeerLink
+
+CONNECT_TIMEOUT = 0.4
+"""Seconds for a connection to be made; behind a cut it would hang for minutes."""
+
+RETRY_SECONDS = 0.25
+"""Seconds between two attempts at one address."""
+
+FORGET_SECONDS = 20.0
+"""Seconds without a connection after which an address is tried no more, unless it is a seed."""
+
+
+@final
+class Dialer:
+    """Holds one connection to each wanted address, and tries again when it breaks."""
+
+    def __init__(
+        self, handler: PeerHandler, own: str, silence: float, may_dial: Callable[[str], bool]
+    ) -> None:
+        self._handler = handler
+        self._own = own
+        self._silence = silence
+        self._may_dial = may_dial
+        self._wanted: dict[str, float] = {}
+        self._seeds: set[str] = set()
+        self._links: dict[str, PeerLink] = {}
+        self._dialing: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def seeds(self, addresses: set[str]) -> None:
+        """Try these addresses for ever."""
+        self._seeds = addresses - {self._own}
+
+    def want(self, now: float, address: str) -> None:
+        """Try this address; it was heard of just now."""
+        if address != self._own:
+            self._wanted[address] = now
+
+    def links(self) -> list[PeerLink]:
+        """Return the connections that stand."""
+        return [link for link in self._links.values() if link.is_open]
+
+    def address_of(self, link: PeerLink) -> str:
+        """Return the address that a connection was made to; empty if it is none of ours."""
+        return next((a for a, known in self._links.items() if known is link), "")
+
+    async def run(self) -> None:
+        """Try addresses until cancelled."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            for address in [a for a, at in self._wanted.items() if at < now - FORGET_SECONDS]:
+                if address not in self._links:
+                    del self._wanted[address]
+            for address in self._seeds | self._wanted.keys():
+                self._try(address)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _try(self, address: str) -> None:
+        link = self._links.get(address)
+        if link is not None and link.is_open:
+            return
+        if address in self._dialing or not self._may_dial(address):
+            return
+        self._dialing.add(address)
+        task = asyncio.get_running_loop().create_task(self._dial(address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        link = PeerLink(self._handler, self._silence)
+        # Known before it opens, so that the handler can ask whom it dialled.
+        self._links[address] = link
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                await loop.create_connection(lambda: link, host, int(port))
+        except (TimeoutError, OSError):
+            if self._links.get(address) is link:
+                del self._links[address]
+        finally:
+            self._dialing.discard(address)
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -0,0 +1,474 @@
+"""The entry process: callers, targets, other entries and the store around the dispatcher."""
+
+import asyncio
+import os
+from dataclasses import dataclass
+from typing import final
+
+from paddleshunt_core.effects import Log
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.catalog import EMPTY, Catalog
+from paddleshunt_core.leased.dispatcher import AnswerJob, Dispatcher, Effect
+from paddleshunt_core.leased.outcomes import Completed
+from paddleshunt_core.leased.wire import (
+    Body,
+    CatalogNews,
+    CatalogVersion,
+    Entries,
+    EntryAddress,
+    Frame,
+    Hello,
+)
+
+from paddleshunt_node.aio.dialer import Dialer
+from paddleshunt_node.aio.framing import PeerLink
+from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.ports import CallerCodec, StorePort, StoreUnavailableError
+from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
+
+GOSSIP_SECONDS = 0.4
+"""Seconds between two messages to each other entry."""
+
+ENTRY_FRESH = 1.5
+"""Seconds since an entry was heard for which it counts as alive."""
+
+TELL_SECONDS = 5.0
+"""Seconds between two messages that tell a target of all entries."""
+
+ANNOUNCE_SECONDS = 12.0
+"""Seconds for which the store keeps this entry's address."""
+
+STORE_PAUSE = 0.3
+"""Seconds before the store is called again after a failure."""
+
+NOTICED_SECONDS = 2.3
+"""Seconds that the balancer may take to notice that this entry is leaving."""
+
+END_MARGIN = 0.8
+"""Seconds before SIGKILL at which all that is left is answered."""
+
+RETRY_AFTER = "Retry-After"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EntryConfig:
+    """Who an entry is and where it listens; addresses are host:port."""
+
+    name: str
+    zone: str
+    callers: str
+    ready: str
+    peers: str
+    metrics: str
+    seeds: tuple[str, ...]
+    bounds: Bounds
+
+
+@final
+class EntryService:
+    """One entry."""
+
+    def __init__(
+        self,
+        config: EntryConfig,
+        codec: CallerCodec,
+        store: StorePort,
+        surroundings: Surroundings,
+    ) -> None:
+        self._config = config
+        self._codec = codec
+        self._store = store
+        self._around = surroundings
+        self._times = lease_times(config.bounds)
+        self._life = os.urandom(6).hex()
+        self._dispatcher = Dispatcher(self._times, config.zone)
+        self._catalog: Catalog = EMPTY
+        self._waiting: dict[int, Exchange] = {}
+        self._callers = HttpServer(self)
+        self._links: dict[str, PeerLink] = {}
+        self._sent: dict[str, float] = {}
+        self._entries: dict[str, tuple[EntryAddress, float]] = {}
+        self._dialer = Dialer(_EntrySide(self), config.peers, self._times.session, lambda _: True)
+        self._dialer.seeds(set(config.seeds))
+        self._flushing = False
+        self._leaving = False
+
+    # The process.
+
+    async def run(self) -> None:
+        """Serve until told to stop, then leave."""
+        await self._start()
+        await self._around.stopping.wait()
+        await self._leave()
+
+    def describe(self) -> dict[str, object]:
+        """Return a dump of the state."""
+        now = self._now()
+        return {
+            "name": self._config.name,
+            "life": self._life,
+            "catalog_version": self._catalog.version,
+            "leaving": self._leaving,
+            "entries": sorted(self._entries),
+            **self._dispatcher.describe(now),
+        }
+
+    async def _start(self) -> None:
+        loop = asyncio.get_running_loop()
+        await self._callers.start(*_split(self._config.callers))
+        ready = HttpServer(_Readiness(self))
+        await ready.start(*_split(self._config.ready))
+        await loop.create_server(
+            lambda: PeerLink(self._target_side, self._times.session), *_split(self._config.peers)
+        )
+        pages = OperatorPages(self._around.measures, self.describe)
+        await serve_pages(pages, self._config.metrics)
+        self._gauges()
+        self._around.event("started", role="entry", node=self._config.name, life=self._life)
+        self._around.spawn(self._dialer.run())
+        self._around.spawn(self._tick_for_ever())
+        self._around.spawn(self._gossip_for_ever())
+        self._around.spawn(self._follow_store())
+        self._around.spawn(self._announce())
+
+    async def _leave(self) -> None:
+        began = self._now()
+        self._leaving = True
+        self._callers.closing = True
+        self._around.event("leaving", jobs=self._dispatcher.jobs)
+        last = began + self._config.bounds.grace - END_MARGIN
+        noticed = min(began + NOTICED_SECONDS, last)
+        while self._now() < last and (self._dispatcher.jobs or self._now() < noticed):
+            await asyncio.sleep(0.02)
+        self._act(self._dispatcher.finish(self._now()))
+        self._flush()
+        self._callers.stop_listening()
+        self._callers.close_idle()
+        await asyncio.sleep(0.05)
+        self._around.cancel()
+        self._around.event("stopped", after_ms=round((self._now() - began) * 1000))
+
+    def reload(self, seeds: set[str]) -> None:
+        """Adopt new settings."""
+        self._dialer.seeds(seeds)
+
+    def _gauges(self) -> None:
+        measures = self._around.measures
+        measures.gauge("paddleshunt_jobs", "Jobs held.", lambda: self._dispatcher.jobs)
+        measures.gauge(
+            "paddleshunt_catalog_version", "Version in force.", lambda: self._catalog.version
+        )
+        measures.gauge("paddleshunt_sessions", "Targets in session.", lambda: len(self._links))
+        measures.gauge(
+            "paddleshunt_report_age_seconds", "Age of the oldest target's report.", self._report_age
+        )
+
+    def _report_age(self) -> float:
+        now = self._now()
+        ages = [now - t.reported for t in self._dispatcher.targets() if t.report is not None]
+        return max(ages, default=0.0)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # Callers.
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections may come here."""
+        return self._catalog.version > 0 and not self._leaving
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a caller's request."""
+        if self._catalog.version == 0:
+            exchange.respond(Response(503, headers=[(RETRY_AFTER, "1")]))
+            return
+        read = self._codec.read(exchange.request, self._catalog)
+        if isinstance(read, Response):
+            exchange.respond(read)
+            return
+        self._waiting[exchange.number] = exchange
+        now = self._now()
+        self._act(self._dispatcher.submit(now, exchange.number, read.job, read.queue))
+
+    def abandoned(self, exchange: Exchange) -> None:
+        """Stop the work of a caller that left."""
+        if self._waiting.pop(exchange.number, None) is not None:
+            self._act(self._dispatcher.caller_left(self._now(), exchange.number))
+
+    def _act(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Log):
+                self._around.log(effect)
+                self._around.measures.event(effect.event)
+            else:
+                self._answer(effect)
+        self._flush_soon()
+
+    def _answer(self, effect: AnswerJob) -> None:
+        outcome = effect.outcome
+        kind = type(outcome).__name__.lower()
+        reason = "" if isinstance(outcome, Completed) else outcome.reason
+        self._around.measures.answered(kind, reason)
+        self._around.measures.stage("answered", effect.waited)
+        self._around.event(
+            "job_answered",
+            job=effect.key,
+            outcome=kind,
+            reason=reason,
+            after_ms=round(effect.waited * 1000),
+            catalog=self._catalog.version,
+        )
+        exchange = self._waiting.pop(effect.caller, None)
+        if exchange is not None:
+            exchange.respond(self._codec.answer(outcome))
+
+    # Targets.
+
+    @property
+    def _target_side(self) -> "_TargetSide":
+        return _TargetSide(self)
+
+    def target_greeted(self, link: PeerLink, hello: Hello) -> None:
+        """Take the greeting of a target, or of another entry."""
+        now = self._now()
+        if hello.entry:
+            self._note_entry(EntryAddress(hello.name, hello.address))
+            link.send(self._hello(0, 0))
+            return
+        session, effects = self._dispatcher.greeted(now, hello)
+        self._act(effects)
+        if session is None:
+            link.send(self._hello(0, 0))
+            return
+        old = self._links.get(hello.name)
+        self._links[hello.name] = link
+        if old is not None and old is not link:
+            old.close()
+        link.send(self._hello(session.number, session.received))
+        session.send(Entries(self._live_entries()))
+        self._flush_soon()
+
+    def target_heard(self, link: PeerLink, frame: Frame) -> None:
+        """Take a frame of a target, or of another entry."""
+        if self._links.get(link.peer) is link:
+            self._act(self._dispatcher.heard(self._now(), link.peer, frame))
+        else:
+            self.entry_heard(link, frame)
+
+    def link_closed(self, link: PeerLink) -> None:
+        """Take the end of a connection."""
+        if link.peer and self._links.get(link.peer) is link:
+            del self._links[link.peer]
+            self._dispatcher.disconnected(self._now(), link.peer)
+
+    # Other entries.
+
+    def entry_opened(self, link: PeerLink) -> None:
+        """Greet an entry that this one has dialled."""
+        link.send(self._hello(0, 0))
+
+    def entry_greeted(self, hello: Hello) -> None:
+        """Take the greeting of an entry that this one has dialled."""
+        self._note_entry(EntryAddress(hello.name, hello.address))
+
+    def entry_heard(self, link: PeerLink, frame: Frame) -> None:
+        """Take what another entry says."""
+        for body in frame.bodies:
+            match body:
+                case Entries():
+                    for entry in body.entries:
+                        self._dialer.want(self._now(), entry.address)
+                case CatalogNews():
+                    self._adopt(body.catalog, link.peer)
+                case CatalogVersion():
+                    self._compare(link, body.version)
+                case _:
+                    pass
+        known = self._entries.get(link.peer)
+        if known is not None:
+            self._entries[link.peer] = (known[0], self._now())
+
+    def _note_entry(self, entry: EntryAddress) -> None:
+        if entry.name not in self._entries:
+            self._around.event("entry_found", entry=entry.name, address=entry.address)
+        self._entries[entry.name] = (entry, self._now())
+        self._dialer.want(self._now(), entry.address)
+
+    def _compare(self, link: PeerLink, version: int) -> None:
+        if version < self._catalog.version:
+            link.send(_loose(CatalogNews(self._catalog)))
+
+    def _live_entries(self) -> list[EntryAddress]:
+        now = self._now()
+        live = [entry for entry, at in self._entries.values() if now < at + ENTRY_FRESH]
+        return sorted([*live, EntryAddress(self._config.name, self._config.peers)])
+
+    async def _gossip_for_ever(self) -> None:
+        told: list[EntryAddress] = []
+        due = 0.0
+        while True:
+            live = self._live_entries()
+            news = _loose(Entries(live), CatalogVersion(self._catalog.version))
+            for link in self._dialer.links():
+                link.send(news)
+            if live != told or self._now() > due:
+                told = live
+                due = self._now() + TELL_SECONDS
+                for name in self._links:
+                    session = self._dispatcher.session(name)
+                    if session is not None:
+                        session.send(Entries(live))
+                self._flush_soon()
+            await asyncio.sleep(GOSSIP_SECONDS)
+
+    # The configuration.
+
+    def _adopt(self, catalog: Catalog, source: str) -> None:
+        if catalog.version <= self._catalog.version:
+            return
+        before = self._catalog.version
+        self._catalog = catalog
+        limits = self._callers.limits
+        limits.header_bytes = catalog.limits.header_bytes
+        limits.body_bytes = catalog.limits.body_bytes
+        limits.header_timeout = catalog.limits.header_timeout
+        limits.idle_timeout = catalog.limits.idle_timeout
+        self._around.event("catalog_adopted", version=catalog.version, before=before, source=source)
+        news = _loose(CatalogNews(catalog))
+        for link in self._dialer.links():
+            link.send(news)
+
+    async def _follow_store(self) -> None:
+        reachable = True
+        while True:
+            try:
+                catalog = await self._store.next_catalog()
+            except StoreUnavailableError as problem:
+                if reachable:
+                    self._around.event("store_lost", reason=str(problem))
+                reachable = False
+                await asyncio.sleep(STORE_PAUSE)
+                continue
+            if not reachable:
+                self._around.event("store_regained")
+            reachable = True
+            if catalog is not None:
+                self._adopt(catalog, "store")
+
+    async def _announce(self) -> None:
+        while True:
+            try:
+                entry = EntryAddress(self._config.name, self._config.peers)
+                await self._store.announce(entry, ANNOUNCE_SECONDS)
+                if not self._entries:
+                    for known in await self._store.entries():
+                        self._dialer.want(self._now(), known.address)
+            except StoreUnavailableError:
+                await asyncio.sleep(STORE_PAUSE)
+                continue
+            await asyncio.sleep(ANNOUNCE_SECONDS / 3)
+
+    # Time and sending.
+
+    async def _tick_for_ever(self) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            self._act(self._dispatcher.tick(loop.time()))
+            self._flush(heartbeat=True)
+            self._close_silent()
+            due = max(due + self._times.heartbeat, loop.time())
+            await asyncio.sleep(due - loop.time())
+
+    def _close_silent(self) -> None:
+        """Break off half-open connections: a new one works sooner."""
+        now = self._now()
+        for target in self._dispatcher.targets():
+            link = self._links.get(target.name)
+            if link is not None and now > target.heard + self._times.session:
+                link.close()
+
+    def _flush_soon(self) -> None:
+        if not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self, *, heartbeat: bool = False) -> None:
+        self._flushing = False
+        now = self._now()
+        for name, link in self._links.items():
+            session = self._dispatcher.session(name)
+            if session is None:
+                continue
+            due = heartbeat and now > self._sent.get(name, 0.0) + self._times.heartbeat / 2
+            if session.pending or due:
+                link.send(session.frame(int(now * 1000)))
+                self._sent[name] = now
+
+    def _hello(self, session: int, received: int) -> Hello:
+        config = self._config
+        return Hello(config.name, self._life, True, config.zone, config.peers, session, received)
+
+
+@final
+class _Readiness:
+    def __init__(self, service: EntryService) -> None:
+        self._service = service
+
+    def handle(self, exchange: Exchange) -> None:
+        exchange.respond(Response(200 if self._service.is_ready else 503))
+
+    def abandoned(self, exchange: Exchange) -> None:
+        pass
+
+
+@final
+class _TargetSide:
+    """Connections that others have made to this entry."""
+
+    def __init__(self, service: EntryService) -> None:
+        self._service = service
+
+    def opened(self, link: PeerLink) -> None:
+        pass
+
+    def greeted(self, link: PeerLink, hello: Hello) -> None:
+        self._service.target_greeted(link, hello)
+
+    def heard(self, link: PeerLink, frame: Frame) -> None:
+        self._service.target_heard(link, frame)
+
+    def closed(self, link: PeerLink) -> None:
+        self._service.link_closed(link)
+
+
+@final
+class _EntrySide:
+    """Connections that this entry has made to other entries."""
+
+    def __init__(self, service: EntryService) -> None:
+        self._service = service
+
+    def opened(self, link: PeerLink) -> None:
+        self._service.entry_opened(link)
+
+    def greeted(self, link: PeerLink, hello: Hello) -> None:
+        self._service.entry_greeted(hello)
+
+    def heard(self, link: PeerLink, frame: Frame) -> None:
+        self._service.entry_heard(link, frame)
+
+    def closed(self, link: PeerLink) -> None:
+        pass
+
+
+def _loose(*bodies: Body) -> Frame:
+    """Return a frame outside any session."""
+    return Frame(1, 0, 0, 0, list(bodies))
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
@@ -0,0 +1,105 @@
+"""Connections between processes: msgspec messages, each behind its length, over TCP."""
+
+import asyncio
+from typing import Protocol, final
+
+import msgspec
+from paddleshunt_core.leased.wire import Frame, Hello
+
+from paddleshunt_node.aio.sockets import prepare
+
+LENGTH_BYTES = 4
+MAX_MESSAGE = 8 << 20
+"""Bytes of a message, above which the connection is broken off."""
+
+_hello = msgspec.msgpack.Decoder(Hello)
+_frame = msgspec.msgpack.Decoder(Frame)
+_encoder = msgspec.msgpack.Encoder()
+
+
+class PeerHandler(Protocol):
+    """Takes what comes over one connection."""
+
+    def opened(self, link: "PeerLink") -> None:
+        """Take a connection that has just been made."""
+
+    def greeted(self, link: "PeerLink", hello: Hello) -> None:
+        """Take the peer's greeting."""
+
+    def heard(self, link: "PeerLink", frame: Frame) -> None:
+        """Take a frame."""
+
+    def closed(self, link: "PeerLink") -> None:
+        """Take the end of the connection."""
+
+
+@final
+class PeerLink(asyncio.Protocol):
+    """One connection. `peer` is the name in the peer's greeting, empty before it."""
+
+    def __init__(self, handler: PeerHandler, silence: float) -> None:
+        self._handler = handler
+        self._silence = silence
+        self._buffer = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self.peer = ""
+        self.messages_out = 0
+        self.bytes_out = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
+        prepare(transport, self._silence)
+        self._handler.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes and hand on the whole messages."""
+        self._buffer += data
+        while len(self._buffer) >= LENGTH_BYTES:
+            length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+            if length > MAX_MESSAGE:
+                self.close()
+                return
+            if len(self._buffer) < LENGTH_BYTES + length:
+                return
+            message = bytes(self._buffer[LENGTH_BYTES : LENGTH_BYTES + length])
+            del self._buffer[: LENGTH_BYTES + length]
+            if not self._handle(message):
+                return
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Take the end of the connection."""
+        self._transport = None
+        self._handler.closed(self)
+
+    def send(self, message: Hello | Frame) -> None:
+        """Send a message; on a connection that has ended it is dropped."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        packed = _encoder.encode(message)
+        self._transport.write(len(packed).to_bytes(LENGTH_BYTES, "big") + packed)
+        self.messages_out += 1
+        self.bytes_out += LENGTH_BYTES + len(packed)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def close(self) -> None:
+        """Break the connection off at once; what is not sent yet is dropped."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _handle(self, message: bytes) -> bool:
+        try:
+            if self.peer:
+                self._handler.heard(self, _frame.decode(message))
+            else:
+                hello = _hello.decode(message)
+                self.peer = hello.name
+                self._handler.greeted(self, hello)
+        except msgspec.MsgspecError:
+            self.close()
+        return self._transport is not None
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -0,0 +1,101 @@
+"""What the processes ask of the surroundings; an adapter implements these for a platform."""
+
+from dataclasses import dataclass
+from typing import Protocol, final
+
+from paddleshunt_core.leased.catalog import Catalog, Queue
+from paddleshunt_core.leased.jobs import JobRequest
+from paddleshunt_core.leased.orders import (
+    Look,
+    LookAnswer,
+    RunnerAccount,
+    StartAnswer,
+    StartRun,
+    StopRun,
+)
+from paddleshunt_core.leased.outcomes import JobOutcome
+from paddleshunt_core.leased.wire import EntryAddress
+
+from paddleshunt_node.aio.httpserver import Request, Response
+
+
+class StoreUnavailableError(Exception):
+    """The store did not answer, or would not."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OtherLife:
+    """Another life of the runner answered than the one meant."""
+
+
+class RunnerPort(Protocol):
+    """The runner beside a target."""
+
+    def expect(self, runner: str) -> None:
+        """Mean this life of the runner with what follows; empty for any."""
+
+    async def start(self, order: StartRun) -> StartAnswer:
+        """Order a start."""
+
+    async def stop(self, order: StopRun) -> bool:
+        """Order a stop; return whether the runner confirmed it."""
+
+    async def look(self, look: Look) -> LookAnswer | OtherLife | None:
+        """Renew the lease and look at what runs; None: no answer."""
+
+
+class StorePort(Protocol):
+    """The platform's store, as far as an entry or a target needs it."""
+
+    async def catalog(self) -> Catalog | None:
+        """Return the newest configuration; raises `StoreUnavailableError`."""
+
+    async def next_catalog(self) -> Catalog | None:
+        """Wait for a change and return the newest configuration; raises `StoreUnavailableError`."""
+
+    async def announce(self, entry: EntryAddress, seconds: float) -> None:
+        """Tell others of this entry, for `seconds` or until told again."""
+
+    async def withdraw(self) -> None:
+        """Take the announcement back."""
+
+    async def entries(self) -> list[EntryAddress]:
+        """Return the announced entries; raises `StoreUnavailableError`."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A request that hands in a job."""
+
+    queue: Queue
+    job: JobRequest
+
+
+class CallerCodec(Protocol):
+    """Turns callers' requests into jobs, and outcomes into answers."""
+
+    def read(self, request: Request, catalog: Catalog) -> Submission | Response:
+        """Return the job, or the answer to a request that is none."""
+
+    def answer(self, outcome: JobOutcome) -> Response:
+        """Return the answer that tells the outcome."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RunnerEnds:
+    """A runner's word that it ends now."""
+
+    runner: str
+
+
+class RegistrationCodec(Protocol):
+    """Turns the requests by which a runner registers into accounts."""
+
+    def read(self, request: Request) -> RunnerAccount | RunnerEnds | Response:
+        """Return what the runner says, or the answer to a request that is none."""
+
+    def acknowledge(self) -> Response:
+        """Return the answer that takes note of it."""
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -0,0 +1,84 @@
+"""What both processes share: signals, the metrics page, and an orderly end."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any, final
+
+import msgspec
+from paddleshunt_core.effects import Log
+
+from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.logline import LogLines
+from paddleshunt_node.aio.measures import Measures
+
+
+@final
+class OperatorPages:
+    """Serves `/metrics` and `/dump`."""
+
+    def __init__(self, measures: Measures, dump: Callable[[], dict[str, object]]) -> None:
+        self._measures = measures
+        self._dump = dump
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer with a page."""
+        if exchange.request.path == "/dump":
+            body = msgspec.json.encode(self._dump())
+            exchange.respond(Response(200, body, "application/json"))
+            return
+        exchange.respond(Response(200, self._measures.page(), "text/plain; version=0.0.4"))
+
+    def abandoned(self, exchange: Exchange) -> None:
+        """Ignore a reader that left."""
+
+
+@final
+class Surroundings:
+    """Tasks, log and signals of one process."""
+
+    def __init__(self, lines: LogLines, measures: Measures) -> None:
+        self.lines = lines
+        self.measures = measures
+        self.stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def listen_to_signals(self, reload: Callable[[], None]) -> None:
+        """Stop at SIGTERM or SIGINT, read the settings again at SIGHUP."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, reload)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run `work` beside the rest; an error in it ends the process."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def log(self, log: Log) -> None:
+        """Write one event's line."""
+        self.lines.write(asyncio.get_running_loop().time(), log)
+
+    def event(self, name: str, /, **fields: str | int | float) -> None:
+        """Write one event's line."""
+        self.lines.event(asyncio.get_running_loop().time(), name, **fields)
+
+    def cancel(self) -> None:
+        """End all tasks."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.event("task_failed", error=repr(task.exception()))
+            self.stopping.set()
+
+
+async def serve_pages(pages: OperatorPages, address: str) -> HttpServer:
+    """Serve the operators' pages at host:port; raises `OSError`."""
+    server = HttpServer(pages)
+    host, _, port = address.rpartition(":")
+    await server.start(host, int(port))
+    return server
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -0,0 +1,331 @@
+"""The target process: the runner beside it and the entries around the worker."""
+
+import asyncio
+import os
+from dataclasses import dataclass
+from typing import final
+
+from paddleshunt_core.effects import Log
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
+from paddleshunt_core.leased.wire import Entries, Frame, Hello
+from paddleshunt_core.leased.worker import Effect, Worker
+
+from paddleshunt_node.aio.dialer import Dialer
+from paddleshunt_node.aio.framing import PeerLink
+from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.ports import (
+    OtherLife,
+    RegistrationCodec,
+    RunnerEnds,
+    RunnerPort,
+    StorePort,
+    StoreUnavailableError,
+)
+from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
+
+LOOK_PAUSE = 0.08
+"""Seconds before the next look after one that got no answer."""
+
+LONELY_SECONDS = 2.0
+"""Seconds without any session after which the store is asked for entries."""
+
+END_MARGIN = 0.5
+"""Seconds before SIGKILL at which the process ends, whatever runs."""
+
+LAST_WORDS = 0.1
+"""Seconds for the last frames to leave."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class TargetConfig:
+    """Who a target is and where it listens; addresses are host:port."""
+
+    name: str
+    zone: str
+    address: str
+    registration: str
+    metrics: str
+    seeds: tuple[str, ...]
+    bounds: Bounds
+
+
+@final
+class TargetService:
+    """One target."""
+
+    def __init__(
+        self,
+        config: TargetConfig,
+        codec: RegistrationCodec,
+        runner: RunnerPort,
+        store: StorePort,
+        surroundings: Surroundings,
+    ) -> None:
+        self._config = config
+        self._codec = codec
+        self._runner = runner
+        self._store = store
+        self._around = surroundings
+        self._times = lease_times(config.bounds)
+        self._life = os.urandom(6).hex()
+        self._worker = Worker(self._times)
+        self._links: dict[str, PeerLink] = {}
+        self._names: dict[str, str] = {}
+        """Entries by the address at which they were met."""
+        self._said: dict[PeerLink, float] = {}
+        self._heard: dict[str, float] = {}
+        self._sent: dict[str, float] = {}
+        self._dialer = Dialer(self, config.address, self._times.session, self._may_dial)
+        self._dialer.seeds(set(config.seeds))
+        self._looked = False
+        self._flushing = False
+
+    # The process.
+
+    async def run(self) -> None:
+        """Serve until told to stop, then leave."""
+        await self._start()
+        await self._around.stopping.wait()
+        await self._leave()
+
+    def describe(self) -> dict[str, object]:
+        """Return a dump of the state."""
+        return {
+            "name": self._config.name,
+            "life": self._life,
+            **self._worker.describe(self._now()),
+        }
+
+    def reload(self, seeds: set[str]) -> None:
+        """Adopt new settings."""
+        self._dialer.seeds(seeds)
+
+    async def _start(self) -> None:
+        registration = HttpServer(_Registration(self))
+        host, _, port = self._config.registration.rpartition(":")
+        await registration.start(host, int(port))
+        pages = OperatorPages(self._around.measures, self.describe)
+        await serve_pages(pages, self._config.metrics)
+        self._gauges()
+        self._around.event("started", role="target", node=self._config.name, life=self._life)
+        self._around.spawn(self._look_for_ever())
+        self._around.spawn(self._dialer.run())
+        self._around.spawn(self._tick_for_ever())
+        self._around.spawn(self._find_entries())
+
+    async def _leave(self) -> None:
+        began = self._now()
+        self._act(self._worker.leave(began))
+        last = began + self._config.bounds.grace - END_MARGIN
+        while self._now() < last and not self._worker.idle:
+            await asyncio.sleep(0.02)
+        self._flush(heartbeat=True)
+        await asyncio.sleep(LAST_WORDS)
+        self._around.cancel()
+        self._around.event(
+            "stopped", after_ms=round((self._now() - began) * 1000), runs=self._worker.runs
+        )
+
+    def _gauges(self) -> None:
+        measures = self._around.measures
+        measures.gauge("paddleshunt_runs", "Runs queued and at work.", lambda: self._worker.runs)
+        measures.gauge("paddleshunt_sessions", "Entries in session.", lambda: len(self._links))
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    # The runner.
+
+    def register(self, exchange: Exchange) -> None:
+        """Take what the runner says of itself."""
+        read = self._codec.read(exchange.request)
+        if isinstance(read, Response):
+            exchange.respond(read)
+            return
+        now = self._now()
+        if isinstance(read, RunnerAccount):
+            known = self._worker.account
+            if known is None or known.runner != read.runner:
+                self._runner.expect(read.runner)
+                self._around.event("runner_found", runner=read.runner, service=read.service)
+            self._act(self._worker.runner_spoke(now, read))
+        else:
+            self._runner_ends(now, read)
+        exchange.respond(self._codec.acknowledge())
+
+    def _runner_ends(self, now: float, ends: RunnerEnds) -> None:
+        self._around.event("runner_left", runner=ends.runner)
+        self._act(self._worker.runner_left(now, ends.runner))
+
+    async def _look_for_ever(self) -> None:
+        while True:
+            answer = await self._runner.look(self._worker.next_look(self._now()))
+            now = self._now()
+            if isinstance(answer, LookAnswer):
+                self._note_first_look()
+                self._act(self._worker.looked(now, answer))
+                continue
+            self._act(self._worker.look_failed(now, other_life=isinstance(answer, OtherLife)))
+            if isinstance(answer, OtherLife):
+                self._runner.expect("")
+            await asyncio.sleep(LOOK_PAUSE)
+
+    def _note_first_look(self) -> None:
+        if not self._looked:
+            self._looked = True
+            self._around.event("runner_held")
+
+    async def _start_run(self, order: StartRun) -> None:
+        began = self._now()
+        answer = await self._runner.start(order)
+        now = self._now()
+        self._around.measures.stage("started", now - began)
+        self._around.event(
+            "run_ordered",
+            job=str(order.run.task),
+            run=order.run.number,
+            answer=answer.value,
+            after_ms=round((now - began) * 1000),
+        )
+        self._act(self._worker.start_answered(now, order.run, answer))
+
+    async def _stop_run(self, order: StopRun) -> None:
+        done = await self._runner.stop(order)
+        self._act(self._worker.stop_answered(self._now(), order.run, done=done))
+
+    def _act(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case StartRun():
+                    self._around.spawn(self._start_run(effect))
+                case StopRun():
+                    self._around.spawn(self._stop_run(effect))
+                case Log():
+                    self._log(effect)
+        self._flush_soon()
+
+    def _log(self, log: Log) -> None:
+        self._around.log(log)
+        self._around.measures.event(log.event)
+        if log.event == "run_ended":
+            self._around.measures.ended(str(log.fields["end"]))
+
+    # Entries.
+
+    def opened(self, link: PeerLink) -> None:
+        """Greet an entry that was dialled."""
+        name = self._names.get(self._dialer.address_of(link), "")
+        if not self._may_greet(name):
+            link.close()
+            return
+        session = self._worker.session(name)
+        number, received = (session.number, session.received) if session else (0, 0)
+        config = self._config
+        self._said[link] = self._now()
+        link.send(
+            Hello(config.name, self._life, False, config.zone, config.address, number, received)
+        )
+
+    def greeted(self, link: PeerLink, hello: Hello) -> None:
+        """Take an entry's greeting."""
+        now = self._now()
+        self._names[self._dialer.address_of(link)] = hello.name
+        said = self._said.pop(link, now)
+        if not hello.session:
+            self._act(self._worker.closed(now, hello.name))
+            link.close()
+            return
+        self._links[hello.name] = link
+        self._heard[hello.name] = now
+        self._act(self._worker.opened(now, hello, said))
+        self._flush(heartbeat=True)
+
+    def heard(self, link: PeerLink, frame: Frame) -> None:
+        """Take a frame of an entry."""
+        if self._links.get(link.peer) is not link:
+            return
+        now = self._now()
+        self._heard[link.peer] = now
+        for body in frame.bodies:
+            if isinstance(body, Entries):
+                for entry in body.entries:
+                    self._dialer.want(now, entry.address)
+        self._act(self._worker.heard(now, link.peer, frame))
+        if self._worker.session(link.peer) is None:
+            link.close()
+
+    def closed(self, link: PeerLink) -> None:
+        """Take the end of a connection; its session goes on for a while."""
+        self._said.pop(link, None)
+        if link.peer and self._links.get(link.peer) is link:
+            del self._links[link.peer]
+
+    def _may_dial(self, address: str) -> bool:
+        return self._may_greet(self._names.get(address, ""))
+
+    def _may_greet(self, name: str) -> bool:
+        return self._worker.session(name) is not None or self._worker.may_open(name)
+
+    async def _find_entries(self) -> None:
+        """Ask the store for entries when none has been met for a while."""
+        while True:
+            await asyncio.sleep(LONELY_SECONDS)
+            if self._links:
+                continue
+            try:
+                for entry in await self._store.entries():
+                    self._dialer.want(self._now(), entry.address)
+            except StoreUnavailableError as problem:
+                self._around.event("store_unavailable", reason=str(problem))
+
+    # Time and sending.
+
+    async def _tick_for_ever(self) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            now = loop.time()
+            self._act(self._worker.tick(now))
+            self._close_silent(now)
+            self._flush(heartbeat=True)
+            due = max(due + self._times.heartbeat, loop.time())
+            await asyncio.sleep(due - loop.time())
+
+    def _close_silent(self, now: float) -> None:
+        """Break off connections whose session is over, or that say nothing."""
+        for name, link in list(self._links.items()):
+            silent = now > self._heard.get(name, 0.0) + self._times.session
+            if silent or self._worker.session(name) is None:
+                link.close()
+
+    def _flush_soon(self) -> None:
+        if not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self, *, heartbeat: bool = False) -> None:
+        self._flushing = False
+        now = self._now()
+        self._worker.prepare_frames(now)
+        for name, link in self._links.items():
+            session = self._worker.session(name)
+            if session is None:
+                continue
+            due = heartbeat and now > self._sent.get(name, 0.0) + self._times.heartbeat / 2
+            if session.pending or due:
+                link.send(session.frame(int(now * 1000)))
+                self._sent[name] = now
+
+
+@final
+class _Registration:
+    def __init__(self, service: TargetService) -> None:
+        self._service = service
+
+    def handle(self, exchange: Exchange) -> None:
+        self._service.register(exchange)
+
+    def abandoned(self, exchange: Exchange) -> None:
+        pass
--- /dev/null
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -0,0 +1,124 @@
+"""Settings of the processes for leased jobs: a TOML file, checked whole."""
+
+from pathlib import Path
+from typing import Annotated, Literal, final
+
+from msgspec import Meta
+from paddleshunt_core.leased.bounds import Bounds, BoundsError, lease_times
+
+from paddleshunt_platform.settings import (
+    Address,
+    LogSettings,
+    Name,
+    Section,
+    SettingsError,
+    load_as,
+)
+
+Milliseconds = Annotated[int, Meta(gt=0, le=3_600_000)]
+SecondsBound = Annotated[float, Meta(gt=0, le=3600)]
+
+
+@final
+class ProcessSettings(Section, frozen=True):
+    """The process: its name, where it stands, and the address its peers know it by."""
+
+    name: Name
+    zone: Name
+    role: Literal["entry", "target"]
+
+
+@final
+class ListenSettings(Section, frozen=True):
+    """Where the process listens. `callers` and `ready`: entries; `runner`: targets."""
+
+    peers: Address
+    metrics: Address
+    callers: Address | None = None
+    ready: Address | None = None
+    runner: Address | None = None
+
+
+@final
+class PeerSettings(Section, frozen=True):
+    """Hosts on which entries may be met, and the port they listen on for peers."""
+
+    seeds: tuple[Address, ...] = ()
+    port: Annotated[int, Meta(gt=0, lt=65536)] = 7720
+
+
+@final
+class RunnerSettings(Section, frozen=True):
+    """The runner beside a target."""
+
+    address: Address
+
+
+@final
+class StoreSettings(Section, frozen=True):
+    """The platform's store. `least_lease_ms` is the shortest lease that it grants."""
+
+    address: Address
+    least_lease_ms: Milliseconds = 1000
+
+
+@final
+class BoundSettings(Section, frozen=True):
+    """Bounds of the deployment."""
+
+    resend_ms: Milliseconds = 1300
+    hold_max_ms: Milliseconds = 1000
+    stop_ms: Milliseconds = 50
+    drain_ms: Milliseconds = 2000
+    config_apply_ms: Milliseconds = 2000
+    grace_s: SecondsBound = 6.0
+
+
+@final
+class LeasedFile(Section, frozen=True):
+    """Settings of an entry or a target for leased jobs."""
+
+    process: ProcessSettings
+    listen: ListenSettings
+    peers: PeerSettings
+    store: StoreSettings
+    bounds: BoundSettings = BoundSettings()
+    runner: RunnerSettings | None = None
+    log: LogSettings = LogSettings()
+
+
+def load_leased(file: Path) -> LeasedFile:
+    """Return the settings, checked whole; raises `SettingsError`."""
+    settings = load_as(file, LeasedFile)
+    required: dict[str, dict[str, object]] = {
+        "entry": {"listen.callers": settings.listen.callers, "listen.ready": settings.listen.ready},
+        "target": {"listen.runner": settings.listen.runner, "runner": settings.runner},
+    }
+    for key, value in required[settings.process.role].items():
+        if value is None:
+            expected = f"expected a value, as the role is {settings.process.role}"
+            raise SettingsError(file, key, expected)
+    try:
+        lease_times(bounds_of(settings))
+    except BoundsError as problem:
+        raise SettingsError(file, "bounds", str(problem)) from problem
+    return settings
+
+
+def bounds_of(settings: LeasedFile) -> Bounds:
+    """Return the bounds in seconds."""
+    given = settings.bounds
+    return Bounds(
+        resend=given.resend_ms / 1000,
+        hold_max=given.hold_max_ms / 1000,
+        stop=given.stop_ms / 1000,
+        drain=given.drain_ms / 1000,
+        grace=given.grace_s,
+        config_apply=given.config_apply_ms / 1000,
+    )
+
+
+def seed_peers(settings: LeasedFile) -> set[str]:
+    """Return the addresses at which seeds listen for peers."""
+    hosts = [seed.rpartition(":")[0] for seed in settings.peers.seeds]
+    return {f"{host}:{settings.peers.port}" for host in hosts}
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
@@ -41,12 +41,12 @@
         return f"{self.file}: {self.key}: {self.expected}"
 
 
-class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Base of all sections."""
 
 
 @final
-class Listen(_Section, frozen=True):
+class Listen(Section, frozen=True):
     """Where the process listens: HTTP for callers and operators, and its peers."""
 
     http: Address
@@ -54,7 +54,7 @@
 
 
 @final
-class Platform(_Section, frozen=True):
+class Platform(Section, frozen=True):
     """URLs of the platform's key-value service (empty for a target) and host list."""
 
     hosts: Url
@@ -62,7 +62,7 @@
 
 
 @final
-class Runner(_Section, frozen=True):
+class Runner(Section, frozen=True):
     """The runner beside a target: its URL and how many tasks it runs at once."""
 
     url: Url
@@ -70,21 +70,21 @@
 
 
 @final
-class LogSettings(_Section, frozen=True):
+class LogSettings(Section, frozen=True):
     """The least severe level that is logged."""
 
     level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
 @final
-class Operators(_Section, frozen=True):
+class Operators(Section, frozen=True):
     """The key that hands over a table; with an empty one nobody may."""
 
     key: Annotated[str, Meta(max_length=200)] = ""
 
 
 @final
-class Limits(_Section, frozen=True):
+class Limits(Section, frozen=True):
     """Bounds of what callers may send to an entry, and of how many may wait."""
 
     max_tasks: Annotated[int, Meta(ge=1, le=100_000)] = 1900
@@ -95,7 +95,7 @@
 
 
 @final
-class HomeSettings(_Section, frozen=True):
+class HomeSettings(Section, frozen=True):
     """Bounds of a home: how long an id is accepted, ids and answer bytes kept."""
 
     window_s: Seconds = 120.0
@@ -104,7 +104,7 @@
 
 
 @final
-class EntryFile(_Section, frozen=True):
+class EntryFile(Section, frozen=True):
     """Settings of an entry."""
 
     host: Name
@@ -119,7 +119,7 @@
 
 
 @final
-class TargetFile(_Section, frozen=True):
+class TargetFile(Section, frozen=True):
     """Settings of a target."""
 
     host: Name
@@ -169,6 +169,14 @@
 
 
 def _load(file: Path, kind: type[_File]) -> _File:
+    return load_as(file, kind)
+
+
+_Any = TypeVar("_Any", bound=Section)
+
+
+def load_as(file: Path, kind: type[_Any]) -> _Any:
+    """Return the file's settings, checked as `kind`; raises `SettingsError`."""
     try:
         return msgspec.convert(_read(file), kind)
     except msgspec.ValidationError as error:
