Bind tasks late: no queues at targets, on-time jobs first, untried late jobs refused

A new runner was ordered before its clock was known: 705 starts not sent in 2.5 s after a restart, each placed again at once.

Change: a target starts what fits and gives the rest back at once (NO_ROOM); entries hold it and place by fresh reports, choosing at random among equal loads. A job that was never tried is refused when it can't start in time by a quarter of its estimate. Nothing is started on a life of a runner before a look that was sent after it was met. A target that gives tasks back is left alone for 50 ms. Jobs are held, not refused, while no target is known. Targets are told of a new entry at once.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from random import Random
 from typing import final
 
 from paddleshunt_core.effects import Log, note
@@ -43,6 +44,12 @@
 RETRY_SECONDS = 1.0
 """When a refused caller is told to come back, if nothing better is known."""
 
+NO_TARGET_WAIT = 0.1
+"""Seconds a job is expected to wait for a target when none is known."""
+
+BACKOFF_SECONDS = 0.05
+"""Seconds in which a target that gave a task back is given none."""
+
 FORGET_SECONDS = 60.0
 """Seconds after which a silent target is forgotten."""
 
@@ -65,9 +72,9 @@
 class Dispatcher:
     """State of one entry's jobs and targets."""
 
-    def __init__(self, times: LeaseTimes, zone: str) -> None:
+    def __init__(self, times: LeaseTimes, zone: str, rng: Random) -> None:
         self._times = times
-        self._placement = Placement(zone, times)
+        self._placement = Placement(zone, times, rng)
         self._jobs: dict[int, JobRecord] = {}
         self._by_key: dict[str, JobRecord] = {}
         self._targets: dict[str, TargetRecord] = {}
@@ -112,16 +119,15 @@
             return [*effects, self._refusal(caller, request, "runs_already", RETRY_SECONDS)]
         job = new_job(caller, request, queue, now)
         wait = self._expected_wait(now, job)
-        if wait is None or now + wait > job.useless_after:
-            reason = "no_target" if wait is None else "no_room"
-            after = RETRY_SECONDS if wait is None else wait
-            return [*effects, self._refusal(caller, request, reason, after)]
+        if now + wait > job.refuse_after:
+            return [*effects, self._refusal(caller, request, "no_room", wait)]
         self._jobs[caller] = job
         self._by_key[request.key] = job
         fields: dict[str, str | int | float] = {
             "queue": queue.name,
             "tasks": request.count,
             "estimate_ms": round(request.estimate * 1000),
+            "deadline_ms": round(request.deadline * 1000),
             "wait_ms": round(wait * 1000),
         }
         return [*effects, note("job_admitted", request.key, **fields), *self._place(now)]
@@ -203,8 +209,11 @@
     ) -> AnswerJob:
         return AnswerJob(caller, request.key, Refused(reason, retry_after), 0.0)
 
-    def _expected_wait(self, now: float, job: JobRecord) -> float | None:
-        """Return how long the job's tasks would wait for room; None if nobody could run them."""
+    def _expected_wait(self, now: float, job: JobRecord) -> float:
+        """Return how long the job's tasks would wait for room.
+
+        Without a target the answer is a guess: one may be found in a moment.
+        """
         service = job.queue.service
         targets = [
             t
@@ -212,7 +221,7 @@
             if t.takes(now, service, self._times) and t.could_run(job.request.need)
         ]
         if not targets:
-            return None
+            return NO_TARGET_WAIT
         if any(job.request.need.fits(target.free) for target in targets):
             return 0.0
         capacity = sum(t.report.capacity.processor for t in targets if t.report)
@@ -227,7 +236,7 @@
     def _check_job(self, now: float, job: JobRecord) -> list[Effect]:
         if now > job.expires:
             return [self._give_up(now, job, "deadline")]
-        if not job.begun and now > job.useless_after:
+        if not job.begun and now > job.refuse_after:
             return [self._give_up(now, job, "no_room")]
         return []
 
@@ -237,8 +246,7 @@
         if job.begun:
             outcome = GivenUp(reason)
         else:
-            wait = self._expected_wait(now, job)
-            outcome = Refused(reason, RETRY_SECONDS if wait is None else wait)
+            outcome = Refused(reason, max(RETRY_SECONDS, self._expected_wait(now, job)))
         return self._answer(now, job, outcome)
 
     def _answer(self, now: float, job: JobRecord, outcome: JobOutcome) -> AnswerJob:
@@ -358,7 +366,7 @@
                 return [self._answer(now, job, Completed())]
             return []
         task.phase = TaskPhase.WAITING
-        task.ran = task.ran or end not in (End.NOT_STARTED, End.STALE)
+        task.ran = task.ran or end not in (End.NOT_STARTED, End.NO_ROOM, End.STALE)
         fields: dict[str, str | int | float] = {
             "target": target.name,
             "run": run.number,
@@ -369,6 +377,8 @@
             return [log, *self._failed(now, target, job, task)]
         if end is End.STALE:
             task.number += STALE_STEP
+        if end is End.NOT_STARTED:
+            target.backoff = now + BACKOFF_SECONDS
         if end in (End.STUCK, End.LOST):
             task.avoid.add(target.name)
         return [log]
@@ -414,7 +424,7 @@
         waiting = [job for job in self._jobs.values() if job.waiting()]
         if not waiting:
             return []
-        waiting.sort(key=lambda job: (job.start_by < now, job.start_by))
+        waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.start_by))
         usable: dict[str, list[TargetRecord]] = {}
         effects: list[Effect] = []
         for job in waiting:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -11,8 +11,8 @@
 STALE_STEP = 16
 """By how much a run's number rises when a runner knows a later run of the task."""
 
-LATE_FACTOR = 3.0
-"""A job that takes longer than so many times its objective is worth nothing."""
+ESTIMATE_ERROR = 0.25
+"""Part of its estimate by which a job's start may be late, and it may yet end in time."""
 
 
 @final
@@ -90,10 +90,10 @@
         return self.arrived + self.objective - self.request.estimate
 
     @property
-    def useless_after(self) -> float:
-        """When an untried task can't be of use any more."""
-        late = self.arrived + LATE_FACTOR * self.objective - self.request.estimate
-        return min(late, self.arrived + self.request.deadline - self.request.estimate)
+    def refuse_after(self) -> float:
+        """When a job that was not tried is refused: it would be late, and make others late."""
+        late = self.start_by + ESTIMATE_ERROR * self.request.estimate
+        return min(late, self.expires - self.request.estimate)
 
     @property
     def expires(self) -> float:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -1,13 +1,14 @@
 """Chooses a target for one task."""
 
+from random import Random
 from typing import final
 
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.jobs import JobRecord, TaskRecord
 from paddleshunt_core.leased.targets import TargetRecord
 
-QUEUE_SHARE = 0.12
-"""Part of a runner's processors for which work may be queued at its target."""
+LOAD_STEPS = 12
+"""Loads that differ by less than one part in so many count as equal."""
 
 PROBE_PERIOD = 1.0
 """Seconds between two tasks that an entry gives to a runner on probation."""
@@ -17,7 +18,8 @@
 class Placement:
     """Chooses among an entry's targets; remembers when it last probed one."""
 
-    def __init__(self, zone: str, times: LeaseTimes) -> None:
+    def __init__(self, zone: str, times: LeaseTimes, rng: Random) -> None:
+        self._rng = rng
         self._zone = zone
         self._times = times
         self._probed: dict[str, float] = {}
@@ -37,8 +39,6 @@
         if best is None and now > job.start_by:
             slow = [t for t in usable if t.is_slow and not t.on_probation]
             best = self._least_loaded([t for t in slow if need.fits(t.free)])
-        if best is None:
-            best = self._least_loaded([t for t in good if _may_queue(t)])
         return best
 
     def _probe(self, now: float, targets: list[TargetRecord]) -> TargetRecord | None:
@@ -48,13 +48,9 @@
         return None
 
     def _least_loaded(self, targets: list[TargetRecord]) -> TargetRecord | None:
-        return min(targets, key=lambda t: (t.load, t.zone != self._zone, t.name), default=None)
+        """Return a target of little load; entries that know the same choose differently."""
 
+        def key(target: TargetRecord) -> tuple[int, bool, float]:
+            return int(target.load * LOAD_STEPS), target.zone != self._zone, self._rng.random()
 
-def _may_queue(target: TargetRecord) -> bool:
-    report = target.report
-    if report is None:
-        return False
-    overdraft = report.capacity.processor * QUEUE_SHARE
-    queued = sum(need.processor for _, need in target.unseen)
-    return report.queued == 0 and queued - max(0, report.free.processor) < overdraft
+        return min(targets, key=key, default=None)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -78,10 +78,10 @@
         if run.phase is not Phase.QUEUED:
             self.used -= run.need
 
-    def queued(self) -> list[Run]:
-        """Return the queued runs, the most urgent first."""
+    def queued(self, now: float) -> list[Run]:
+        """Return the queued runs: the most urgent first, those that are late already last."""
         waiting = [run for run in self._runs.values() if run.phase is Phase.QUEUED]
-        return sorted(waiting, key=lambda run: run.start_by)
+        return sorted(waiting, key=lambda run: (run.start_by < now, run.start_by))
 
     def of_entry(self, entry: str) -> list[Run]:
         """Return the runs of one entry's session."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -35,6 +35,8 @@
     """Needs of assignments that the last report doesn't cover, by their number."""
     placed: dict[RunId, Resources] = field(default_factory=dict)
     held: set[RunId] = field(default_factory=set)
+    backoff: float = 0.0
+    """Until when nothing is sent there, as it gave a task back."""
 
     def take_report(self, now: float, report: RunnerReport) -> None:
         """Adopt a report."""
@@ -59,6 +61,7 @@
             and report.service == service
             and report.state is RunnerState.READY
             and report.health is not Health.SICK
+            and now >= self.backoff
             and self.is_fresh(now, times)
         )
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -40,6 +40,7 @@
 
     LOST: it ran or may have run, and can't any more. NOT_STARTED: it never ran. STALE: the runner
     knows a later run of the task and refused this one. STUCK: stopped, as it made no progress.
+    NO_ROOM: it never ran, as others had taken the room that the entry knew of.
     """
 
     DONE = 0
@@ -49,6 +50,7 @@
     NOT_STARTED = 4
     STALE = 5
     STUCK = 6
+    NO_ROOM = 7
 
 
 class RunnerState(IntEnum):
@@ -112,7 +114,10 @@
 
 @final
 class RunnerReport(_Body, frozen=True, tag=5):
-    """State of a runner and its target's queue. `queued_ms`: core-milliseconds queued there."""
+    """State of a runner and its target's queue.
+
+    `queued` runs wait there; `queued_ms` is their work in core-milliseconds.
+    """
 
     service: str
     runner: str
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -94,6 +94,8 @@
         self._renewed = float("-inf")
         self._failed_looks = 0
         self._clean = False
+        """Whether this life of the runner was seen with nothing foreign at work."""
+        self._met = float("-inf")
         self._foreign: set[RunId] = set()
         self._level = Health.GOOD
         self.leaving = False
@@ -183,12 +185,15 @@
         effects: list[Effect] = []
         if known is not None and known.runner != account.runner:
             effects += self._runner_replaced(now, account.runner)
+        if known is None or known.runner != account.runner:
+            self._clean = False
+            self._met = now
         self._account = account
         if known != account:
             self._tell_all()
         if account.leaving and not (known and known.leaving):
             effects.append(note("runner_leaving", runner=account.runner))
-            self._return_queued()
+            self._return_queued(now)
         return effects + self._pump(now)
 
     def runner_left(self, now: float, runner: str) -> list[Effect]:
@@ -211,7 +216,8 @@
         if self._any_session(now):
             lease = self._times.hold
             self._renewed = now
-        return Look(self._last_seen, lease, self._times.hold * LOOK_SHARE)
+        wait = self._times.hold * LOOK_SHARE if self._clean else 0.0
+        return Look(self._last_seen, lease, wait)
 
     def looked(self, now: float, answer: LookAnswer) -> list[Effect]:
         """Take the runner's lists of what runs and what has ended."""
@@ -223,7 +229,7 @@
         for finished in answer.finished:
             effects += self._listed(now, finished)
         running = {row.run: row.percent for row in answer.running}
-        effects += self._stop_foreign(running, answer.finished)
+        effects += self._stop_foreign(running, answer)
         for run in self._runs:
             if run.id in running:
                 effects += self._progressed(now, run, running[run.id])
@@ -239,7 +245,7 @@
         self._failed_looks += 1
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self._runs)))
-            self._return_queued()
+            self._return_queued(now)
             self._tell_all()
         for run in self._runs:
             if now > max(self._renewed, run.ordered) + self._times.run_end:
@@ -305,7 +311,7 @@
     def leave(self, now: float) -> list[Effect]:
         """Start nothing more, and give back what is queued."""
         self.leaving = True
-        self._return_queued()
+        self._return_queued(now)
         self._tell_all()
         return [note("leaving", runs=len(self._runs))]
 
@@ -359,7 +365,9 @@
         return []
 
     def _assign(self, now: float, entry: str, body: Assign) -> list[Effect]:
+        """Start what fits, and give back the rest at once: other targets may have room."""
         refused: list[RunId] = []
+        added: list[Run] = []
         for index, number in body.runs:
             id_ = RunId(TaskId(body.job, body.step, index), number)
             if self._state() is not RunnerState.READY or self._level is Health.SICK:
@@ -375,9 +383,14 @@
                 now + body.expires_ms / 1000,
             )
             self._runs.add(run)
+            added.append(run)
         self._links[entry].ends += [(id_, End.NOT_STARTED) for id_ in refused]
         self._tell_all()
-        return []
+        effects = self._pump(now)
+        for run in added:
+            if run.phase is Phase.QUEUED:
+                effects += self._ended(now, run, End.NO_ROOM, "no_room")
+        return effects
 
     def _give_back(self, entry: str, body: Return) -> None:
         for id_ in body.runs:
@@ -387,8 +400,8 @@
                 self._links[entry].ends.append((id_, End.NOT_STARTED))
         self._tell_all()
 
-    def _return_queued(self) -> None:
-        for run in self._runs.queued():
+    def _return_queued(self, now: float) -> None:
+        for run in self._runs.queued(now):
             self._runs.drop(run)
             self._note_end(run, End.NOT_STARTED)
 
@@ -428,7 +441,7 @@
         if not self._clean or self._state() is not RunnerState.READY or self._foreign:
             return []
         effects: list[Effect] = []
-        for run in self._runs.queued():
+        for run in self._runs.queued(now):
             if run.not_before > now or not self._may_start():
                 continue
             if run.need.fits(self._free()):
@@ -535,11 +548,11 @@
             return self._ended(now, run, run.ending, "gone")
         return self._ended(now, run, End.LOST, "gone")
 
-    def _stop_foreign(self, running: dict[RunId, int], finished: list[FinishedRun]) -> list[Effect]:
+    def _stop_foreign(self, running: dict[RunId, int], answer: LookAnswer) -> list[Effect]:
         """Stop what an earlier life of this target has left; until it is gone, start nothing."""
-        ended = {row.run for row in finished}
+        ended = {row.run for row in answer.finished}
         self._foreign = {id_ for id_ in running if self._runs.get(id_) is None and id_ not in ended}
-        if not self._foreign and not self._clean:
+        if not self._foreign and not self._clean and answer.sent >= self._met:
             self._clean = True
             self._tell_all()
         return [StopRun(id_) for id_ in self._foreign]
@@ -556,7 +569,7 @@
                 effects += self._ended(now, run, End.LOST, "runner_replaced")
         self._health = RunnerHealth()
         self._last_seen = 0
-        self._clean = bool(runner) and self._clean
+        self._clean = False
         self._foreign = set()
         if not runner:
             self._account = None
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from dataclasses import dataclass
+from random import Random
 from typing import final
 
 from paddleshunt_core.effects import Log
@@ -38,6 +39,9 @@
 ANNOUNCE_SECONDS = 12.0
 """Seconds for which the store keeps this entry's address."""
 
+LONELY_SECONDS = 3.0
+"""Seconds after the start from which an entry is ready even without a target."""
+
 STORE_PAUSE = 0.3
 """Seconds before the store is called again after a failure."""
 
@@ -82,7 +86,7 @@
         self._around = surroundings
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
-        self._dispatcher = Dispatcher(self._times, config.zone)
+        self._dispatcher = Dispatcher(self._times, config.zone, Random())
         self._catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
         self._callers = HttpServer(self)
@@ -93,6 +97,7 @@
         self._dialer.seeds(set(config.seeds))
         self._flushing = False
         self._leaving = False
+        self._began = self._now()
 
     # The process.
 
@@ -177,7 +182,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether new connections may come here."""
-        return self._catalog.version > 0 and not self._leaving
+        if self._catalog.version == 0 or self._leaving:
+            return False
+        return bool(self._links) or self._now() > self._began + LONELY_SECONDS
 
     def handle(self, exchange: Exchange) -> None:
         """Take a caller's request."""
@@ -291,10 +298,12 @@
             self._entries[link.peer] = (known[0], self._now())
 
     def _note_entry(self, entry: EntryAddress) -> None:
-        if entry.name not in self._entries:
-            self._around.event("entry_found", entry=entry.name, address=entry.address)
+        known = self._entries.get(entry.name)
         self._entries[entry.name] = (entry, self._now())
         self._dialer.want(self._now(), entry.address)
+        if known is None or known[0] != entry:
+            self._around.event("entry_found", entry=entry.name, address=entry.address)
+            self._tell_targets(self._live_entries())
 
     def _compare(self, link: PeerLink, version: int) -> None:
         if version < self._catalog.version:
@@ -316,13 +325,16 @@
             if live != told or self._now() > due:
                 told = live
                 due = self._now() + TELL_SECONDS
-                for name in self._links:
-                    session = self._dispatcher.session(name)
-                    if session is not None:
-                        session.send(Entries(live))
-                self._flush_soon()
+                self._tell_targets(live)
             await asyncio.sleep(GOSSIP_SECONDS)
 
+    def _tell_targets(self, live: list[EntryAddress]) -> None:
+        for name in self._links:
+            session = self._dispatcher.session(name)
+            if session is not None:
+                session.send(Entries(live))
+        self._flush_soon()
+
     # The configuration.
 
     def _adopt(self, catalog: Catalog, source: str) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -27,6 +27,9 @@
 LOOK_PAUSE = 0.08
 """Seconds before the next look after one that got no answer."""
 
+SHORT_PAUSE = 0.02
+"""Seconds between two looks that don't wait."""
+
 LONELY_SECONDS = 2.0
 """Seconds without any session after which the store is asked for entries."""
 
@@ -162,12 +165,15 @@
     async def _look_for_ever(self) -> None:
         failures = 0
         while True:
-            answer = await self._runner.look(self._worker.next_look(self._now()))
+            look = self._worker.next_look(self._now())
+            answer = await self._runner.look(look)
             now = self._now()
             if isinstance(answer, LookAnswer):
                 failures = 0
                 self._note_first_look()
                 self._act(self._worker.looked(now, answer))
+                if look.wait == 0:
+                    await asyncio.sleep(SHORT_PAUSE)
                 continue
             self._act(self._worker.look_failed(now, other_life=isinstance(answer, OtherLife)))
             if isinstance(answer, OtherLife):
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -203,3 +203,24 @@
     caller = fleet.submit("e0", "job", processor=2000)
     fleet.run(4.1)
     assert isinstance(fleet.answers[caller], Refused)
+
+
+def test_nothing_is_started_before_a_new_runner_was_looked_at(fleet: Fleet) -> None:
+    fleet.runners["t0"].crash()
+    fleet.run(1.0)
+    fleet.runners["t0"].restart()
+    fleet.runners["t0"].mute = True
+    fleet.run(0.4)
+    assert fleet.workers["t0"].account is not None
+    caller = fleet.submit("e0", "job", count=6, length=0.1)
+    fleet.run(0.3)
+    assert fleet.answers[caller] == Completed()
+    assert not fleet.runners["t0"].starts
+
+
+def test_a_target_that_gives_tasks_back_is_left_alone_for_a_moment(fleet: Fleet) -> None:
+    fleet.runners["t0"].refuses = True
+    caller = fleet.submit("e0", "job", count=6, length=0.2)
+    fleet.run(0.5)
+    assert fleet.answers[caller] == Completed()
+    assert len(fleet.ends("task_returned")) <= 12
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -6,6 +6,7 @@
 
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from random import Random
 
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import Queue
@@ -55,6 +56,7 @@
         self.speed = 1.0
         self.fails = False
         self.mute = False
+        self.refuses = False
         self.late: float | None = None
         self.starts: Counter[TaskId] = Counter()
         self.rejected = 0
@@ -93,6 +95,8 @@
                 self._end(run, RunEnd.FAILED if self.fails else RunEnd.DONE)
 
     def start(self, now: float, order: StartRun, ordered: float) -> StartAnswer:
+        if self.refuses:
+            return StartAnswer.NOT_SENT
         if now > ordered + order.lease:
             return StartAnswer.LATE
         self.lease_until = max(self.lease_until, ordered + order.lease)
@@ -187,7 +191,7 @@
         self._callers = 0
 
     def _dispatcher(self) -> Dispatcher:
-        return Dispatcher(self.times, "zone")
+        return Dispatcher(self.times, "zone", Random(7))
 
     # What a test does.
 
