Settle doubtful starts by a look, leave slow runners, give priority a head start

Tally jobs, which go first by the operators' table, waited behind older jobs of other queues.

Progress against estimates below 0.35 makes a runner sick: long runs leave it, and it proves itself with one task. Runs that stand still are stopped after 0.15 to 0.35 s and two looks. A step of priority is a head start of 0.15 s. A task that failed on every target may be tried again anywhere.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -424,7 +424,7 @@
         waiting = [job for job in self._jobs.values() if job.waiting()]
         if not waiting:
             return []
-        waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.start_by))
+        waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.urgency))
         usable: dict[str, list[TargetRecord]] = {}
         effects: list[Effect] = []
         for job in waiting:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
@@ -11,6 +11,9 @@
 SICK_SECONDS = 2.0
 """Seconds for which a sick runner is given nothing, before it may prove itself with one task."""
 
+SLOW = 0.35
+"""Speed, against the estimates, below which a runner counts as sick."""
+
 SPEED_WINDOW = 0.8
 """Seconds over which speed is measured."""
 
@@ -34,9 +37,12 @@
             return Health.SICK
         return Health.GOOD if self._proved else Health.PROBATION
 
-    def done(self) -> None:
-        """Note a run that ended well."""
+    def done(self, now: float, speed: float) -> None:
+        """Note a run that ended well, at `speed` against its estimate."""
         self._failures = 0
+        if not self._proved and speed < SLOW:
+            self.suspect(now)
+            return
         self._proved = True
 
     def failed(self, now: float) -> None:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -11,6 +11,9 @@
 STALE_STEP = 16
 """By how much a run's number rises when a runner knows a later run of the task."""
 
+PRIORITY_SECONDS = 0.15
+"""Head start in the order of starts that a queue has for each step of priority."""
+
 ESTIMATE_ERROR = 0.25
 """Part of its estimate by which a job's start may be late, and it may yet end in time."""
 
@@ -89,6 +92,11 @@
         """When its tasks must start to end in time."""
         return self.arrived + self.objective - self.request.estimate
 
+    @property
+    def urgency(self) -> float:
+        """Place in the order of starts; less goes first."""
+        return self.start_by + PRIORITY_SECONDS * self.queue.priority
+
     @property
     def refuse_after(self) -> float:
         """When a job that was not tried is refused: it would be late, and make others late."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -29,17 +29,14 @@
     ) -> TargetRecord | None:
         """Return the target to send the task to, or None to hold it."""
         need = job.request.need
-        usable = [t for t in targets if t.name not in task.avoid and t.could_run(need)]
+        able = [t for t in targets if t.could_run(need)]
+        usable = [t for t in able if t.name not in task.avoid] or able
         probe = self._probe(now, usable)
         if probe is not None and need.fits(probe.free):
             self._probed[probe.name] = now
             return probe
-        good = [t for t in usable if not t.on_probation and not t.is_slow]
-        best = self._least_loaded([t for t in good if need.fits(t.free)])
-        if best is None and now > job.start_by:
-            slow = [t for t in usable if t.is_slow and not t.on_probation]
-            best = self._least_loaded([t for t in slow if need.fits(t.free)])
-        return best
+        good = [t for t in usable if not t.on_probation and need.fits(t.free)]
+        return self._least_loaded(good)
 
     def _probe(self, now: float, targets: list[TargetRecord]) -> TargetRecord | None:
         for target in targets:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -36,6 +36,10 @@
     """When the last order about it was sent."""
     settled: float | None = None
     """When the runner confirmed that order; None while it has not."""
+    doubted: float | None = None
+    """When an order to start got no answer; None if it did, or was seen at work since."""
+    still: int = 0
+    """Looks in a row that showed no progress."""
     percent: int = 0
     moved: float = 0.0
     """When `percent` last rose."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -12,9 +12,6 @@
 FRESH_HEARTBEATS = 3.0
 """Heartbeats without a word after which a target is given nothing new."""
 
-SLOW = 0.5
-"""Speed, against the estimates, below which a runner counts as slow."""
-
 
 @final
 @dataclass(slots=True)
@@ -86,11 +83,6 @@
             return 1.0
         return (self.report.capacity - self.free).share_of(self.report.capacity)
 
-    @property
-    def is_slow(self) -> bool:
-        """Whether its runner works far slower than the estimates say."""
-        return self.report is not None and self.report.speed < SLOW
-
     @property
     def on_probation(self) -> bool:
         """Whether it may have one task to prove itself with."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -10,7 +10,7 @@
 
 from paddleshunt_core.effects import Log, note
 from paddleshunt_core.leased.bounds import LeaseTimes
-from paddleshunt_core.leased.health import RunnerHealth
+from paddleshunt_core.leased.health import SLOW, RunnerHealth
 from paddleshunt_core.leased.orders import (
     FinishedRun,
     Look,
@@ -41,14 +41,23 @@
     TaskId,
 )
 
-LOOK_SHARE = 0.25
+LOOK_SHARE = 0.15
 """Part of the runner's lease that one look may wait for an end."""
 
-STUCK_SECONDS = 0.7
+STUCK_SECONDS = 0.35
 """Seconds without progress after which a run is stopped, to run elsewhere."""
 
-STUCK_SHARE = 0.35
-"""Part of its estimate that a run may stand still, if that is longer."""
+STUCK_LEAST = 0.15
+"""The same for a run whose whole estimate is less."""
+
+STUCK_LOOKS = 2
+"""Looks in a row that must have shown no progress."""
+
+SLOW_RESTART = 1.2
+"""A run on a slow runner is stopped if what is left takes so many times its estimate."""
+
+MIN_SECONDS = 0.001
+"""Shortest time that a run is taken to have lasted."""
 
 NO_ROOM_PAUSE = 0.03
 """Seconds before a run is ordered again that the runner had no room for."""
@@ -56,7 +65,7 @@
 UNREACHABLE_LOOKS = 2
 """Looks in a row without an answer after which a runner counts as unreachable."""
 
-STOP_RETRY = 0.2
+STOP_RETRY = 0.1
 """Seconds after which an unanswered stop is sent again."""
 
 _ENDS = {
@@ -233,6 +242,8 @@
         for run in self._runs:
             if run.id in running:
                 effects += self._progressed(now, run, running[run.id])
+            elif run.doubted is not None and run.doubted < answer.sent:
+                effects += self._stop(now, run, End.NOT_STARTED, "start_unanswered")
             elif run.settled is not None and run.settled < answer.sent:
                 effects += self._vanished(now, run)
         return effects + self._pump(now)
@@ -264,9 +275,7 @@
             case StartAnswer.NO_ROOM:
                 return self._no_room(now, run)
             case StartAnswer.UNKNOWN:
-                run.settled = None
-                self._health.failed(now)
-                return self._stop(now, run, End.NOT_STARTED, "start_unanswered")
+                return self._doubt(now, run)
             case StartAnswer.OTHER_LIFE:
                 return self._runner_replaced(now, "")
             case StartAnswer.UNHEALTHY:
@@ -297,6 +306,7 @@
                 effects += self._end_session(now, name, "silent")
         for run in self._runs:
             effects += self._check(now, run)
+        effects += self._leave_slow(now)
         level = self._health.level(now)
         if level is not self._level:
             self._level = level
@@ -487,11 +497,12 @@
         return self._stop(now, run, End.STOPPED, reason)
 
     def _stop(self, now: float, run: Run, ending: End, reason: str) -> list[Effect]:
-        starting = run.phase is Phase.STARTING and run.settled is None
+        starting = run.phase is Phase.STARTING and run.settled is None and run.doubted is None
         run.phase = Phase.STOPPING
+        run.doubted = None
         run.ending = ending
         log = note("run_stopping", str(run.id.task), run=run.id.number, reason=reason)
-        if starting and reason != "start_unanswered":
+        if starting:
             return [log]
         run.ordered = now
         run.settled = None
@@ -509,6 +520,19 @@
             return self._stop(now, run, End.STOPPED, "expired")
         return []
 
+    def _leave_slow(self, now: float) -> list[Effect]:
+        """Stop, to run elsewhere, what would take long on a runner that has turned slow."""
+        speed = self._health.speed(now)
+        if speed >= SLOW:
+            return []
+        self._health.suspect(now)
+        return [
+            effect
+            for run in self._runs
+            if run.phase is Phase.RUNNING and (100 - run.percent) / 100 > SLOW_RESTART * speed
+            for effect in self._stop(now, run, End.STUCK, "slow")
+        ]
+
     def _listed(self, now: float, finished: FinishedRun) -> list[Effect]:
         self._last_seen = max(self._last_seen, finished.number)
         self._foreign.discard(finished.run)
@@ -517,8 +541,9 @@
             return []
         end = _ENDS[finished.end]
         if finished.end is RunEnd.DONE:
-            self._health.done()
-            self._health.progressed(now, run.estimate * (100 - run.percent) / 100, now - run.seen)
+            work = run.estimate * (100 - run.percent) / 100
+            self._health.progressed(now, work, now - run.seen)
+            self._health.done(now, run.estimate / max(now - run.ordered, MIN_SECONDS))
         elif finished.end is RunEnd.FAILED:
             self._health.failed(now)
         elif finished.end is RunEnd.STOPPED:
@@ -527,17 +552,35 @@
                 end = End.STOPPED
         return self._ended(now, run, end, finished.end.value)
 
+    def _doubt(self, now: float, run: Run) -> list[Effect]:
+        """Let the next look tell whether an unanswered start was carried out."""
+        run.settled = None
+        if run.phase is Phase.STARTING:
+            run.doubted = now
+            return []
+        if run.phase is Phase.STOPPING:
+            return [StopRun(run.id)]
+        return []
+
     def _progressed(self, now: float, run: Run, percent: int) -> list[Effect]:
+        if run.phase is Phase.STARTING:
+            self._renewed = max(self._renewed, run.ordered)
+            run.phase = Phase.RUNNING
+        run.doubted = None
+        run.settled = now if run.phase is Phase.RUNNING else run.settled
         if percent > run.percent:
             work = run.estimate * (percent - run.percent) / 100
             self._health.progressed(now, work, now - run.seen)
             run.percent = percent
             run.moved = now
+            run.still = 0
         elif now > run.seen:
             self._health.progressed(now, 0.0, now - run.seen)
+            run.still += 1
         run.seen = now
-        patience = max(STUCK_SECONDS, run.estimate * STUCK_SHARE)
-        if run.phase is Phase.RUNNING and now > run.moved + patience:
+        patience = min(STUCK_SECONDS, max(STUCK_LEAST, run.estimate))
+        stuck = run.still >= STUCK_LOOKS and now > run.moved + patience
+        if run.phase is Phase.RUNNING and stuck:
             self._health.suspect(now)
             return self._stop(now, run, End.STUCK, "no_progress")
         return []
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -224,3 +224,43 @@
     fleet.run(0.5)
     assert fleet.answers[caller] == Completed()
     assert len(fleet.ends("task_returned")) <= 12
+
+
+def test_a_start_whose_answer_was_lost_is_not_started_again(fleet: Fleet) -> None:
+    fleet.runners["t0"].loses_answers = True
+    caller = fleet.submit("e0", "job", count=6, length=0.4)
+    fleet.run(0.6)
+    assert fleet.answers[caller] == Completed()
+    assert set(fleet.runners["t0"].starts.values()) == {1}
+    assert "run_stopping" not in {kind for _, kind, _ in fleet.events}
+
+
+def test_tasks_leave_a_runner_that_turned_slow(fleet: Fleet) -> None:
+    caller = fleet.submit("e0", "job", count=9, length=1.0, deadline=20.0)
+    fleet.run(0.2)
+    fleet.runners["t0"].speed = 0.1
+    fleet.run(3.0)
+    assert fleet.answers[caller] == Completed()
+
+
+def test_a_slow_runner_is_trusted_again_when_it_has_proved_itself(fleet: Fleet) -> None:
+    fleet.runners["t0"].speed = 0.1
+    for number in range(8):
+        fleet.submit("e0", f"j{number}", count=4, length=0.3, deadline=20.0)
+        fleet.run(0.4)
+    slow = sum(fleet.runners["t0"].starts.values())
+    fleet.runners["t0"].speed = 1.0
+    for number in range(16):
+        fleet.submit("e0", f"k{number}", count=4, length=0.3, deadline=20.0)
+        fleet.run(0.4)
+    assert slow <= 8
+    assert sum(fleet.runners["t0"].starts.values()) > slow + 8
+
+
+def test_a_task_that_failed_on_every_target_is_tried_again() -> None:
+    fleet = Fleet(targets=1)
+    fleet.settle()
+    fleet.runners["t0"].fails = True
+    caller = fleet.submit("e0", "job", count=1, length=0.1)
+    fleet.run(0.8)
+    assert fleet.answers[caller] == Failed("attempts")
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -57,6 +57,7 @@
         self.fails = False
         self.mute = False
         self.refuses = False
+        self.loses_answers = False
         self.late: float | None = None
         self.starts: Counter[TaskId] = Counter()
         self.rejected = 0
@@ -422,6 +423,8 @@
                     answer = StartAnswer.UNKNOWN
                 else:
                     answer = runner.start(self.now, effect, self.now)
+                    if runner.loses_answers:
+                        answer = StartAnswer.UNKNOWN
                 self._act_target(name, worker.start_answered(self.now, effect.run, answer))
             elif isinstance(effect, StopRun):
                 done = runner.up and not runner.mute
