--- a/packages/paddleshunt-cli/src/paddleshunt_cli/main.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/main.py
@@ -6,6 +6,7 @@
 import click
 
 from paddleshunt_cli.entries import EntryClient, EntryError
+from paddleshunt_cli.explain import explain
 from paddleshunt_cli.options import entries_option
 from paddleshunt_cli.replay import replay, trace
 from paddleshunt_cli.status import status
@@ -20,6 +21,7 @@
 
 main.add_command(table)
 main.add_command(status)
+main.add_command(explain)
 main.add_command(replay)
 main.add_command(trace)
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -120,7 +120,8 @@
         job = new_job(caller, request, queue, now)
         wait = self._expected_wait(now, job)
         if now + wait > job.refuse_after:
-            return [*effects, self._refusal(caller, request, "no_room", wait)]
+            refusal = self._refusal(caller, request, "no_room", wait)
+            return [*effects, self._room_note(now, job, wait), refusal]
         self._jobs[caller] = job
         self._by_key[request.key] = job
         fields: dict[str, str | int | float] = {
@@ -237,9 +238,27 @@
         if now > job.expires:
             return [self._give_up(now, job, "deadline")]
         if not job.begun and now > job.refuse_after:
-            return [self._give_up(now, job, "no_room")]
+            note_ = self._room_note(now, job, self._expected_wait(now, job))
+            return [note_, self._give_up(now, job, "no_room")]
         return []
 
+    def _room_note(self, now: float, job: JobRecord, wait: float) -> Log:
+        """Return the line that says on what knowledge of room a job is refused."""
+        service = job.queue.service
+        known = [t for t in self._targets.values() if t.report and t.report.service == service]
+        usable = [t for t in known if t.takes(now, service, self._times)]
+        fields: dict[str, str | int | float] = {
+            "waited_ms": round((now - job.arrived) * 1000),
+            "slack_ms": round((job.start_by - now) * 1000),
+            "expected_wait_ms": round(wait * 1000),
+            "need": job.request.need.processor,
+            "most_free": max((t.free.processor for t in usable), default=0),
+            "targets": len(known),
+            "usable": len(usable),
+            "oldest_report_ms": round(max((now - t.reported for t in usable), default=0) * 1000),
+        }
+        return note("job_refused", job.request.key, **fields)
+
     def _give_up(self, now: float, job: JobRecord, reason: str) -> AnswerJob:
         """Answer a job that can't be of use; the answer says truly whether it has run."""
         outcome: JobOutcome
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
@@ -71,6 +71,11 @@
         self._written: Counter[str] = Counter()
         self.events: Counter[str] = Counter()
 
+    @property
+    def dropped(self) -> int:
+        """Lines that a full pipe did not take, since the last line that said so."""
+        return self._handler.dropped
+
     def write(self, now: float, log: Log) -> None:
         """Write the line of one event, if its kind's budget allows."""
         if log.submission:
--- /dev/null
+++ b/testing/council/test_callers.py
@@ -0,0 +1,107 @@
+"""Callers' requests on the platform, and their answers."""
+
+import msgspec
+import pytest
+from paddleshunt_core.leased.catalog import Catalog, Queue
+from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, JobOutcome, Refused
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_council.callers import Callers
+from paddleshunt_node.aio.httpserver import Request, Response
+from paddleshunt_node.aio.ports import Submission
+
+KEY = "5c0e7a21d94b36f8"
+CATALOG = Catalog(
+    3,
+    [Queue("short", "a.example", "/q/", "svc"), Queue("long", "a.example", "/q/deep/", "svc")],
+    [],
+)
+STEP: dict[str, object] = {"count": 4, "cpu": 500, "mem_mb": 256, "estimated_ms": 900}
+
+
+def request(
+    method: str = "POST",
+    path: str = f"/q/{KEY}",
+    *,
+    host: str = "a.example",
+    body: object = None,
+    deadline: str = "2500",
+) -> Request:
+    raw = msgspec.json.encode(body) if body is not None else b""
+    return Request(method, path, {"host": host, "x-deadline-ms": deadline}, raw)
+
+
+def job(**step: object) -> dict[str, object]:
+    return {"spec": "text", "best_effort": True, "steps": [{**STEP, **step}]}
+
+
+def test_a_job_is_read() -> None:
+    read = Callers().read(request(body=job()), CATALOG)
+    assert isinstance(read, Submission)
+    assert read.queue.name == "short"
+    assert (read.job.key, read.job.spec, read.job.count) == (KEY, "text", 4)
+    assert read.job.need == Resources(500, 256, 0)
+    assert (read.job.estimate, read.job.deadline) == (0.9, 2.5)
+
+
+def test_the_longest_prefix_wins() -> None:
+    read = Callers().read(request(path=f"/q/deep/{KEY}", body=job()), CATALOG)
+    assert isinstance(read, Submission)
+    assert read.queue.name == "long"
+
+
+@pytest.mark.parametrize(
+    ("asked", "status"),
+    [
+        (request(host="b.example", body=job()), 404),
+        (request(path="/other/", body=job()), 404),
+        (request(path="/q/zz", body=job()), 404),
+        (request(body={"steps": "no"}), 400),
+        (request(body=job(count=0)), 400),
+        (request(body=job(cpu=-1)), 400),
+        (request(body=job(), deadline="soon"), 400),
+        (request(body={"spec": "", "steps": [STEP]}), 503),
+        (request(body=job(gang=True)), 503),
+        (request(body=job(requirements="a")), 503),
+        (request("GET", "/q/"), 200),
+        (request("GET"), 410),
+        (request("DELETE"), 410),
+        (request("PUT"), 405),
+    ],
+    ids=[
+        "other-host",
+        "other-path",
+        "no-key",
+        "malformed",
+        "no-tasks",
+        "negative",
+        "bad-deadline",
+        "must-be-kept",
+        "gang",
+        "label",
+        "count",
+        "state",
+        "cancel",
+        "method",
+    ],
+)
+def test_a_request_that_is_no_job_is_answered(asked: Request, status: int) -> None:
+    read = Callers().read(asked, CATALOG)
+    assert isinstance(read, Response)
+    assert read.status == status
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "retry"),
+    [
+        (Completed(), 200, None),
+        (Failed("attempts"), 200, None),
+        (Refused("no_room", 2.6), 503, "3"),
+        (Refused("no_room", 0.0), 503, "1"),
+        (GivenUp("deadline"), 504, "1"),
+    ],
+    ids=["completed", "failed", "refused", "refused-soon", "given-up"],
+)
+def test_outcomes_have_their_status(outcome: JobOutcome, status: int, retry: str | None) -> None:
+    answer = Callers().answer(outcome)
+    assert answer.status == status
+    assert dict(answer.headers).get("Retry-After") == retry
--- /dev/null
+++ b/testing/council/test_store.py
@@ -0,0 +1,94 @@
+"""The store's client, against its stand-in."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+from paddleshunt_core.leased.wire import EntryAddress
+from paddleshunt_council.catalog import CatalogError, read_catalog
+from paddleshunt_council.store import Store
+from paddleshunt_node.aio.ports import StoreUnavailableError
+from standins import StoreStandIn
+
+ENTRY = EntryAddress("e1", "10.0.0.1:7720")
+
+
+def config(version: int) -> bytes:
+    route = {"name": "r", "host": "h", "path_prefix": "/q/", "service": "s", "stretch": 1.6}
+    return json.dumps(
+        {"version": version, "routes": [route], "services": [{"name": "s"}], "limits": {}}
+    ).encode()
+
+
+def play(scene: Callable[[Store, StoreStandIn], Awaitable[None]]) -> None:
+    async def run() -> None:
+        standin = StoreStandIn()
+        await standin.start()
+        await scene(Store(standin.address, 1000), standin)
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+def test_the_configuration_is_read_and_followed() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        assert await store.next_catalog() is None
+        standin.put("op/config", config(3))
+        first = await store.next_catalog()
+        assert first is not None and first.version == 3
+        assert first.queues[0].prefix == "/q/"
+        standin.put("op/config", config(8))
+        second = await store.next_catalog()
+        assert second is not None and second.version == 8
+        assert await store.next_catalog() is None
+
+    play(scene)
+
+
+def test_a_forgotten_history_is_read_anew() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.put("op/config", config(3))
+        await store.next_catalog()
+        standin.put("op/config", config(4))
+        standin.history_gone = True
+        fresh = await store.next_catalog()
+        assert fresh is not None and fresh.version == 4
+
+    play(scene)
+
+
+def test_an_unreadable_configuration_is_passed_over() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.put("op/config", b"{}")
+        assert await store.next_catalog() is None
+        assert "routes" in store.unreadable or "version" in store.unreadable
+
+    play(scene)
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_store_that_turns_calls_away_is_unavailable(status: int) -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.status = status
+        with pytest.raises(StoreUnavailableError, match=str(status)):
+            await store.next_catalog()
+
+    play(scene)
+
+
+def test_entries_are_announced_under_a_lease_and_again_when_it_is_over() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        await store.announce(ENTRY, 12.0)
+        assert await store.entries() == [ENTRY]
+        await store.announce(ENTRY, 12.0)
+        assert [path for path, _ in standin.calls].count("/paddleshunt/kv-txn") == 1
+        standin.leases.clear()
+        await store.announce(ENTRY, 12.0)
+        assert [path for path, _ in standin.calls].count("/paddleshunt/kv-txn") == 2
+
+    play(scene)
+
+
+def test_an_unreadable_catalog_says_why() -> None:
+    with pytest.raises(CatalogError, match="version"):
+        read_catalog(b'{"routes": [], "services": []}')
--- /dev/null
+++ b/testing/node/aio/test_http.py
@@ -0,0 +1,133 @@
+"""The HTTP server and client together, over loopback."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+from paddleshunt_node.aio.httpclient import HttpClient, NoAnswerError, NotSentError
+from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response, ServerLimits
+
+
+class Handler:
+    """Echoes bodies, and holds what goes to `/held`."""
+
+    def __init__(self) -> None:
+        self.held: list[Exchange] = []
+        self.left: list[Exchange] = []
+
+    def handle(self, exchange: Exchange) -> None:
+        if exchange.request.path == "/held":
+            self.held.append(exchange)
+            return
+        exchange.respond(Response(200, exchange.request.body, "text/plain"))
+
+    def abandoned(self, exchange: Exchange) -> None:
+        self.left.append(exchange)
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+def play(
+    scene: Callable[[HttpServer, Handler, str], Awaitable[None]],
+    limits: ServerLimits | None = None,
+) -> None:
+    async def run() -> None:
+        handler = Handler()
+        server = HttpServer(handler, limits)
+        port = free_port()
+        await server.start("127.0.0.1", port)
+        await scene(server, handler, f"127.0.0.1:{port}")
+        server.stop_listening()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def test_calls_reuse_a_connection() -> None:
+    async def scene(_server: HttpServer, _handler: Handler, address: str) -> None:
+        client = HttpClient(address)
+        for body in (b"one", b"two"):
+            assert (await client.call("POST", "/", 5.0, body)).body == body
+        assert client.connections == 1
+
+    play(scene)
+
+
+def test_a_held_request_is_answered_later() -> None:
+    async def scene(_server: HttpServer, handler: Handler, address: str) -> None:
+        call = asyncio.ensure_future(HttpClient(address).call("GET", "/held", 5.0))
+        await until(lambda: bool(handler.held))
+        handler.held[0].respond(Response(503, headers=[("Retry-After", "2")]))
+        answer = await call
+        assert (answer.status, answer.headers["retry-after"]) == (503, "2")
+
+    play(scene)
+
+
+def test_a_caller_that_leaves_is_noticed_while_it_waits() -> None:
+    async def scene(_server: HttpServer, handler: Handler, address: str) -> None:
+        with pytest.raises(NoAnswerError):
+            await HttpClient(address).call("GET", "/held", 0.1)
+        await until(lambda: bool(handler.left))
+        handler.held[0].respond(Response(200))
+
+    play(scene)
+
+
+def test_nothing_listens() -> None:
+    async def run() -> None:
+        with pytest.raises(NotSentError):
+            await HttpClient(f"127.0.0.1:{free_port()}").call("GET", "/", 1.0)
+
+    asyncio.run(run())
+
+
+def test_a_body_over_the_limit_is_refused() -> None:
+    async def scene(_server: HttpServer, _handler: Handler, address: str) -> None:
+        answer = await HttpClient(address).call("POST", "/", 5.0, b"x" * 2000)
+        assert answer.status == 413
+
+    play(scene, ServerLimits(body_bytes=1000))
+
+
+def test_a_connection_without_a_request_is_ended() -> None:
+    async def scene(_server: HttpServer, _handler: Handler, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        assert await reader.read() == b""
+        writer.close()
+
+    play(scene, ServerLimits(header_timeout=0.1))
+
+
+def test_what_is_no_http_is_refused() -> None:
+    async def scene(_server: HttpServer, _handler: Handler, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"nonsense\r\n\r\n")
+        assert (await reader.read()).startswith(b"HTTP/1.1 400")
+        writer.close()
+
+    play(scene)
+
+
+def test_a_closing_server_ends_connections_with_the_answer() -> None:
+    async def scene(server: HttpServer, _handler: Handler, address: str) -> None:
+        server.closing = True
+        client = HttpClient(address)
+        answer = await client.call("GET", "/", 5.0)
+        assert answer.headers["connection"] == "close"
+        await client.call("GET", "/", 5.0)
+        assert client.connections == 2
+
+    play(scene)
