Run an entry and a target between stand-ins of runner and store in tests; test sessions and bounds

Change: testing/council/test_system.py runs both processes' services over loopback: a job once, no configuration, store down, a caller that leaves, a lost entry, planned stops of both.

--- /dev/null
+++ b/testing/core/leased/test_session.py
@@ -0,0 +1,47 @@
+"""Sessions: in order, once, over several connections, and a lease."""
+
+from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.wire import Body, CatalogVersion
+
+
+def body(number: int) -> Body:
+    return CatalogVersion(number)
+
+
+def test_bodies_arrive_once_and_in_order() -> None:
+    one, two = Session(1, 0), Session(1, 0)
+    one.send(body(1))
+    one.send(body(2))
+    frame = one.frame(10)
+    assert two.accept(frame) == [body(1), body(2)]
+    assert two.accept(frame) == []
+    one.send(body(3))
+    assert two.accept(one.frame(20)) == [body(3)]
+
+
+def test_what_was_lost_with_a_connection_is_sent_again() -> None:
+    one, two = Session(1, 0), Session(1, 0)
+    one.send(body(1))
+    two.accept(one.frame(10))
+    one.send(body(2))
+    one.frame(20)
+    one.send(body(3))
+    one.resume(two.received)
+    assert two.accept(one.frame(30)) == [body(2), body(3)]
+
+
+def test_the_lease_counts_from_the_stamp_that_came_back() -> None:
+    target, entry = Session(1, 0), Session(1, 0)
+    held_up = target.frame(100)
+    entry.accept(held_up)
+    answer = entry.frame(5000)
+    target.accept(answer)
+    assert target.confirmed_ms == 100
+
+
+def test_an_echo_of_nothing_new_renews_nothing() -> None:
+    target, entry = Session(1, 0), Session(1, 0)
+    entry.accept(target.frame(100))
+    entry.frame(150)
+    entry.frame(900)
+    assert entry.renewed_ms == 150
--- /dev/null
+++ b/testing/council/test_system.py
@@ -0,0 +1,278 @@
+"""An entry and a target as they run on the platform, between stand-ins of its runner and store."""
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+from paddleshunt_core.leased.bounds import Bounds
+from paddleshunt_council.callers import Callers
+from paddleshunt_council.registration import Registration
+from paddleshunt_council.runner import Runner
+from paddleshunt_council.store import Store
+from paddleshunt_node.aio.entryservice import EntryConfig, EntryService
+from paddleshunt_node.aio.httpclient import Answer, HttpClient, NoAnswerError
+from paddleshunt_node.aio.logline import LogLines
+from paddleshunt_node.aio.measures import Measures
+from paddleshunt_node.aio.process import Surroundings
+from paddleshunt_node.aio.targetservice import TargetConfig, TargetService
+from standins import RunnerStandIn, StoreStandIn, free_port
+
+BOUNDS = Bounds(resend=4.0, hold_max=2.0, stop=0.2, grace=6.0)
+ROUTE = {
+    "name": "r",
+    "host": "127.0.0.1",
+    "path_prefix": "/q/",
+    "service": "svc",
+    "stretch": 1.6,
+    "target_latency_ms": 2000,
+    "max_attempts": 2,
+}
+CONFIG = json.dumps(
+    {"version": 4, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
+).encode()
+BEAT = json.dumps(
+    {
+        "service": "svc",
+        "zone": "hall",
+        "state": "ready",
+        "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+    }
+).encode()
+
+
+class WorkingRunner(RunnerStandIn):
+    """A runner whose tasks take as many milliseconds as their spec says."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tasks: dict[tuple[str, int], tuple[float, float]] = {}
+        self.started: list[str] = []
+        self.stopped: list[str] = []
+
+    def answer(
+        self, path: str, asked: dict[str, object], headers: dict[str, str]
+    ) -> tuple[int, object] | None:
+        now = time.monotonic()
+        self.clock = int(now * 1000)
+        if path.endswith("/run-start"):
+            key = (str(asked["task"]), int(str(asked["run"])))
+            self.tasks[key] = (now, int(str(asked["spec"])) / 1000)
+            self.started.append(key[0])
+        elif path.endswith("/run-stop"):
+            self._end((str(asked["task"]), int(str(asked["run"]))), "stopped")
+            self.stopped.append(str(asked["task"]))
+        for key, (began, length) in list(self.tasks.items()):
+            if began + length <= now:
+                self._end(key, "done")
+        seen = int(str(asked.get("last_seen", 0)))
+        self.finished = [row for row in self.finished if int(str(row[0])) > seen]
+        self.running = [
+            [task, run, "", int(100 * (now - began) / length), 0]
+            for (task, run), (began, length) in self.tasks.items()
+        ]
+        return super().answer(path, asked, headers)
+
+    def _end(self, key: tuple[str, int], how: str) -> None:
+        if self.tasks.pop(key, None) is not None:
+            number = int(str(self.finished[-1][0])) + 1 if self.finished else self.clock
+            self.finished.append([number, key[0], key[1], how, ""])
+
+
+class System:
+    """One entry, one target, their runner and store."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandIn()
+        self.runner = WorkingRunner()
+        self.peers = f"127.0.0.1:{free_port()}"
+        self.callers = f"127.0.0.1:{free_port()}"
+        self.ready = f"127.0.0.1:{free_port()}"
+        self.registration = f"127.0.0.1:{free_port()}"
+        self.entry_around = Surroundings(LogLines("error"), Measures())
+        self.target_around = Surroundings(LogLines("error"), Measures())
+
+    async def start(self) -> None:
+        await self.store.start()
+        await self.runner.start()
+        self.entry = EntryService(
+            EntryConfig(
+                "e1", "hall", self.callers, self.ready, self.peers, self._free(), (), BOUNDS
+            ),
+            Callers(),
+            Store(self.store.address, 1000),
+            self.entry_around,
+        )
+        self.target = TargetService(
+            TargetConfig(
+                "t1", "hall", "127.0.0.1:1", self.registration, self._free(), (self.peers,), BOUNDS
+            ),
+            Registration(),
+            Runner(self.runner.address),
+            Store(self.store.address, 1000),
+            self.target_around,
+        )
+        self.entry_run = asyncio.ensure_future(self.entry.run())
+        self.target_run = asyncio.ensure_future(self.target.run())
+
+    async def open(self) -> None:
+        """Configure, register the runner, and wait until the entry is ready."""
+        self.store.put("op/config", CONFIG)
+        await until(self.beat)
+        await until(self.is_ready)
+
+    async def beat(self) -> bool:
+        path = "/paddleshunt/Instances.Heartbeat/i-1"
+        return (await call(self.registration, "POST", path, BEAT)).status == 200
+
+    async def is_ready(self) -> bool:
+        return (await call(self.ready, "GET", "/paddleshunt/readiness")).status == 200
+
+    async def submit(self, key: str, milliseconds: int, *, wait: float = 10.0) -> Answer:
+        step = {"count": 3, "cpu": 1000, "mem_mb": 10, "estimated_ms": milliseconds}
+        job = {"spec": str(milliseconds), "steps": [step], "best_effort": True}
+        return await HttpClient(self.callers).call(
+            "POST",
+            f"/q/{key}",
+            wait,
+            json.dumps(job).encode(),
+            (("X-Deadline-Ms", "9000"),),
+        )
+
+    def _free(self) -> str:
+        return f"127.0.0.1:{free_port()}"
+
+    async def end(self) -> None:
+        for around in (self.entry_around, self.target_around):
+            around.cancel()
+        for run in (self.entry_run, self.target_run):
+            run.cancel()
+        await asyncio.gather(self.entry_run, self.target_run, return_exceptions=True)
+
+
+async def call(address: str, method: str, path: str, body: bytes = b"") -> Answer:
+    return await HttpClient(address).call(method, path, 5.0, body)
+
+
+async def until(condition: Callable[[], Awaitable[bool]]) -> None:
+    while True:
+        try:
+            if await condition():
+                return
+        except Exception:
+            pass
+        await asyncio.sleep(0.05)
+
+
+async def until_true(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def running() -> AsyncIterator[System]:
+    system = System()
+    await system.start()
+    try:
+        yield system
+    finally:
+        await system.end()
+
+
+def play(scene: Callable[[System], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with running() as system:
+            await scene(system)
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+KEY = "5c0e7a21d94b36f8"
+
+
+def test_a_job_runs_once_and_is_answered() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        answer = await system.submit(KEY, 100)
+        assert (answer.status, answer.body) == (200, b'{"state":"completed"}')
+        assert sorted(system.runner.started) == [f"{KEY}.0.0.{n}" for n in range(3)]
+
+    play(scene)
+
+
+def test_without_a_configuration_nothing_is_taken() -> None:
+    async def scene(system: System) -> None:
+        await until(system.beat)
+        await asyncio.sleep(0.3)
+        assert not await system.is_ready()
+        answer = await system.submit(KEY, 100)
+        assert (answer.status, answer.headers["retry-after"]) == (503, "1")
+        assert system.runner.started == []
+
+    play(scene)
+
+
+def test_work_goes_on_while_the_store_is_down() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        system.store.status = 503
+        await asyncio.sleep(0.5)
+        assert (await system.submit(KEY, 100)).status == 200
+        assert await system.is_ready()
+
+    play(scene)
+
+
+def test_a_caller_that_leaves_has_its_tasks_stopped() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        with pytest.raises(NoAnswerError):
+            await system.submit(KEY, 5000, wait=0.5)
+        await until_true(lambda: len(system.runner.stopped) == 3)
+        assert system.runner.tasks == {}
+
+    play(scene)
+
+
+def test_a_lost_entrys_tasks_are_stopped_before_its_caller_asks_again() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        job = asyncio.ensure_future(system.submit(KEY, 8000))
+        await until_true(lambda: len(system.runner.tasks) == 3)
+        system.entry_around.cancel()
+        began = time.monotonic()
+        await until_true(lambda: not system.runner.tasks)
+        assert time.monotonic() - began < BOUNDS.resend
+        job.cancel()
+
+    play(scene)
+
+
+def test_a_stopping_entry_is_not_ready_and_finishes_what_it_holds() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        job = asyncio.ensure_future(system.submit(KEY, 1000))
+        await until_true(lambda: len(system.runner.tasks) == 3)
+        system.entry_around.stopping.set()
+        await asyncio.sleep(0.1)
+        assert not await system.is_ready()
+        answer = await job
+        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        await asyncio.wait_for(system.entry_run, BOUNDS.grace)
+
+    play(scene)
+
+
+def test_a_stopping_target_lets_its_tasks_end() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        job = asyncio.ensure_future(system.submit(KEY, 800))
+        await until_true(lambda: len(system.runner.tasks) == 3)
+        system.target_around.stopping.set()
+        assert (await job).status == 200
+        await asyncio.wait_for(system.target_run, BOUNDS.grace)
+        assert system.runner.stopped == []
+
+    play(scene)
