Don't stop a run that a look shows before its start's answer; metrics on a port of their own

No run_stopping line: the only silent stop is the one for a run that was to be stopped while its start was on its way. Since looks settle doubtful starts, a look may show a run before the start's answer; the answer then found it RUNNING and stopped it. Ruled out: the runner itself (no lapse, same targets), progress rules (they log).

Change: an answer to a run at work changes nothing; stops of foreign runs are logged. A leaving entry takes its address out of the store.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -471,6 +471,7 @@
         self._renewed = max(self._renewed, run.ordered)
         if run.phase is Phase.STARTING:
             run.phase = Phase.RUNNING
+        if run.phase is Phase.RUNNING:
             return []
         run.ordered = now
         run.settled = None
@@ -598,7 +599,11 @@
         if not self._foreign and not self._clean and answer.sent >= self._met:
             self._clean = True
             self._tell_all()
-        return [StopRun(id_) for id_ in self._foreign]
+        effects: list[Effect] = []
+        for id_ in self._foreign:
+            effects.append(note("foreign_run_stopping", str(id_.task), run=id_.number))
+            effects.append(StopRun(id_))
+        return effects
 
     def _runner_replaced(self, now: float, runner: str) -> list[Effect]:
         """End all that an earlier life of the runner had: it died with it."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -128,7 +128,7 @@
             lambda: PeerLink(self._target_side, self._times.session), *_split(self._config.peers)
         )
         pages = OperatorPages(self._around.measures, self.describe)
-        await serve_pages(pages, self._config.metrics)
+        await serve_pages(pages, self._config.metrics, self._around)
         self._gauges()
         self._around.event("started", role="entry", node=self._config.name, life=self._life)
         self._around.spawn(self._dialer.run())
@@ -142,6 +142,7 @@
         self._leaving = True
         self._callers.closing = True
         self._around.event("leaving", jobs=self._dispatcher.jobs)
+        self._around.spawn(self._withdraw())
         last = began + self._config.bounds.grace - END_MARGIN
         noticed = min(began + NOTICED_SECONDS, last)
         while self._now() < last and (self._dispatcher.jobs or self._now() < noticed):
@@ -382,6 +383,12 @@
                 continue
             await asyncio.sleep(ANNOUNCE_SECONDS / 3)
 
+    async def _withdraw(self) -> None:
+        try:
+            await self._store.withdraw()
+        except StoreUnavailableError as problem:
+            self._around.event("store_unavailable", reason=str(problem))
+
     # Time and sending.
 
     async def _tick_for_ever(self) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -76,9 +76,10 @@
             self.stopping.set()
 
 
-async def serve_pages(pages: OperatorPages, address: str) -> HttpServer:
-    """Serve the operators' pages at host:port; raises `OSError`."""
-    server = HttpServer(pages)
+async def serve_pages(pages: OperatorPages, address: str, around: Surroundings) -> None:
+    """Serve the operators' pages at host:port; without them the process still does its work."""
     host, _, port = address.rpartition(":")
-    await server.start(host, int(port))
-    return server
+    try:
+        await HttpServer(pages).start(host, int(port))
+    except OSError as problem:
+        around.event("pages_unavailable", address=address, problem=str(problem))
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -110,7 +110,7 @@
         host, _, port = self._config.registration.rpartition(":")
         await registration.start(host, int(port))
         pages = OperatorPages(self._around.measures, self.describe)
-        await serve_pages(pages, self._config.metrics)
+        await serve_pages(pages, self._config.metrics, self._around)
         self._gauges()
         self._around.event("started", role="target", node=self._config.name, life=self._life)
         self._around.spawn(self._look_for_ever())
--- a/testing/council/test_settings.py
+++ b/testing/council/test_settings.py
@@ -16,7 +16,6 @@
     "zone": "hall",
     "ip": "127.0.0.1",
     "internal_ports.0": 7720,
-    "internal_ports.1": 7735,
     "seeds": ["127.0.0.1:8166"],
     "app": "127.0.0.1:8165",
     "listen.frontend": "127.0.0.1:8161",
