Judge a runner by its recent failures; split worker, dispatcher and entry service

Change: three failures among the last eight ends make a runner sick. RunnerControl (orders, looks, runs) is split from Worker (sessions), admission from the dispatcher, StoreFollower from the entry service. The message Return, which nothing sent, is gone; a start that the runner rejects for room goes back to its entry as any other.

--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
@@ -0,0 +1,52 @@
+"""What an entry goes by when it takes a job or refuses it: room, and how long it would wait."""
+
+from collections.abc import Iterable
+
+from paddleshunt_core.effects import Log, note
+from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.jobs import JobRecord
+from paddleshunt_core.leased.targets import TargetRecord
+
+NO_TARGET_WAIT = 0.1
+"""Seconds a job is expected to wait for a target when none is known."""
+
+
+def expected_wait(
+    job: JobRecord, usable: Iterable[TargetRecord], held: Iterable[JobRecord]
+) -> float:
+    """Return how many seconds the job's tasks would wait for room, behind the jobs `held`.
+
+    Without a target that is large enough the answer is a guess: one may be found in a moment.
+    """
+    able = [target for target in usable if target.could_run(job.request.need)]
+    if not able:
+        return NO_TARGET_WAIT
+    if any(job.request.need.fits(target.free) for target in able):
+        return 0.0
+    reports = [target.report for target in able if target.report is not None]
+    capacity = sum(report.capacity.processor for report in reports)
+    queued = sum(report.queued_ms for report in reports) / 1000
+    ahead = sum(
+        other.request.need.processor * other.request.estimate * len(other.waiting())
+        for other in held
+        if other.start_by <= job.start_by
+    )
+    return (ahead + queued) / max(1, capacity)
+
+
+def room_note(
+    now: float, job: JobRecord, wait: float, known: list[TargetRecord], times: LeaseTimes
+) -> Log:
+    """Return the line that says on what knowledge of room a job is refused."""
+    usable = [t for t in known if t.takes(now, job.queue.service, times)]
+    fields: dict[str, str | int | float] = {
+        "waited_ms": round((now - job.arrived) * 1000),
+        "slack_ms": round((job.start_by - now) * 1000),
+        "expected_wait_ms": round(wait * 1000),
+        "need": job.request.need.processor,
+        "most_free": max((t.free.processor for t in usable), default=0),
+        "targets": len(known),
+        "usable": len(usable),
+        "oldest_report_ms": round(max((now - t.reported for t in usable), default=0) * 1000),
+    }
+    return note("job_refused", job.request.key, **fields)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -6,11 +6,11 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from random import Random
 from typing import final
 
 from paddleshunt_core.effects import Log, note
+from paddleshunt_core.leased.admission import expected_wait, room_note
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
 from paddleshunt_core.leased.jobs import (
@@ -21,7 +21,14 @@
     TaskRecord,
     new_job,
 )
-from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, JobOutcome, Refused
+from paddleshunt_core.leased.outcomes import (
+    AnswerJob,
+    Completed,
+    Failed,
+    GivenUp,
+    JobOutcome,
+    Refused,
+)
 from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.targets import TargetRecord
@@ -44,9 +51,6 @@
 RETRY_SECONDS = 1.0
 """When a refused caller is told to come back, if nothing better is known."""
 
-NO_TARGET_WAIT = 0.1
-"""Seconds a job is expected to wait for a target when none is known."""
-
 BACKOFF_SECONDS = 0.05
 """Seconds in which a target that gave a task back is given none."""
 
@@ -54,17 +58,6 @@
 """Seconds after which a silent target is forgotten."""
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class AnswerJob:
-    """Tell a caller the outcome of its job."""
-
-    caller: int
-    key: str
-    outcome: JobOutcome
-    waited: float
-
-
 Effect = AnswerJob | Log
 
 
@@ -118,10 +111,14 @@
         if request.key in self._by_key:
             return [*effects, self._refusal(caller, request, "runs_already", RETRY_SECONDS)]
         job = new_job(caller, request, queue, now)
-        wait = self._expected_wait(now, job)
+        wait = self._wait(now, job)
         if now + wait > job.refuse_after:
             refusal = self._refusal(caller, request, "no_room", wait)
-            return [*effects, self._room_note(now, job, wait), refusal]
+            return [
+                *effects,
+                room_note(now, job, wait, self._known(job.queue.service), self._times),
+                refusal,
+            ]
         self._jobs[caller] = job
         self._by_key[request.key] = job
         fields: dict[str, str | int | float] = {
@@ -210,62 +207,23 @@
     ) -> AnswerJob:
         return AnswerJob(caller, request.key, Refused(reason, retry_after), 0.0)
 
-    def _expected_wait(self, now: float, job: JobRecord) -> float:
-        """Return how long the job's tasks would wait for room.
-
-        Without a target the answer is a guess: one may be found in a moment.
-        """
-        service = job.queue.service
-        targets = [
-            t
-            for t in self._targets.values()
-            if t.takes(now, service, self._times) and t.could_run(job.request.need)
-        ]
-        if not targets:
-            return NO_TARGET_WAIT
-        if any(job.request.need.fits(target.free) for target in targets):
-            return 0.0
-        capacity = sum(t.report.capacity.processor for t in targets if t.report)
-        queued = sum(t.report.queued_ms for t in targets if t.report) / 1000
-        ahead = sum(
-            other.request.need.processor * other.request.estimate * len(other.waiting())
-            for other in self._jobs.values()
-            if other.start_by <= job.start_by
-        )
-        return (ahead + queued) / max(1, capacity)
-
     def _check_job(self, now: float, job: JobRecord) -> list[Effect]:
         if now > job.expires:
             return [self._give_up(now, job, "deadline")]
         if not job.begun and now > job.refuse_after:
-            note_ = self._room_note(now, job, self._expected_wait(now, job))
+            note_ = room_note(
+                now, job, self._wait(now, job), self._known(job.queue.service), self._times
+            )
             return [note_, self._give_up(now, job, "no_room")]
         return []
 
-    def _room_note(self, now: float, job: JobRecord, wait: float) -> Log:
-        """Return the line that says on what knowledge of room a job is refused."""
-        service = job.queue.service
-        known = [t for t in self._targets.values() if t.report and t.report.service == service]
-        usable = [t for t in known if t.takes(now, service, self._times)]
-        fields: dict[str, str | int | float] = {
-            "waited_ms": round((now - job.arrived) * 1000),
-            "slack_ms": round((job.start_by - now) * 1000),
-            "expected_wait_ms": round(wait * 1000),
-            "need": job.request.need.processor,
-            "most_free": max((t.free.processor for t in usable), default=0),
-            "targets": len(known),
-            "usable": len(usable),
-            "oldest_report_ms": round(max((now - t.reported for t in usable), default=0) * 1000),
-        }
-        return note("job_refused", job.request.key, **fields)
-
     def _give_up(self, now: float, job: JobRecord, reason: str) -> AnswerJob:
         """Answer a job that can't be of use; the answer says truly whether it has run."""
         outcome: JobOutcome
         if job.begun:
             outcome = GivenUp(reason)
         else:
-            outcome = Refused(reason, max(RETRY_SECONDS, self._expected_wait(now, job)))
+            outcome = Refused(reason, max(RETRY_SECONDS, self._wait(now, job)))
         return self._answer(now, job, outcome)
 
     def _answer(self, now: float, job: JobRecord, outcome: JobOutcome) -> AnswerJob:
@@ -439,6 +397,18 @@
 
     # Inside: placement.
 
+    def _known(self, service: str) -> list[TargetRecord]:
+        """Return the targets that have reported as ones of a service."""
+        known = self._targets.values()
+        return [t for t in known if t.report is not None and t.report.service == service]
+
+    def _usable(self, now: float, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that tasks may be sent to."""
+        return [t for t in self._known(service) if t.takes(now, service, self._times)]
+
+    def _wait(self, now: float, job: JobRecord) -> float:
+        return expected_wait(job, self._usable(now, job.queue.service), self._jobs.values())
+
     def _place(self, now: float) -> list[Effect]:
         waiting = [job for job in self._jobs.values() if job.waiting()]
         if not waiting:
@@ -449,9 +419,7 @@
         for job in waiting:
             service = job.queue.service
             if service not in usable:
-                usable[service] = [
-                    t for t in self._targets.values() if t.takes(now, service, self._times)
-                ]
+                usable[service] = self._usable(now, service)
             effects += self._place_job(now, job, usable[service])
         return effects
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
@@ -1,12 +1,15 @@
-"""How far a target trusts its runner: failures in a row, runs that stand still, and speed."""
+"""How far a target trusts its runner: recent failures, runs that stand still, and speed."""
 
 from collections import deque
 from typing import final
 
 from paddleshunt_core.leased.wire import Health
 
-FAILURES_IN_A_ROW = 3
-"""Failed runs in a row, with none done between, after which a runner counts as sick."""
+RECENT_ENDS = 8
+"""Ends of runs that are remembered."""
+
+FAILURES = 3
+"""Failed runs among the remembered ones with which a runner counts as sick."""
 
 SICK_SECONDS = 2.0
 """Seconds for which a sick runner is given nothing, before it may prove itself with one task."""
@@ -26,7 +29,7 @@
     """Evidence about one life of a runner."""
 
     def __init__(self) -> None:
-        self._failures = 0
+        self._failed: deque[bool] = deque(maxlen=RECENT_ENDS)
         self._sick_until = 0.0
         self._proved = True
         self._progress: deque[tuple[float, float, float]] = deque()
@@ -39,7 +42,7 @@
 
     def done(self, now: float, speed: float) -> None:
         """Note a run that ended well, at `speed` against its estimate."""
-        self._failures = 0
+        self._failed.append(False)
         if not self._proved and speed < SLOW:
             self.suspect(now)
             return
@@ -47,8 +50,8 @@
 
     def failed(self, now: float) -> None:
         """Note a run that failed; it may have been the task's own fault."""
-        self._failures += 1
-        if not self._proved or self._failures >= FAILURES_IN_A_ROW:
+        self._failed.append(True)
+        if not self._proved or sum(self._failed) >= FAILURES:
             self.suspect(now)
 
     def suspect(self, now: float) -> None:
@@ -56,6 +59,7 @@
         self._sick_until = now + SICK_SECONDS
         self._proved = False
         self._progress.clear()
+        self._failed.clear()
 
     def progressed(self, now: float, work: float, seconds: float) -> None:
         """Note that a run did `work` seconds of its estimate within `seconds`."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -36,3 +36,14 @@
 
 
 JobOutcome = Completed | Failed | Refused | GivenUp
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AnswerJob:
+    """Tell a caller the outcome of its job."""
+
+    caller: int
+    key: str
+    outcome: JobOutcome
+    waited: float
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -0,0 +1,431 @@
+"""A target's control of its runner: which runs it orders, keeps alive, stops and gives up."""
+
+from typing import final
+
+from paddleshunt_core.effects import Log, note
+from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.health import SLOW, RunnerHealth
+from paddleshunt_core.leased.orders import (
+    FinishedRun,
+    Look,
+    LookAnswer,
+    Order,
+    RunEnd,
+    RunnerAccount,
+    StartAnswer,
+    StartRun,
+    StopRun,
+)
+from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.runtable import Phase, Run, RunTable
+from paddleshunt_core.leased.wire import End, Health, RunId, RunnerState
+
+LOOK_SHARE = 0.15
+"""Part of the runner's lease that one look may wait for an end."""
+
+STUCK_SECONDS = 0.35
+"""Seconds without progress after which a run is stopped, to run elsewhere."""
+
+STUCK_LEAST = 0.15
+"""The same for a run whose whole estimate is less."""
+
+STUCK_LOOKS = 2
+"""Looks in a row that must have shown no progress."""
+
+SLOW_RESTART = 1.2
+"""A run on a slow runner is stopped if what is left takes so many times its estimate."""
+
+MIN_SECONDS = 0.001
+"""Shortest time that a run is taken to have lasted."""
+
+UNREACHABLE_LOOKS = 2
+"""Looks in a row without an answer after which a runner counts as unreachable."""
+
+STOP_RETRY = 0.1
+"""Seconds after which an unanswered stop is sent again."""
+
+_ENDS = {
+    RunEnd.DONE: End.DONE,
+    RunEnd.FAILED: End.FAILED,
+    RunEnd.STOPPED: End.STOPPED,
+    RunEnd.LAPSED: End.LOST,
+}
+
+Effect = Order | Log
+
+
+@final
+class RunnerControl:
+    """State of one runner. `take_ends` tells which runs have ended since it was asked last."""
+
+    def __init__(self, times: LeaseTimes) -> None:
+        self._times = times
+        self.table = RunTable()
+        self.account: RunnerAccount | None = None
+        self.health = RunnerHealth()
+        self.level = Health.GOOD
+        self.leaving = False
+        self.changed = False
+        """Whether there is something to report that was not when this was last reset."""
+        self.clean = False
+        """Whether this life of the runner was seen with nothing foreign at work."""
+        self._ends: list[tuple[Run, End]] = []
+        self._last_seen = 0
+        self._renewed = float("-inf")
+        self._failed_looks = 0
+        self._met = float("-inf")
+        self._foreign: set[RunId] = set()
+
+    def add(self, now: float, runs: list[Run]) -> list[Effect]:
+        """Start what fits, and give back the rest at once: other targets may have room."""
+        for run in runs:
+            self.table.add(run)
+        effects = self.pump(now)
+        for run in runs:
+            if run.phase is Phase.QUEUED:
+                effects += self._ended(now, run, End.NO_ROOM, "no_room")
+        return effects
+
+    def take_ends(self) -> list[tuple[Run, End]]:
+        """Return the runs that have ended, and how, once."""
+        ends = self._ends
+        self._ends = []
+        return ends
+
+    def tick(self, now: float) -> list[Effect]:
+        """Act on the passing of time."""
+        effects: list[Effect] = []
+        for run in self.table:
+            effects += self._check(now, run)
+        effects += self._leave_slow(now)
+        level = self.health.level(now)
+        if level is not self.level:
+            self.level = level
+            self.changed = True
+            speed = round(self.health.speed(now), 2)
+            effects.append(note("runner_health", health=level.name.lower(), speed=speed))
+        return effects + self.pump(now)
+
+    def leave(self) -> None:
+        """Start nothing more, and give back what is queued."""
+        self.leaving = True
+        self.return_queued()
+        self.changed = True
+
+    def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
+        """Take the runner's account of itself."""
+        known = self.account
+        effects: list[Effect] = []
+        if known is not None and known.runner != account.runner:
+            effects += self._runner_replaced(now, account.runner)
+        if known is None or known.runner != account.runner:
+            self.clean = False
+            self._met = now
+        self.account = account
+        if known != account:
+            self.changed = True
+        if account.leaving and not (known and known.leaving):
+            effects.append(note("runner_leaving", runner=account.runner))
+            self.return_queued()
+        return effects + self.pump(now)
+
+    def runner_left(self, now: float, runner: str) -> list[Effect]:
+        """Take the runner's word that it ends now."""
+        if self.account is None or self.account.runner != runner:
+            return []
+        effects = self._runner_replaced(now, "")
+        self.account = None
+        return effects
+
+    def next_look(self, now: float, *, renew: bool) -> Look:
+        """Return the renewal to send now; it counts as sent.
+
+        After one without an answer, the next only looks, at once: a runner that doesn't answer
+        must not have its lease renewed for ever, or its runs could never be given up.
+        """
+        if self._failed_looks:
+            return Look(self._last_seen, None, 0.0)
+        lease = None
+        if renew:
+            lease = self._times.hold
+            self._renewed = now
+        wait = self._times.hold * LOOK_SHARE if self.clean else 0.0
+        return Look(self._last_seen, lease, wait)
+
+    def looked(self, now: float, answer: LookAnswer) -> list[Effect]:
+        """Take the runner's lists of what runs and what has ended."""
+        effects: list[Effect] = []
+        if self._failed_looks >= UNREACHABLE_LOOKS:
+            effects.append(note("runner_reachable"))
+            self.changed = True
+        self._failed_looks = 0
+        for finished in answer.finished:
+            effects += self._listed(now, finished)
+        running = {row.run: row.percent for row in answer.running}
+        effects += self._stop_foreign(running, answer)
+        for run in self.table:
+            if run.id in running:
+                effects += self._progressed(now, run, running[run.id])
+            elif run.doubted is not None and run.doubted < answer.sent:
+                effects += self._stop(now, run, End.NOT_STARTED, "start_unanswered")
+            elif run.settled is not None and run.settled < answer.sent:
+                effects += self._vanished(now, run)
+        return effects + self.pump(now)
+
+    def look_failed(self, now: float, *, other_life: bool = False) -> list[Effect]:
+        """Take a renewal that got no answer, or the answer that another life runs there."""
+        if other_life:
+            return self._runner_replaced(now, "")
+        effects: list[Effect] = []
+        self._failed_looks += 1
+        if self._failed_looks == UNREACHABLE_LOOKS:
+            effects.append(note("runner_unreachable", runs=len(self.table)))
+            self.return_queued()
+            self.changed = True
+        for run in self.table:
+            if now > max(self._renewed, run.ordered) + self._times.run_end:
+                effects += self._ended(now, run, End.LOST, "lease_lapsed")
+        return effects
+
+    def start_answered(self, now: float, id_: RunId, answer: StartAnswer) -> list[Effect]:
+        """Take what became of an order to start."""
+        run = self.table.get(id_)
+        if run is None:
+            return []
+        run.settled = now
+        match answer:
+            case StartAnswer.STARTED:
+                return self._started(now, run)
+            case StartAnswer.NO_ROOM:
+                return self._no_room(now, run)
+            case StartAnswer.UNKNOWN:
+                return self._doubt(now, run)
+            case StartAnswer.OTHER_LIFE:
+                return self._runner_replaced(now, "")
+            case StartAnswer.UNHEALTHY:
+                self.health.suspect(now)
+            case _:
+                pass
+        end = End.STALE if answer is StartAnswer.STALE else End.NOT_STARTED
+        return [*self._ended(now, run, end, f"start_{answer.value}"), *self.pump(now)]
+
+    def stop_answered(self, now: float, id_: RunId, *, done: bool) -> list[Effect]:
+        """Take what became of an order to stop; an unanswered one is sent again."""
+        run = self.table.get(id_)
+        if run is None:
+            return []
+        if done:
+            run.settled = now
+            return []
+        run.ordered = now
+        return []
+
+    def state(self) -> RunnerState:
+        """Return what the runner may be given."""
+        if self.account is None or self._failed_looks >= UNREACHABLE_LOOKS:
+            return RunnerState.DOWN
+        if self.leaving or self.account.leaving:
+            return RunnerState.LEAVING
+        return RunnerState.READY
+
+    def free(self) -> Resources:
+        """Return the room on the runner."""
+        if self.account is None:
+            return NOTHING
+        return self.account.capacity - self.table.used
+
+    def pump(self, now: float) -> list[Effect]:
+        """Order the most urgent queued runs that fit."""
+        effects: list[Effect] = []
+        for run in self.table.queued():
+            if self._may_start() and run.need.fits(self.free()):
+                self.table.take_room(run)
+                run.ordered = run.moved = run.seen = now
+                run.settled = None
+                effects.append(StartRun(run.id, run.spec, self._times.hold))
+                self.changed = True
+        return effects
+
+    def _may_start(self) -> bool:
+        if not self.clean or self._foreign or self.state() is not RunnerState.READY:
+            return False
+        if self.level is Health.GOOD:
+            return True
+        return self.level is Health.PROBATION and self.table.used == NOTHING
+
+    def _started(self, now: float, run: Run) -> list[Effect]:
+        self._renewed = max(self._renewed, run.ordered)
+        if run.phase is Phase.STARTING:
+            run.phase = Phase.RUNNING
+        if run.phase is Phase.RUNNING:
+            return []
+        run.ordered = now
+        run.settled = None
+        return [StopRun(run.id)]
+
+    def _no_room(self, now: float, run: Run) -> list[Effect]:
+        if run.phase is not Phase.STARTING:
+            return [*self._ended(now, run, run.ending, "no_room"), *self.pump(now)]
+        fields: dict[str, str | int | float] = {
+            "used": self.table.used.processor,
+            "run": run.id.number,
+        }
+        log = note("start_rejected", str(run.id.task), **fields)
+        return [log, *self._ended(now, run, End.NO_ROOM, "rejected"), *self.pump(now)]
+
+    def cancel(self, now: float, run: Run, reason: str) -> list[Effect]:
+        """End a run that nobody wants any more."""
+        if run.phase is Phase.QUEUED:
+            return self._ended(now, run, End.NOT_STARTED, reason)
+        if run.phase is Phase.STOPPING:
+            return []
+        return self._stop(now, run, End.STOPPED, reason)
+
+    def _stop(self, now: float, run: Run, ending: End, reason: str) -> list[Effect]:
+        starting = run.phase is Phase.STARTING and run.settled is None and run.doubted is None
+        run.phase = Phase.STOPPING
+        run.doubted = None
+        run.ending = ending
+        log = note("run_stopping", str(run.id.task), run=run.id.number, reason=reason)
+        if starting:
+            return [log]
+        run.ordered = now
+        run.settled = None
+        return [log, StopRun(run.id)]
+
+    def _check(self, now: float, run: Run) -> list[Effect]:
+        if run.phase is Phase.QUEUED and now > run.expires:
+            return self._ended(now, run, End.NOT_STARTED, "expired")
+        if run.phase is Phase.STOPPING and run.settled is None:
+            if now > run.ordered + STOP_RETRY:
+                run.ordered = now
+                return [StopRun(run.id)]
+            return []
+        if run.phase is Phase.RUNNING and now > run.expires:
+            return self._stop(now, run, End.STOPPED, "expired")
+        return []
+
+    def _leave_slow(self, now: float) -> list[Effect]:
+        """Stop, to run elsewhere, what would take long on a runner that has turned slow."""
+        speed = self.health.speed(now)
+        if speed >= SLOW:
+            return []
+        self.health.suspect(now)
+        return [
+            effect
+            for run in self.table
+            if run.phase is Phase.RUNNING and (100 - run.percent) / 100 > SLOW_RESTART * speed
+            for effect in self._stop(now, run, End.STUCK, "slow")
+        ]
+
+    def _listed(self, now: float, finished: FinishedRun) -> list[Effect]:
+        self._last_seen = max(self._last_seen, finished.number)
+        self._foreign.discard(finished.run)
+        run = self.table.get(finished.run)
+        if run is None:
+            return []
+        end = _ENDS[finished.end]
+        if finished.end is RunEnd.DONE:
+            work = run.estimate * (100 - run.percent) / 100
+            self.health.progressed(now, work, now - run.seen)
+            self.health.done(now, run.estimate / max(now - run.ordered, MIN_SECONDS))
+        elif finished.end is RunEnd.FAILED:
+            self.health.failed(now)
+        elif finished.end is RunEnd.STOPPED:
+            end = run.ending if run.phase is Phase.STOPPING else End.STOPPED
+            if end is End.NOT_STARTED:
+                end = End.STOPPED
+        return self._ended(now, run, end, finished.end.value)
+
+    def _doubt(self, now: float, run: Run) -> list[Effect]:
+        """Let the next look tell whether an unanswered start was carried out."""
+        run.settled = None
+        if run.phase is Phase.STARTING:
+            run.doubted = now
+            return []
+        if run.phase is Phase.STOPPING:
+            return [StopRun(run.id)]
+        return []
+
+    def _progressed(self, now: float, run: Run, percent: int) -> list[Effect]:
+        if run.phase is Phase.STARTING:
+            self._renewed = max(self._renewed, run.ordered)
+            run.phase = Phase.RUNNING
+        run.doubted = None
+        run.settled = now if run.phase is Phase.RUNNING else run.settled
+        if percent > run.percent:
+            work = run.estimate * (percent - run.percent) / 100
+            self.health.progressed(now, work, now - run.seen)
+            run.percent = percent
+            run.moved = now
+            run.still = 0
+        elif now > run.seen:
+            self.health.progressed(now, 0.0, now - run.seen)
+            run.still += 1
+        run.seen = now
+        patience = min(STUCK_SECONDS, max(STUCK_LEAST, run.estimate))
+        stuck = run.still >= STUCK_LOOKS and now > run.moved + patience
+        if run.phase is Phase.RUNNING and stuck:
+            self.health.suspect(now)
+            return self._stop(now, run, End.STUCK, "no_progress")
+        return []
+
+    def _vanished(self, now: float, run: Run) -> list[Effect]:
+        """End a run that a later look of the runner doesn't know."""
+        if run.phase is Phase.STOPPING:
+            return self._ended(now, run, run.ending, "gone")
+        return self._ended(now, run, End.LOST, "gone")
+
+    def _stop_foreign(self, running: dict[RunId, int], answer: LookAnswer) -> list[Effect]:
+        """Stop what an earlier life of this target has left; until it is gone, start nothing."""
+        ended = {row.run for row in answer.finished}
+        self._foreign = {id_ for id_ in running if self.table.get(id_) is None and id_ not in ended}
+        if not self._foreign and not self.clean and answer.sent >= self._met:
+            self.clean = True
+            self.changed = True
+        effects: list[Effect] = []
+        for id_ in self._foreign:
+            effects.append(note("foreign_run_stopping", str(id_.task), run=id_.number))
+            effects.append(StopRun(id_))
+        return effects
+
+    def _runner_replaced(self, now: float, runner: str) -> list[Effect]:
+        """End all that an earlier life of the runner had: it died with it."""
+        fields: dict[str, str | int | float] = {
+            "was": self.account.runner if self.account else "",
+            "now": runner,
+        }
+        effects: list[Effect] = [note("runner_replaced", **fields)]
+        for run in self.table:
+            if run.phase is not Phase.QUEUED:
+                effects += self._ended(now, run, End.LOST, "runner_replaced")
+        self.health = RunnerHealth()
+        self._last_seen = 0
+        self.clean = False
+        self._foreign = set()
+        if not runner:
+            self.account = None
+        self.changed = True
+        return effects
+
+    def _ended(self, now: float, run: Run, end: End, reason: str) -> list[Effect]:
+        self.table.drop(run)
+        self._note(run, end)
+        fields: dict[str, str | int | float] = {
+            "run": run.id.number,
+            "end": end.name.lower(),
+            "reason": reason,
+            "percent": run.percent,
+            "entry": run.entry,
+        }
+        return [note("run_ended", str(run.id.task), **fields)]
+
+    def return_queued(self) -> None:
+        """Give back what has not been started."""
+        for run in self.table.queued():
+            self.table.drop(run)
+            self._note(run, End.NOT_STARTED)
+
+    def _note(self, run: Run, end: End) -> None:
+        self._ends.append((run, end))
+        self.changed = True
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -31,7 +31,6 @@
     start_by: float
     expires: float
     phase: Phase = Phase.QUEUED
-    not_before: float = 0.0
     ordered: float = 0.0
     """When the last order about it was sent."""
     settled: float | None = None
@@ -82,10 +81,10 @@
         if run.phase is not Phase.QUEUED:
             self.used -= run.need
 
-    def queued(self, now: float) -> list[Run]:
-        """Return the queued runs: the most urgent first, those that are late already last."""
+    def queued(self) -> list[Run]:
+        """Return the queued runs, the most urgent first."""
         waiting = [run for run in self._runs.values() if run.phase is Phase.QUEUED]
-        return sorted(waiting, key=lambda run: (run.start_by < now, run.start_by))
+        return sorted(waiting, key=lambda run: run.start_by)
 
     def of_entry(self, entry: str) -> list[Run]:
         """Return the runs of one entry's session."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -98,13 +98,6 @@
     runs: list[RunId]
 
 
-@final
-class Return(_Body, frozen=True, tag=3):
-    """Give back the runs that have not been started."""
-
-    runs: list[RunId]
-
-
 @final
 class Ended(_Body, frozen=True, tag=4):
     """Runs that ended, and how."""
@@ -159,7 +152,7 @@
     version: int
 
 
-Body = Assign | Stop | Return | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
+Body = Assign | Stop | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
 
 
 @final
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -9,8 +9,8 @@
 from paddleshunt_core.effects import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
-from paddleshunt_core.leased.dispatcher import AnswerJob, Dispatcher, Effect
-from paddleshunt_core.leased.outcomes import Completed
+from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
+from paddleshunt_core.leased.outcomes import AnswerJob, Completed
 from paddleshunt_core.leased.wire import (
     Body,
     CatalogNews,
@@ -24,8 +24,9 @@
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
-from paddleshunt_node.aio.ports import CallerCodec, StorePort, StoreUnavailableError
+from paddleshunt_node.aio.ports import CallerCodec, StorePort
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
+from paddleshunt_node.aio.storefollower import StoreFollower
 
 GOSSIP_SECONDS = 0.4
 """Seconds between two messages to each other entry."""
@@ -36,15 +37,9 @@
 TELL_SECONDS = 5.0
 """Seconds between two messages that tell a target of all entries."""
 
-ANNOUNCE_SECONDS = 12.0
-"""Seconds for which the store keeps this entry's address."""
-
 LONELY_SECONDS = 3.0
 """Seconds after the start from which an entry is ready even without a target."""
 
-STORE_PAUSE = 0.3
-"""Seconds before the store is called again after a failure."""
-
 NOTICED_SECONDS = 2.3
 """Seconds that the balancer may take to notice that this entry is leaving."""
 
@@ -82,7 +77,6 @@
     ) -> None:
         self._config = config
         self._codec = codec
-        self._store = store
         self._around = surroundings
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
@@ -95,6 +89,9 @@
         self._entries: dict[str, tuple[EntryAddress, float]] = {}
         self._dialer = Dialer(_EntrySide(self), config.peers, self._times.session, lambda _: True)
         self._dialer.seeds(set(config.seeds))
+        self._follower = StoreFollower(
+            store, surroundings, EntryAddress(config.name, config.peers), self
+        )
         self._flushing = False
         self._leaving = False
         self._began = self._now()
@@ -134,15 +131,15 @@
         self._around.spawn(self._dialer.run())
         self._around.spawn(self._tick_for_ever())
         self._around.spawn(self._gossip_for_ever())
-        self._around.spawn(self._follow_store())
-        self._around.spawn(self._announce())
+        self._around.spawn(self._follower.follow())
+        self._around.spawn(self._follower.announce())
 
     async def _leave(self) -> None:
         began = self._now()
         self._leaving = True
         self._callers.closing = True
         self._around.event("leaving", jobs=self._dispatcher.jobs)
-        self._around.spawn(self._withdraw())
+        self._around.spawn(self._follower.withdraw())
         last = began + self._config.bounds.grace - END_MARGIN
         noticed = min(began + NOTICED_SECONDS, last)
         while self._now() < last and (self._dispatcher.jobs or self._now() < noticed):
@@ -289,7 +286,7 @@
                     for entry in body.entries:
                         self._dialer.want(self._now(), entry.address)
                 case CatalogNews():
-                    self._adopt(body.catalog, link.peer)
+                    self.adopt(body.catalog, link.peer)
                 case CatalogVersion():
                     self._compare(link, body.version)
                 case _:
@@ -336,9 +333,18 @@
                 session.send(Entries(live))
         self._flush_soon()
 
+    def lacks_entries(self) -> bool:
+        """Whether no other entry has been met."""
+        return not self._entries
+
+    def met(self, entry: EntryAddress) -> None:
+        """Dial an entry that was heard of."""
+        self._dialer.want(self._now(), entry.address)
+
     # The configuration.
 
-    def _adopt(self, catalog: Catalog, source: str) -> None:
+    def adopt(self, catalog: Catalog, source: str) -> None:
+        """Follow `catalog` if it is newer than the one in force."""
         if catalog.version <= self._catalog.version:
             return
         before = self._catalog.version
@@ -353,42 +359,6 @@
         for link in self._dialer.links():
             link.send(news)
 
-    async def _follow_store(self) -> None:
-        reachable = True
-        while True:
-            try:
-                catalog = await self._store.next_catalog()
-            except StoreUnavailableError as problem:
-                if reachable:
-                    self._around.event("store_lost", reason=str(problem))
-                reachable = False
-                await asyncio.sleep(STORE_PAUSE)
-                continue
-            if not reachable:
-                self._around.event("store_regained")
-            reachable = True
-            if catalog is not None:
-                self._adopt(catalog, "store")
-
-    async def _announce(self) -> None:
-        while True:
-            try:
-                entry = EntryAddress(self._config.name, self._config.peers)
-                await self._store.announce(entry, ANNOUNCE_SECONDS)
-                if not self._entries:
-                    for known in await self._store.entries():
-                        self._dialer.want(self._now(), known.address)
-            except StoreUnavailableError:
-                await asyncio.sleep(STORE_PAUSE)
-                continue
-            await asyncio.sleep(ANNOUNCE_SECONDS / 3)
-
-    async def _withdraw(self) -> None:
-        try:
-            await self._store.withdraw()
-        except StoreUnavailableError as problem:
-            self._around.event("store_unavailable", reason=str(problem))
-
     # Time and sending.
 
     async def _tick_for_ever(self) -> None:
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/storefollower.py
@@ -0,0 +1,80 @@
+"""What an entry does with the store: follows the configuration, and announces its address."""
+
+import asyncio
+from typing import Protocol, final
+
+from paddleshunt_core.leased.catalog import Catalog
+from paddleshunt_core.leased.wire import EntryAddress
+
+from paddleshunt_node.aio.ports import StorePort, StoreUnavailableError
+from paddleshunt_node.aio.process import Surroundings
+
+ANNOUNCE_SECONDS = 12.0
+"""Seconds for which the store keeps this entry's address."""
+
+STORE_PAUSE = 0.3
+"""Seconds before the store is called again after a failure."""
+
+
+class Owner(Protocol):
+    """The entry that what was found is for."""
+
+    def adopt(self, catalog: Catalog, source: str) -> None:
+        """Take a configuration."""
+
+    def lacks_entries(self) -> bool:
+        """Whether other entries are looked for."""
+
+    def met(self, entry: EntryAddress) -> None:
+        """Take another entry's address."""
+
+
+@final
+class StoreFollower:
+    """Calls the store for one entry; its loops end when they are cancelled."""
+
+    def __init__(
+        self, store: StorePort, surroundings: Surroundings, entry: EntryAddress, owner: Owner
+    ) -> None:
+        self._store = store
+        self._around = surroundings
+        self._entry = entry
+        self._owner = owner
+
+    async def follow(self) -> None:
+        """Hand on each new configuration until cancelled."""
+        reachable = True
+        while True:
+            try:
+                catalog = await self._store.next_catalog()
+            except StoreUnavailableError as problem:
+                if reachable:
+                    self._around.event("store_lost", reason=str(problem))
+                reachable = False
+                await asyncio.sleep(STORE_PAUSE)
+                continue
+            if not reachable:
+                self._around.event("store_regained")
+            reachable = True
+            if catalog is not None:
+                self._owner.adopt(catalog, "store")
+
+    async def announce(self) -> None:
+        """Keep this entry's address in the store; look for others there if none was met."""
+        while True:
+            try:
+                await self._store.announce(self._entry, ANNOUNCE_SECONDS)
+                if self._owner.lacks_entries():
+                    for known in await self._store.entries():
+                        self._owner.met(known)
+            except StoreUnavailableError:
+                await asyncio.sleep(STORE_PAUSE)
+                continue
+            await asyncio.sleep(ANNOUNCE_SECONDS / 3)
+
+    async def withdraw(self) -> None:
+        """Take this entry's address out of the store."""
+        try:
+            await self._store.withdraw()
+        except StoreUnavailableError as problem:
+            self._around.event("store_unavailable", reason=str(problem))
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -8,8 +8,9 @@
 from paddleshunt_core.effects import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
+from paddleshunt_core.leased.runnercontrol import Effect
 from paddleshunt_core.leased.wire import Entries, Frame, Hello
-from paddleshunt_core.leased.worker import Effect, Worker
+from paddleshunt_core.leased.worker import Worker
 
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
