Let a job that comes again at its home go on for the new caller

Cause (reading): an entry that still held a job answered a second send of it 503, which says that it never runs, while its tasks ran for a connection that was likely dead.

Change: the newer caller takes the job over; the earlier one hears 504. Scenario test_a_job_that_comes_again_at_its_home_goes_on_with_the_new_caller failed before.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -109,7 +109,7 @@
         if now < self._thawed + THAW_SECONDS:
             return [*effects, self._refusal(caller, request, "stood_still", THAW_SECONDS)]
         if request.key in self._by_key:
-            return [*effects, self._refusal(caller, request, "runs_already", RETRY_SECONDS)]
+            return [*effects, self._hand_over(now, caller, self._by_key[request.key])]
         job = new_job(caller, request, queue, now)
         wait = self._wait(now, job)
         if now + wait > job.refuse_after:
@@ -139,6 +139,15 @@
         age = round((now - job.arrived) * 1000)
         return [note("caller_left", job.request.key, after_ms=age), *self._place(now)]
 
+    def _hand_over(self, now: float, caller: int, job: JobRecord) -> AnswerJob:
+        """Let a job that came again go on for its new caller; the earlier one is likely gone."""
+        earlier = job.caller
+        del self._jobs[earlier]
+        job.caller = caller
+        self._jobs[caller] = job
+        outcome = GivenUp("came_again")
+        return AnswerJob(earlier, job.request.key, outcome, now - job.arrived)
+
     # Targets.
 
     def greeted(self, now: float, hello: Hello) -> tuple[Session | None, list[Effect]]:
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -264,3 +264,13 @@
     caller = fleet.submit("e0", "job", count=1, length=0.1)
     fleet.run(0.8)
     assert fleet.answers[caller] == Failed("attempts")
+
+
+def test_a_job_that_comes_again_at_its_home_goes_on_with_the_new_caller(fleet: Fleet) -> None:
+    first = fleet.submit("e0", "job", count=3, length=0.5)
+    fleet.run(0.2)
+    second = fleet.submit("e0", "job", count=3, length=0.5)
+    fleet.run(0.6)
+    assert fleet.answers[first] == GivenUp("came_again")
+    assert fleet.answers[second] == Completed()
+    assert sum(r.starts.total() for r in fleet.runners.values()) == 3
