Tell the runs of a job's later try from those of an earlier one

A late end, or the loss of a silent target, that belongs to the earlier try named the same task and number and set the new try's running task waiting: it would have run twice at once. A target given a run that it still had of an earlier try overwrote it and lost its room.

Change: a run belongs to a task only at the task's own target; a target gives back a run that it knows.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -294,7 +294,7 @@
             "lost": len(lost),
         }
         log = note("session_opened", **fields)
-        return session, [log, *self._run_again(now, lost, "session_replaced")]
+        return session, [log, *self._run_again(target, lost, "session_replaced")]
 
     def _check_target(self, now: float, target: TargetRecord) -> list[Effect]:
         if target.session is not None:
@@ -304,7 +304,7 @@
         if target.held and now > target.lost_at:
             lost = list(target.held)
             target.held.clear()
-            return self._run_again(now, lost, "lease_lapsed")
+            return self._run_again(target, lost, "lease_lapsed")
         if now > target.heard + FORGET_SECONDS:
             del self._targets[target.name]
         return []
@@ -318,7 +318,7 @@
         target.held |= set(target.placed)
         target.placed.clear()
         for run in target.held:
-            task = self._task(run)
+            task = self._task(run, target)
             if task is not None:
                 task.phase = TaskPhase.HELD
         fields: dict[str, str | int | float] = {
@@ -342,7 +342,7 @@
 
     def _ended(self, now: float, target: TargetRecord, run: RunId, end: End) -> list[Effect]:
         target.placed.pop(run, None)
-        task = self._task(run)
+        task = self._task(run, target)
         if task is None or task.phase is not TaskPhase.PLACED:
             return []
         job = self._by_key[run.task.job]
@@ -380,11 +380,11 @@
             return [self._answer(now, job, Failed("attempts"))]
         return []
 
-    def _run_again(self, now: float, runs: Iterable[RunId], reason: str) -> list[Effect]:
+    def _run_again(self, target: TargetRecord, runs: Iterable[RunId], reason: str) -> list[Effect]:
         """Place tasks again whose runs can't be at work any more."""
         effects: list[Effect] = []
         for run in runs:
-            task = self._task(run)
+            task = self._task(run, target)
             if task is None or task.phase is TaskPhase.DONE:
                 continue
             task.phase = TaskPhase.WAITING
@@ -397,12 +397,16 @@
             effects.append(note("task_returned", run.task.job, **fields))
         return effects
 
-    def _task(self, run: RunId) -> TaskRecord | None:
+    def _task(self, run: RunId, target: TargetRecord) -> TaskRecord | None:
+        """Return the task whose newest run this is, at this target.
+
+        A job that came again counts its runs anew, so number and target must both be right.
+        """
         job = self._by_key.get(run.task.job)
         if job is None:
             return None
         task = job.tasks[run.task.index]
-        return task if task.number == run.number else None
+        return task if task.number == run.number and task.target == target.name else None
 
     # Inside: placement.
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -224,10 +224,11 @@
         control = self._control
         runs = [_run(now, entry, body, index, number) for index, number in body.runs]
         control.changed = True
-        if control.state() is RunnerState.READY and control.level is not Health.SICK:
-            return control.add(now, runs)
-        self._links[entry].ends += [(run.id, End.NOT_STARTED) for run in runs]
-        return []
+        takes = control.state() is RunnerState.READY and control.level is not Health.SICK
+        # A run that is known belongs to an earlier try of the job, which is being stopped.
+        new = [run for run in runs if takes and control.table.get(run.id) is None]
+        self._links[entry].ends += [(run.id, End.NOT_STARTED) for run in runs if run not in new]
+        return control.add(now, new)
 
     def _report(self, now: float) -> RunnerReport:
         control = self._control
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -10,7 +10,7 @@
     StopRun,
 )
 from paddleshunt_core.leased.resources import Resources
-from paddleshunt_core.leased.wire import Assign, Frame, Hello, RunId, TaskId
+from paddleshunt_core.leased.wire import Assign, End, Ended, Frame, Hello, RunId, TaskId
 from paddleshunt_core.leased.worker import Worker
 
 RUN = RunId(TaskId("job", 0, 0), 1)
@@ -56,3 +56,16 @@
     assert StopRun(RUN) in effects
     assert "foreign_run_stopping" in [getattr(effect, "event", "") for effect in effects]
     assert not worker.may_open("e")
+
+
+def test_a_run_that_is_known_already_is_given_back() -> None:
+    worker = working()
+    worker.opened(1.0, Hello("e2", "life", True, "hall", "", 1, 0), 1.0)
+    assign = Assign("job", 0, "spec", Resources(1000, 10), 400, 300, 4000, [(0, 1)])
+    effects = worker.heard(1.01, "e2", Frame(1, 0, 1010, 1010, [assign]))
+    assert not [effect for effect in effects if isinstance(effect, StartRun)]
+    worker.prepare_frames(1.02)
+    session = worker.session("e2")
+    assert session is not None
+    ends = [body for body in session.frame(1020).bodies if isinstance(body, Ended)]
+    assert ends == [Ended([(RUN, End.NOT_STARTED)])]
