Hold sessions with a few entries, answer heartbeats at once, report room less often; read racks and labels

Cause: on the grown council site 66 targets held a session with each of 11 entries, told each of them of every change, and both sides sent heartbeats each 92 ms.

Change: a target holds sessions with the first 4 reachable entries of its own rendezvous ranking and retires others once they have no run there. Only targets send heartbeats, each 131 ms; an entry answers. Reports that come with no end of a run wait 80 ms, or for the heartbeat while a third of the room is free. Looks wait longer while nothing runs. An entry keeps the sum of what is on its way instead of adding it up at each question.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -12,8 +12,11 @@
 SESSION_SHARE = 0.4
 """Part of the time before a caller's retry that the session's lease takes."""
 
-HEARTBEATS_A_SESSION = 5
-"""Heartbeats that fit into a session's lease: so many must be lost in a row to end it."""
+HEARTBEATS_A_SESSION = 3.5
+"""Heartbeats of a target that fit into a session's lease; the entry answers each at once."""
+
+CHECKS_A_SESSION = 6
+"""How often within a session's length an entry looks for what time has decided."""
 
 MIN_LEASE = 0.05
 """Seconds below which a lease can't be renewed reliably."""
@@ -31,7 +34,8 @@
     `resend`: a caller that met silence or a broken connection sends again after this long.
     `hold_max`: the longest lease that a runner grants. `stop`: how long a stop takes at most.
     `drain`: after it, a target that leaves may start nothing. `grace`: time from SIGTERM to
-    SIGKILL. `config_apply`: in it, an accepted configuration is in force.
+    SIGKILL. `config_apply`: in it, an accepted configuration is in force. `remote_factor`: how many
+    times as long a task takes away from the rack where its data lies.
     """
 
     resend: float = 1.3
@@ -40,6 +44,7 @@
     drain: float = 2.0
     grace: float = 6.0
     config_apply: float = 2.0
+    remote_factor: float = 1.5
 
 
 @final
@@ -55,6 +60,16 @@
     hold: float
     stop: float
 
+    @property
+    def reply_pause(self) -> float:
+        """Shortest time between two frames of an entry that only answer a heartbeat."""
+        return self.heartbeat / 2
+
+    @property
+    def check(self) -> float:
+        """Seconds between two looks of an entry at what time has decided."""
+        return self.session / CHECKS_A_SESSION
+
     @property
     def run_end(self) -> float:
         """Seconds from a runner's last renewal until nothing can run there any more."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -65,9 +65,11 @@
 class Dispatcher:
     """State of one entry's jobs and targets."""
 
-    def __init__(self, times: LeaseTimes, zone: str, rng: Random) -> None:
+    def __init__(
+        self, times: LeaseTimes, zone: str, rng: Random, remote_factor: float = 1.0
+    ) -> None:
         self._times = times
-        self._placement = Placement(zone, times, rng)
+        self._placement = Placement(zone, rng, remote_factor)
         self._jobs: dict[int, JobRecord] = {}
         self._by_key: dict[str, JobRecord] = {}
         self._targets: dict[str, TargetRecord] = {}
@@ -283,8 +285,7 @@
         target.life = hello.life
         target.zone = hello.zone
         session = target.session = Session(self._sessions, int(now * 1000))
-        target.report = None
-        target.unseen.clear()
+        target.reset()
         lost = [*target.placed, *target.held]
         target.placed.clear()
         target.held.clear()
@@ -314,7 +315,7 @@
         assert target.session is not None  # noqa: S101
         target.lost_at = target.session.renewed_ms / 1000 + self._times.session_end
         target.session = None
-        target.report = None
+        target.reset()
         target.held |= set(target.placed)
         target.placed.clear()
         for run in target.held:
@@ -437,9 +438,10 @@
         return effects
 
     def _place_job(self, now: float, job: JobRecord, targets: list[TargetRecord]) -> list[Effect]:
+        able = self._placement.able(job, targets)
         chosen: dict[str, list[TaskRecord]] = {}
-        for task in job.waiting():
-            target = self._placement.choose(now, job, task, targets)
+        for task in job.waiting() if able else ():
+            target = self._placement.choose(now, job, task, able)
             if target is None:
                 break
             task.number += 1
@@ -447,8 +449,7 @@
             task.target = target.name
             task.placed = now
             target.placed[task.run] = job.request.need
-            # The number is filled in once the message is queued.
-            target.unseen.append((_NOT_SENT, job.request.need))
+            target.reserve(job.request.need)
             chosen.setdefault(target.name, []).append(task)
         return [self._send(now, job, self._targets[name], tasks) for name, tasks in chosen.items()]
 
@@ -469,9 +470,7 @@
         )
         load = target.load
         number = target.session.send(message)
-        for _ in tasks:
-            target.unseen.pop()
-        target.unseen.extend((number, request.need) for _ in tasks)
+        target.assigned(number, request.need, len(tasks))
         fields: dict[str, str | int | float] = {
             "target": target.name,
             "indexes": ",".join(str(task.id.index) for task in tasks),
@@ -479,7 +478,3 @@
             "report_age_ms": round((now - target.reported) * 1000),
         }
         return note("job_placed", request.key, **fields)
-
-
-_NOT_SENT = 1 << 62
-"""Number of a message that is about to be queued."""
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
@@ -0,0 +1,57 @@
+"""Which entries a target holds sessions with: a few of those that live, by rendezvous hashing.
+
+Each target ranks the entries by a hash of both names and holds a session with the first few that
+it can reach. So each entry gets an even share of the targets, each target is shared by several
+entries, and one entry's end moves only the sessions that it had.
+"""
+
+from typing import final
+
+from xxhash import xxh64_intdigest
+
+from paddleshunt_core.leased.wire import EntryAddress
+
+SESSIONS = 4
+"""Entries that a target holds a session with, if there are as many."""
+
+SUSPECT_SECONDS = 2.0
+"""Seconds for which an entry that could not be reached is passed over."""
+
+
+@final
+class EntryChoice:
+    """What one target knows of the entries, and which of them it wants."""
+
+    def __init__(self, target: str, sessions: int = SESSIONS) -> None:
+        self._target = target
+        self._sessions = sessions
+        self._told: dict[str, list[EntryAddress]] = {}
+        self._suspected: dict[str, float] = {}
+
+    def told(self, teller: str, entries: list[EntryAddress]) -> None:
+        """Take the entries that one entry knows to live; they replace what it said before."""
+        self._told[teller] = entries
+
+    def suspect(self, now: float, name: str) -> None:
+        """Pass an entry over for a while: it can't be reached, or its session ended."""
+        self._suspected[name] = now + SUSPECT_SECONDS
+
+    def wanted(self, now: float, linked: set[str]) -> list[EntryAddress]:
+        """Return the entries to hold sessions with, the first choice first.
+
+        Only what the `linked` entries have told counts, as long as there is one.
+        """
+        known: dict[str, EntryAddress] = {}
+        tellers = linked & self._told.keys() or self._told.keys()
+        for teller in tellers:
+            known.update((entry.name, entry) for entry in self._told[teller])
+        reachable = [e for e in known.values() if now >= self._suspected.get(e.name, 0.0)]
+        ranked = sorted(reachable, key=self._rank)
+        return ranked[: self._sessions]
+
+    def knows(self) -> bool:
+        """Whether any entry has told of the others."""
+        return bool(self._told)
+
+    def _rank(self, entry: EntryAddress) -> int:
+        return xxh64_intdigest(f"{self._target}\n{entry.name}".encode())
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -33,6 +33,12 @@
     need: Resources
     estimate: float
     deadline: float
+    rack: str = ""
+    """Rack where the data lies; elsewhere the tasks take longer."""
+    label: str = ""
+    """Label that a runner's host must have; empty for none."""
+    spread: int = 0
+    """How many of the tasks one runner may have at most; 0 for any number."""
 
 
 class TaskPhase(Enum):
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -20,6 +20,8 @@
     leaving: bool
     remaining: float | None
     """Seconds until it leaves at the earliest; None if it didn't say."""
+    labels: tuple[str, ...] = ()
+    """Kind and rack of its host."""
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -3,8 +3,7 @@
 from random import Random
 from typing import final
 
-from paddleshunt_core.leased.bounds import LeaseTimes
-from paddleshunt_core.leased.jobs import JobRecord, TaskRecord
+from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.targets import TargetRecord
 
 LOAD_STEPS = 12
@@ -13,31 +12,62 @@
 PROBE_PERIOD = 1.0
 """Seconds between two tasks that an entry gives to a runner on probation."""
 
+OVERHEAD_SECONDS = 0.02
+"""Time that a run takes besides its work: messages, and the look that shows its end."""
+
 
 @final
 class Placement:
-    """Chooses among an entry's targets; remembers when it last probed one."""
+    """Chooses among an entry's targets; remembers when it last probed one.
+
+    Away from the rack where its data lies, a task takes `remote_factor` times as long.
+    """
 
-    def __init__(self, zone: str, times: LeaseTimes, rng: Random) -> None:
+    def __init__(self, zone: str, rng: Random, remote_factor: float) -> None:
         self._rng = rng
         self._zone = zone
-        self._times = times
+        self._remote_factor = remote_factor
         self._probed: dict[str, float] = {}
 
+    def able(self, job: JobRecord, targets: list[TargetRecord]) -> list[TargetRecord]:
+        """Return the targets whose runner may run the job's tasks; none if none has room."""
+        request = job.request
+        able = [t for t in targets if t.could_run(request.need)]
+        if request.label:
+            able = [t for t in able if t.has_label(request.label)]
+        return able if any(request.need.fits(t.free) for t in able) else []
+
     def choose(
-        self, now: float, job: JobRecord, task: TaskRecord, targets: list[TargetRecord]
+        self, now: float, job: JobRecord, task: TaskRecord, able: list[TargetRecord]
     ) -> TargetRecord | None:
         """Return the target to send the task to, or None to hold it."""
         need = job.request.need
-        able = [t for t in targets if t.could_run(need)]
         usable = [t for t in able if t.name not in task.avoid] or able
+        if job.request.spread:
+            usable = [t for t in usable if _tasks_at(job, t) < job.request.spread]
         probe = self._probe(now, usable)
         if probe is not None and need.fits(probe.free):
             self._probed[probe.name] = now
             return probe
-        good = [t for t in usable if not t.on_probation and need.fits(t.free)]
+        sound = [t for t in usable if not t.on_probation]
+        good = [t for t in sound if need.fits(t.free)]
+        rack = job.request.rack
+        if rack:
+            near = [t for t in good if t.has_label(rack)]
+            if near or (self._awaits_rack(now, job) and any(t.has_label(rack) for t in sound)):
+                good = near
         return self._least_loaded(good)
 
+    def _awaits_rack(self, now: float, job: JobRecord) -> bool:
+        """Whether a task had better wait for room near its data.
+
+        It does as long as it would end in time elsewhere too, and again from when it would only
+        end in time near its data.
+        """
+        work = job.request.estimate
+        elsewhere = job.arrived + job.objective - self._remote_factor * work - OVERHEAD_SECONDS
+        return now < elsewhere or elsewhere + 2 * OVERHEAD_SECONDS < now < job.start_by
+
     def _probe(self, now: float, targets: list[TargetRecord]) -> TargetRecord | None:
         for target in targets:
             if target.on_probation and now > self._probed.get(target.name, 0.0) + PROBE_PERIOD:
@@ -51,3 +81,10 @@
             return int(target.load * LOAD_STEPS), target.zone != self._zone, self._rng.random()
 
         return min(targets, key=key, default=None)
+
+
+def _tasks_at(job: JobRecord, target: TargetRecord) -> int:
+    """Return how many tasks of a job have been sent to a target and did not come back."""
+    return sum(
+        task.target == target.name and task.phase is not TaskPhase.WAITING for task in job.tasks
+    )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -23,6 +23,9 @@
 LOOK_SHARE = 0.15
 """Part of the runner's lease that one look may wait for an end."""
 
+IDLE_LOOK_SHARE = 0.45
+"""The same while no run is at work."""
+
 STUCK_SECONDS = 0.35
 """Seconds without progress after which a run is stopped, to run elsewhere."""
 
@@ -149,8 +152,12 @@
         if renew:
             lease = self._times.hold
             self._renewed = now
-        wait = self._times.hold * LOOK_SHARE if self.clean else 0.0
-        return Look(self._last_seen, lease, wait)
+        return Look(self._last_seen, lease, self._look_wait())
+
+    def _look_wait(self) -> float:
+        if not self.clean:
+            return 0.0
+        return self._times.hold * (LOOK_SHARE if len(self.table) else IDLE_LOOK_SHARE)
 
     def looked(self, now: float, answer: LookAnswer) -> list[Effect]:
         """Take the runner's lists of what runs and what has ended."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -9,7 +9,7 @@
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import Frame, Health, RunId, RunnerReport, RunnerState
 
-FRESH_HEARTBEATS = 3.0
+FRESH_HEARTBEATS = 2.0
 """Heartbeats without a word after which a target is given nothing new."""
 
 
@@ -30,6 +30,8 @@
     reported: float = 0.0
     unseen: deque[tuple[int, Resources]] = field(default_factory=deque)
     """Needs of assignments that the last report doesn't cover, by their number."""
+    on_way: Resources = NOTHING
+    """Sum of what was promised to tasks that the last report doesn't cover."""
     placed: dict[RunId, Resources] = field(default_factory=dict)
     held: set[RunId] = field(default_factory=set)
     backoff: float = 0.0
@@ -40,10 +42,25 @@
         self.report = report
         self.reported = now
 
+    def reset(self) -> None:
+        """Forget what a session that has ended told, and what it was sent."""
+        self.report = None
+        self.unseen.clear()
+        self.on_way = NOTHING
+
+    def reserve(self, need: Resources) -> None:
+        """Count a task's need as on its way; `assigned` follows once the message has a number."""
+        self.on_way += need
+
+    def assigned(self, number: int, need: Resources, tasks: int) -> None:
+        """Note the number of the message that carries reserved tasks."""
+        self.unseen.extend((number, need) for _ in range(tasks))
+
     def covered(self, frame: Frame) -> None:
         """Forget the assignments that a report in `frame` covers."""
         while self.unseen and self.unseen[0][0] <= frame.received:
-            self.unseen.popleft()
+            _, need = self.unseen.popleft()
+            self.on_way -= need
 
     def is_fresh(self, now: float, times: LeaseTimes) -> bool:
         """Whether it was heard just now over a connection that stands."""
@@ -67,15 +84,16 @@
         """Room there, less what is on its way."""
         if self.report is None:
             return NOTHING
-        free = self.report.free
-        for _, need in self.unseen:
-            free -= need
-        return free
+        return self.report.free - self.on_way
 
     def could_run(self, need: Resources) -> bool:
         """Whether the runner is large enough for a task."""
         return self.report is not None and need.fits(self.report.capacity)
 
+    def has_label(self, label: str) -> bool:
+        """Whether the runner's host is of a kind, or stands in a rack."""
+        return self.report is not None and label in self.report.labels
+
     @property
     def load(self) -> float:
         """Share of its capacity that is in use, queued runs and those on their way included."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -109,7 +109,8 @@
 class RunnerReport(_Body, frozen=True, tag=5):
     """State of a runner and its target's queue.
 
-    `queued` runs wait there; `queued_ms` is their work in core-milliseconds.
+    `queued` runs wait there; `queued_ms` is their work in core-milliseconds. `labels` say what
+    kind of host the runner's is, and in which rack it stands.
     """
 
     service: str
@@ -121,6 +122,7 @@
     free: Resources
     queued: int
     queued_ms: int
+    labels: tuple[str, ...] = ()
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -30,6 +30,15 @@
     TaskId,
 )
 
+REPORT_SECONDS = 0.08
+"""Shortest time between two reports to an entry, but for those that come with an end of a run."""
+
+PLENTY = 0.3
+"""Share of the runner's room that is free, above which changes are told with the next heartbeat."""
+
+RETIRE_SECONDS = 0.3
+"""Shortest time for which an entry is told to send nothing more, before its session ends."""
+
 
 @final
 @dataclass(slots=True)
@@ -40,6 +49,11 @@
     session: Session | None = None
     ends: list[tuple[RunId, End]] = field(default_factory=list)
     report_due: bool = True
+    reported: float = float("-inf")
+    plenty: bool = False
+    """Whether the last report told of plenty of room."""
+    retired: float | None = None
+    """Since when the session is to end, as other entries are preferred; None if it is not."""
 
 
 @final
@@ -105,6 +119,7 @@
             return [note("session_resumed", entry=hello.name)]
         effects = self._end_session(now, hello.name, "replaced") if session else []
         link.life = hello.life
+        link.retired = None
         link.session = Session(hello.session, int(said * 1000))
         fields: dict[str, str | int | float] = {"entry": hello.name, "session": hello.session}
         return [*effects, note("session_opened", **fields)]
@@ -171,24 +186,54 @@
         self._control.leave()
         return [note("leaving", runs=self.runs)]
 
-    def prepare_frames(self, now: float) -> None:
-        """Put ends and reports that are due into the sessions."""
+    def retire(self, now: float, preferred: set[str]) -> list[Effect]:
+        """End the sessions with other entries than `preferred`, once they have no run here."""
+        effects: list[Effect] = []
+        for name, link in self._links.items():
+            if link.session is None or name in preferred:
+                if link.retired is not None:
+                    link.retired = None
+                    link.report_due = True
+            elif link.retired is None:
+                link.retired = now
+                link.report_due = True
+            elif now > link.retired + RETIRE_SECONDS and not self._control.table.of_entry(name):
+                effects += self._end_session(now, name, "other_entries_preferred")
+        return effects
+
+    def prepare_frames(self, now: float) -> float | None:
+        """Put ends and reports that are due into the sessions; return when the next is due."""
         self._collect()
+        next_due: float | None = None
+        plenty = self._has_plenty()
         for link in self._links.values():
             if link.session is None:
                 continue
+            pause = self._times.heartbeat if plenty and link.plenty else REPORT_SECONDS
+            due = link.reported + pause
+            if link.report_due and (link.ends or now >= due):
+                link.session.send(self._report(now, link))
+                link.report_due = False
+                link.reported = now
+                link.plenty = plenty
+            elif link.report_due:
+                next_due = due if next_due is None else min(next_due, due)
             if link.ends:
                 link.session.send(Ended(link.ends))
                 link.ends = []
-            if link.report_due:
-                link.session.send(self._report(now))
-                link.report_due = False
+        return next_due
 
     # Inside.
 
     def _is_over(self, now: float, session: Session) -> bool:
         return now * 1000 > session.confirmed_ms + self._times.session * 1000
 
+    def _has_plenty(self) -> bool:
+        control = self._control
+        if control.account is None or control.state() is not RunnerState.READY:
+            return False
+        return control.table.used.share_of(control.account.capacity) < 1 - PLENTY
+
     def _any_session(self, now: float) -> bool:
         return any(
             link.session is not None and not self._is_over(now, link.session)
@@ -230,20 +275,21 @@
         self._links[entry].ends += [(run.id, End.NOT_STARTED) for run in runs if run not in new]
         return control.add(now, new)
 
-    def _report(self, now: float) -> RunnerReport:
+    def _report(self, now: float, link: _EntryLink) -> RunnerReport:
         control = self._control
         account = control.account
         queued, work = control.table.queued_work()
         return RunnerReport(
             service=account.service if account else "",
             runner=account.runner if account else "",
-            state=control.state(),
+            state=control.state() if link.retired is None else RunnerState.LEAVING,
             health=control.level,
             speed=round(control.health.speed(now), 2),
             capacity=account.capacity if account else NOTHING,
             free=control.free(),
             queued=queued,
             queued_ms=work,
+            labels=account.labels if account else (),
         )
 
     def _collect(self) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
@@ -21,12 +21,18 @@
     """Holds one connection to each wanted address, and tries again when it breaks."""
 
     def __init__(
-        self, handler: PeerHandler, own: str, silence: float, may_dial: Callable[[str], bool]
+        self,
+        handler: PeerHandler,
+        own: str,
+        silence: float,
+        may_dial: Callable[[str], bool],
+        failed: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._handler = handler
         self._own = own
         self._silence = silence
         self._may_dial = may_dial
+        self._failed = failed
         self._wanted: dict[str, float] = {}
         self._seeds: set[str] = set()
         self._links: dict[str, PeerLink] = {}
@@ -84,5 +90,6 @@
         except (TimeoutError, OSError):
             if self._links.get(address) is link:
                 del self._links[address]
+            self._failed(address)
         finally:
             self._dialing.discard(address)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -11,6 +11,7 @@
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
 from paddleshunt_core.leased.outcomes import AnswerJob, Completed
+from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import (
     Body,
     CatalogNews,
@@ -80,7 +81,9 @@
         self._around = surroundings
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
-        self._dispatcher = Dispatcher(self._times, config.zone, Random())
+        self._dispatcher = Dispatcher(
+            self._times, config.zone, Random(), config.bounds.remote_factor
+        )
         self._catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
         self._callers = HttpServer(self)
@@ -259,6 +262,7 @@
         """Take a frame of a target, or of another entry."""
         if self._links.get(link.peer) is link:
             self._act(self._dispatcher.heard(self._now(), link.peer, frame))
+            self._reply(link)
         else:
             self.entry_heard(link, frame)
 
@@ -366,9 +370,9 @@
         due = loop.time()
         while True:
             self._act(self._dispatcher.tick(loop.time()))
-            self._flush(heartbeat=True)
+            self._flush()
             self._close_silent()
-            due = max(due + self._times.heartbeat, loop.time())
+            due = max(due + self._times.check, loop.time())
             await asyncio.sleep(due - loop.time())
 
     def _close_silent(self) -> None:
@@ -384,17 +388,24 @@
             self._flushing = True
             asyncio.get_running_loop().call_soon(self._flush)
 
-    def _flush(self, *, heartbeat: bool = False) -> None:
+    def _flush(self) -> None:
         self._flushing = False
+        for link in list(self._links.values()):
+            session = self._dispatcher.session(link.peer)
+            if session is not None and session.pending:
+                self._send(link, session)
+
+    def _reply(self, link: PeerLink) -> None:
+        """Answer a heartbeat, which renews the target's lease, unless a frame has just gone."""
+        session = self._dispatcher.session(link.peer)
+        due = self._sent.get(link.peer, 0.0) + self._times.reply_pause
+        if session is not None and self._now() > due:
+            self._send(link, session)
+
+    def _send(self, link: PeerLink, session: Session) -> None:
         now = self._now()
-        for name, link in self._links.items():
-            session = self._dispatcher.session(name)
-            if session is None:
-                continue
-            due = heartbeat and now > self._sent.get(name, 0.0) + self._times.heartbeat / 2
-            if session.pending or due:
-                link.send(session.frame(int(now * 1000)))
-                self._sent[name] = now
+        link.send(session.frame(int(now * 1000)))
+        self._sent[link.peer] = now
 
     def _hello(self, session: int, received: int) -> Hello:
         config = self._config
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -7,9 +7,10 @@
 
 from paddleshunt_core.effects import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.entrychoice import EntryChoice
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
 from paddleshunt_core.leased.runnercontrol import Effect
-from paddleshunt_core.leased.wire import Entries, Frame, Hello
+from paddleshunt_core.leased.wire import Entries, EntryAddress, Frame, Hello
 from paddleshunt_core.leased.worker import Worker
 
 from paddleshunt_node.aio.dialer import Dialer
@@ -81,10 +82,14 @@
         self._said: dict[PeerLink, float] = {}
         self._heard: dict[str, float] = {}
         self._sent: dict[str, float] = {}
-        self._dialer = Dialer(self, config.address, self._times.session, self._may_dial)
+        self._choice = EntryChoice(config.name)
+        self._dialer = Dialer(
+            self, config.address, self._times.session, self._may_dial, self._dial_failed
+        )
         self._dialer.seeds(set(config.seeds))
         self._looked = False
         self._flushing = False
+        self._report_timer: asyncio.TimerHandle | None = None
 
     # The process.
 
@@ -262,8 +267,7 @@
         self._heard[link.peer] = now
         for body in frame.bodies:
             if isinstance(body, Entries):
-                for entry in body.entries:
-                    self._dialer.want(now, entry.address)
+                self._note_entries(now, link.peer, body.entries)
         self._act(self._worker.heard(now, link.peer, frame))
         if self._worker.session(link.peer) is None:
             link.close()
@@ -274,8 +278,36 @@
         if link.peer and self._links.get(link.peer) is link:
             del self._links[link.peer]
 
+    def _note_entries(self, now: float, teller: str, entries: list[EntryAddress]) -> None:
+        self._choice.told(teller, entries)
+        for entry in entries:
+            self._names[entry.address] = entry.name
+            self._dialer.want(now, entry.address)
+
     def _may_dial(self, address: str) -> bool:
-        return self._may_greet(self._names.get(address, ""))
+        name = self._names.get(address, "")
+        if not self._may_greet(name):
+            return False
+        if not self._links:
+            return True
+        if not name:
+            return not self._choice.knows()
+        return name in self._preferred()
+
+    def _dial_failed(self, address: str) -> None:
+        name = self._names.get(address)
+        if name is not None:
+            self._choice.suspect(self._now(), name)
+
+    def _preferred(self) -> set[str]:
+        wanted = self._choice.wanted(self._now(), set(self._links))
+        return {entry.name for entry in wanted}
+
+    def _retire(self, now: float) -> None:
+        """Give up sessions beyond the preferred ones, once all of these are open."""
+        preferred = self._preferred()
+        if all(self._worker.session(name) is not None for name in preferred):
+            self._act(self._worker.retire(now, preferred))
 
     def _may_greet(self, name: str) -> bool:
         return self._worker.session(name) is not None or self._worker.may_open(name)
@@ -300,6 +332,7 @@
         while True:
             now = loop.time()
             self._act(self._worker.tick(now))
+            self._retire(now)
             self._close_silent(now)
             self._flush(heartbeat=True)
             due = max(due + self._times.heartbeat, loop.time())
@@ -309,18 +342,32 @@
         """Break off connections whose session is over, or that say nothing."""
         for name, link in list(self._links.items()):
             silent = now > self._heard.get(name, 0.0) + self._times.session
+            if silent:
+                self._choice.suspect(now, name)
             if silent or self._worker.session(name) is None:
                 link.close()
+        for link, said in list(self._said.items()):
+            if now > said + self._times.session:
+                self._dial_failed(self._dialer.address_of(link))
+                link.close()
 
     def _flush_soon(self) -> None:
         if not self._flushing:
             self._flushing = True
             asyncio.get_running_loop().call_soon(self._flush)
 
+    def _flush_reports(self) -> None:
+        self._report_timer = None
+        self._flush()
+
     def _flush(self, *, heartbeat: bool = False) -> None:
         self._flushing = False
         now = self._now()
-        self._worker.prepare_frames(now)
+        next_report = self._worker.prepare_frames(now)
+        if next_report is not None and self._report_timer is None:
+            self._report_timer = asyncio.get_running_loop().call_later(
+                next_report - now, self._flush_reports
+            )
         for name, link in self._links.items():
             session = self._worker.session(name)
             if session is None:
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -72,6 +72,7 @@
     drain_ms: Milliseconds = 2000
     config_apply_ms: Milliseconds = 2000
     grace_s: SecondsBound = 6.0
+    remote_factor: Annotated[float, Meta(ge=1, le=100)] = 1.5
 
 
 @final
@@ -115,6 +116,7 @@
         drain=given.drain_ms / 1000,
         grace=given.grace_s,
         config_apply=given.config_apply_ms / 1000,
+        remote_factor=given.remote_factor,
     )
 
 
--- /dev/null
+++ b/testing/core/leased/test_entrychoice.py
@@ -0,0 +1,67 @@
+"""Which entries a target holds sessions with."""
+
+from collections import Counter
+
+from paddleshunt_core.leased.entrychoice import SESSIONS, SUSPECT_SECONDS, EntryChoice
+from paddleshunt_core.leased.wire import EntryAddress
+
+ENTRIES = [EntryAddress(f"e{n}", f"10.0.0.{n}:7720") for n in range(11)]
+
+
+def names(choice: EntryChoice, now: float = 1.0, linked: frozenset[str] = frozenset()) -> list[str]:
+    return [entry.name for entry in choice.wanted(now, set(linked))]
+
+
+def choice_of(target: str) -> EntryChoice:
+    choice = EntryChoice(target)
+    choice.told("e0", ENTRIES)
+    return choice
+
+
+def test_nothing_is_known_at_first() -> None:
+    choice = EntryChoice("t1")
+    assert not choice.knows()
+    assert names(choice) == []
+
+
+def test_all_entries_are_wanted_if_they_are_few() -> None:
+    choice = EntryChoice("t1")
+    choice.told("e0", ENTRIES[:3])
+    assert sorted(names(choice)) == ["e0", "e1", "e2"]
+
+
+def test_a_targets_choice_does_not_depend_on_the_order_it_was_told() -> None:
+    choice = EntryChoice("t1")
+    choice.told("e0", ENTRIES[::-1])
+    assert names(choice) == names(choice_of("t1"))
+    assert len(names(choice)) == SESSIONS
+
+
+def test_targets_spread_over_all_entries() -> None:
+    shares = Counter(name for n in range(66) for name in names(choice_of(f"side-{n}")))
+    mean = 66 * SESSIONS / len(ENTRIES)
+    assert len(shares) == len(ENTRIES)
+    assert mean / 2 < min(shares.values()) <= max(shares.values()) < mean * 2
+
+
+def test_an_entry_that_ends_moves_only_its_own_sessions() -> None:
+    choice = choice_of("t1")
+    before = names(choice)
+    choice.told("e0", [entry for entry in ENTRIES if entry.name != before[1]])
+    after = names(choice)
+    assert after[:3] == [before[0], *before[2:]]
+    assert len(after) == SESSIONS
+
+
+def test_an_entry_that_cannot_be_reached_is_passed_over_for_a_while() -> None:
+    choice = choice_of("t1")
+    first = names(choice)[0]
+    choice.suspect(1.0, first)
+    assert first not in names(choice, 1.1)
+    assert names(choice, 1.0 + SUSPECT_SECONDS)[0] == first
+
+
+def test_what_an_entry_told_that_is_not_linked_any_more_does_not_count() -> None:
+    choice = choice_of("t1")
+    choice.told("e1", ENTRIES[1:3])
+    assert sorted(names(choice, linked=frozenset({"e1"}))) == ["e1", "e2"]
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -2,7 +2,9 @@
 
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.orders import (
+    FinishedRun,
     LookAnswer,
+    RunEnd,
     RunnerAccount,
     RunningRun,
     StartAnswer,
@@ -10,8 +12,18 @@
     StopRun,
 )
 from paddleshunt_core.leased.resources import Resources
-from paddleshunt_core.leased.wire import Assign, End, Ended, Frame, Hello, RunId, TaskId
-from paddleshunt_core.leased.worker import Worker
+from paddleshunt_core.leased.wire import (
+    Assign,
+    End,
+    Ended,
+    Frame,
+    Hello,
+    RunId,
+    RunnerReport,
+    RunnerState,
+    TaskId,
+)
+from paddleshunt_core.leased.worker import REPORT_SECONDS, Worker
 
 RUN = RunId(TaskId("job", 0, 0), 1)
 
@@ -29,6 +41,15 @@
     return worker
 
 
+def assignment(number: int, at_ms: int, runs: int) -> Frame:
+    """Return the frame that brings runs of another job."""
+    need = Resources(1000, 10)
+    tasks = [(index, 1) for index in range(runs)]
+    return Frame(
+        number, 0, at_ms, at_ms, [Assign(f"job{number}", 0, "spec", need, 400, 300, 4000, tasks)]
+    )
+
+
 def test_a_run_seen_at_work_before_its_starts_answer_goes_on() -> None:
     worker = working()
     worker.looked(1.01, LookAnswer(1.005, [RunningRun(RUN, 2)], []))
@@ -69,3 +90,65 @@
     assert session is not None
     ends = [body for body in session.frame(1020).bodies if isinstance(body, Ended)]
     assert ends == [Ended([(RUN, End.NOT_STARTED)])]
+
+
+def reports(worker: Worker, now: float, entry: str = "e") -> list[RunnerReport]:
+    """Return the reports that are due for an entry at a time."""
+    worker.prepare_frames(now)
+    session = worker.session(entry)
+    assert session is not None
+    bodies = session.frame(int(now * 1000)).bodies
+    return [body for body in bodies if isinstance(body, RunnerReport)]
+
+
+def test_a_report_soon_after_another_waits() -> None:
+    worker = working()
+    assert len(reports(worker, 1.0)) == 1
+    worker.heard(1.01, "e", assignment(2, 1010, 1))
+    assert reports(worker, 1.01) == []
+    due = worker.prepare_frames(1.01)
+    assert due is not None
+    assert len(reports(worker, due)) == 1
+
+
+def test_an_end_brings_a_report_at_once() -> None:
+    worker = working()
+    reports(worker, 1.0)
+    worker.start_answered(1.005, RUN, StartAnswer.STARTED)
+    done = FinishedRun(1, RUN, RunEnd.DONE)
+    worker.looked(1.01, LookAnswer(1.008, [], [done]))
+    assert [report.free for report in reports(worker, 1.01)] == [Resources(8000, 8000)]
+
+
+def test_without_plenty_of_room_changes_are_told_sooner() -> None:
+    times = lease_times(Bounds())
+    worker = working()
+    reports(worker, 1.0)
+    worker.heard(1.01, "e", assignment(2, 1010, 1))
+    calm = worker.prepare_frames(1.01)
+    worker.heard(1.02, "e", assignment(3, 1020, 5))
+    full = worker.prepare_frames(1.02)
+    assert (calm, full) == (1.0 + times.heartbeat, 1.0 + REPORT_SECONDS)
+
+
+def test_a_session_with_an_entry_that_is_not_preferred_ends_once_its_runs_have() -> None:
+    worker = working()
+    reports(worker, 1.0)
+    worker.retire(1.1, {"other"})
+    assert [report.state for report in reports(worker, 1.2)] == [RunnerState.LEAVING]
+    worker.retire(1.4, {"other"})
+    assert worker.session("e") is not None
+    worker.start_answered(1.4, RUN, StartAnswer.STARTED)
+    worker.looked(1.42, LookAnswer(1.41, [], [FinishedRun(1, RUN, RunEnd.DONE)]))
+    assert [report.state for report in reports(worker, 1.42)] == [RunnerState.LEAVING]
+    worker.retire(1.43, {"other"})
+    assert worker.session("e") is None
+
+
+def test_an_entry_that_is_preferred_again_gets_work_again() -> None:
+    worker = working()
+    reports(worker, 1.0)
+    worker.retire(1.1, {"other"})
+    reports(worker, 1.2)
+    worker.retire(1.3, {"e"})
+    assert [report.state for report in reports(worker, 1.4)] == [RunnerState.READY]
--- a/testing/council/test_settings.py
+++ b/testing/council/test_settings.py
@@ -29,6 +29,7 @@
     "bounds.drain_ms": 2000,
     "bounds.config_apply_ms": 2000,
     "bounds.grace_s": 6,
+    "bounds.remote_factor": 1.5,
 }
 
 
