--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -66,10 +66,10 @@
     """State of one entry's jobs and targets."""
 
     def __init__(
-        self, times: LeaseTimes, zone: str, rng: Random, remote_factor: float = 1.0
+        self, times: LeaseTimes, hall: str, rng: Random, remote_factor: float = 1.0
     ) -> None:
         self._times = times
-        self._placement = Placement(zone, rng, remote_factor)
+        self._placement = Placement(hall, rng, remote_factor)
         self._jobs: dict[int, JobRecord] = {}
         self._by_key: dict[str, JobRecord] = {}
         self._targets: dict[str, TargetRecord] = {}
@@ -159,7 +159,7 @@
         """
         target = self._targets.get(hello.name)
         if target is None:
-            target = self._targets[hello.name] = TargetRecord(hello.name, hello.zone, hello.life)
+            target = self._targets[hello.name] = TargetRecord(hello.name, hello.hall, hello.life)
         target.connected = True
         target.heard = now
         session = target.session
@@ -283,7 +283,7 @@
         """Begin anew with a target: it opens a session only when nothing of an old one is left."""
         self._sessions += 1
         target.life = hello.life
-        target.zone = hello.zone
+        target.hall = hello.hall
         session = target.session = Session(self._sessions, int(now * 1000))
         target.reset()
         lost = [*target.placed, *target.held]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -15,7 +15,7 @@
 
     runner: str
     service: str
-    zone: str
+    hall: str
     capacity: Resources
     leaving: bool
     remaining: float | None
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -23,9 +23,9 @@
     Away from the rack where its data lies, a task takes `remote_factor` times as long.
     """
 
-    def __init__(self, zone: str, rng: Random, remote_factor: float) -> None:
+    def __init__(self, hall: str, rng: Random, remote_factor: float) -> None:
         self._rng = rng
-        self._zone = zone
+        self._hall = hall
         self._remote_factor = remote_factor
         self._probed: dict[str, float] = {}
 
@@ -78,7 +78,7 @@
         """Return a target of little load; entries that know the same choose differently."""
 
         def key(target: TargetRecord) -> tuple[int, bool, float]:
-            return int(target.load * LOAD_STEPS), target.zone != self._zone, self._rng.random()
+            return int(target.load * LOAD_STEPS), target.hall != self._hall, self._rng.random()
 
         return min(targets, key=key, default=None)
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -19,7 +19,7 @@
     """One target. `held` are the runs whose fate is not known since its session ended."""
 
     name: str
-    zone: str
+    hall: str
     life: str
     session: Session | None = None
     connected: bool = False
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -169,7 +169,7 @@
     name: str
     life: str
     entry: bool
-    zone: str
+    hall: str
     address: str
     session: int
     received: int
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -57,7 +57,7 @@
     """Who an entry is and where it listens; addresses are host:port."""
 
     name: str
-    zone: str
+    hall: str
     callers: str
     ready: str
     peers: str
@@ -83,7 +83,7 @@
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
         self._dispatcher = Dispatcher(
-            self._times, config.zone, Random(), config.bounds.remote_factor
+            self._times, config.hall, Random(), config.bounds.remote_factor
         )
         self._catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
@@ -411,7 +411,7 @@
 
     def _hello(self, session: int, received: int) -> Hello:
         config = self._config
-        return Hello(config.name, self._life, True, config.zone, config.peers, session, received)
+        return Hello(config.name, self._life, True, config.hall, config.peers, session, received)
 
 
 @final
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -49,7 +49,7 @@
     """Who a target is and where it listens; addresses are host:port."""
 
     name: str
-    zone: str
+    hall: str
     address: str
     registration: str
     metrics: str
@@ -245,7 +245,7 @@
         config = self._config
         self._said[link] = self._now()
         link.send(
-            Hello(config.name, self._life, False, config.zone, config.address, number, received)
+            Hello(config.name, self._life, False, config.hall, config.address, number, received)
         )
 
     def greeted(self, link: PeerLink, hello: Hello) -> None:
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -24,7 +24,7 @@
     """The process: its name, where it stands, and the address its peers know it by."""
 
     name: Name
-    zone: Name
+    hall: Name
     role: Literal["entry", "target"]
 
 
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -192,7 +192,7 @@
         self._callers = 0
 
     def _dispatcher(self) -> Dispatcher:
-        return Dispatcher(self.times, "zone", Random(7))
+        return Dispatcher(self.times, "hall", Random(7))
 
     # What a test does.
 
@@ -316,7 +316,7 @@
                 self._next_dial[pair] = self.now + CONNECT_SECONDS
                 number, received = (session.number, session.received) if session else (0, 0)
                 link = self.links[pair] = Link(said=self.now, heard=self.now)
-                hello = Hello(target, str(node.life), False, "zone", "", number, received)
+                hello = Hello(target, str(node.life), False, "hall", "", number, received)
                 link.to_entry.append((self.now, hello))
 
     def _is_cut(self, pair: tuple[str, str]) -> bool:
@@ -351,7 +351,7 @@
         self._act_entry(entry, effects)
         number, received = (session.number, session.received) if session else (0, 0)
         life = str(self.entries[entry].life)
-        hello = Hello(entry, life, True, "zone", "", number, received)
+        hello = Hello(entry, life, True, "hall", "", number, received)
         link.greeted = session is not None
         link.to_target.append((self.now, hello))
 
@@ -395,7 +395,7 @@
         if runner.up and self.now >= self._beats.get(name, 0.0):
             self._beats[name] = self.now + 0.3
             account = RunnerAccount(
-                f"{name}-{runner.life}", "svc", "zone", runner.capacity, False, None
+                f"{name}-{runner.life}", "svc", "hall", runner.capacity, False, None
             )
             self._act_target(name, worker.runner_spoke(self.now, account))
         self._act_target(name, worker.tick(self.now))
