--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 
 from paddleshunt_core.effects import Log, note
-from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.jobs import JobRecord
+from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.targets import TargetRecord
 
 NO_TARGET_WAIT = 0.1
@@ -34,18 +34,16 @@
     return (ahead + queued) / max(1, capacity)
 
 
-def room_note(
-    now: float, job: JobRecord, wait: float, known: list[TargetRecord], times: LeaseTimes
-) -> Log:
+def room_note(now: float, job: JobRecord, wait: float, room: RoomNow) -> Log:
     """Return the line that says on what knowledge of room a job is refused."""
-    usable = [t for t in known if t.takes(now, job.queue.service, times)]
+    usable = room.usable(job.queue.service)
     fields: dict[str, str | int | float] = {
         "waited_ms": round((now - job.arrived) * 1000),
         "slack_ms": round((job.start_by - now) * 1000),
         "expected_wait_ms": round(wait * 1000),
         "need": job.request.need.processor,
         "most_free": max((t.free.processor for t in usable), default=0),
-        "targets": len(known),
+        "targets": len(room.known(job.queue.service)),
         "usable": len(usable),
         "oldest_report_ms": round(max((now - t.reported for t in usable), default=0) * 1000),
     }
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -30,6 +30,7 @@
     Refused,
 )
 from paddleshunt_core.leased.placement import Placement
+from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import (
@@ -118,7 +119,7 @@
             refusal = self._refusal(caller, request, "no_room", wait)
             return [
                 *effects,
-                room_note(now, job, wait, self._known(job.queue.service), self._times),
+                self._room_note(now, job, wait),
                 refusal,
             ]
         self._jobs[caller] = job
@@ -222,10 +223,10 @@
         if now > job.expires:
             return [self._give_up(now, job, "deadline")]
         if not job.begun and now > job.refuse_after:
-            note_ = room_note(
-                now, job, self._wait(now, job), self._known(job.queue.service), self._times
-            )
-            return [note_, self._give_up(now, job, "no_room")]
+            return [
+                self._room_note(now, job, self._wait(now, job)),
+                self._give_up(now, job, "no_room"),
+            ]
         return []
 
     def _give_up(self, now: float, job: JobRecord, reason: str) -> AnswerJob:
@@ -411,30 +412,26 @@
 
     # Inside: placement.
 
-    def _known(self, service: str) -> list[TargetRecord]:
-        """Return the targets that have reported as ones of a service."""
-        known = self._targets.values()
-        return [t for t in known if t.report is not None and t.report.service == service]
-
-    def _usable(self, now: float, service: str) -> list[TargetRecord]:
-        """Return the targets of a service that tasks may be sent to."""
-        return [t for t in self._known(service) if t.takes(now, service, self._times)]
+    def _room(self, now: float) -> RoomNow:
+        return RoomNow(now, self._targets.values(), self._times)
 
     def _wait(self, now: float, job: JobRecord) -> float:
-        return expected_wait(job, self._usable(now, job.queue.service), self._jobs.values())
+        return expected_wait(job, self._room(now).usable(job.queue.service), self._jobs.values())
+
+    def _room_note(self, now: float, job: JobRecord, wait: float) -> Log:
+        return room_note(now, job, wait, self._room(now))
 
     def _place(self, now: float) -> list[Effect]:
         waiting = [job for job in self._jobs.values() if job.waiting()]
         if not waiting:
             return []
         waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.urgency))
-        usable: dict[str, list[TargetRecord]] = {}
+        room = self._room(now)
         effects: list[Effect] = []
         for job in waiting:
             service = job.queue.service
-            if service not in usable:
-                usable[service] = self._usable(now, service)
-            effects += self._place_job(now, job, usable[service])
+            if room.may_have(service, job.request.need):
+                effects += self._place_job(now, job, room.usable(service))
         return effects
 
     def _place_job(self, now: float, job: JobRecord, targets: list[TargetRecord]) -> list[Effect]:
--- /dev/null
+++ b/testing/core/leased/test_room.py
@@ -0,0 +1,41 @@
+"""Which targets have room at one moment."""
+
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.room import RoomNow
+from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.targets import TargetRecord
+from paddleshunt_core.leased.wire import Health, RunnerReport, RunnerState
+
+SIZE = Resources(8000, 8000)
+
+
+def target(name: str, free: Resources, service: str = "svc") -> TargetRecord:
+    record = TargetRecord(name, "hall", "1", Session(1, 0), connected=True, heard=10.0)
+    record.report = RunnerReport(
+        service, name, RunnerState.READY, Health.GOOD, 1.0, SIZE, free, 0, 0
+    )
+    return record
+
+
+def room(*targets: TargetRecord, now: float = 10.0) -> RoomNow:
+    return RoomNow(now, targets, lease_times(Bounds()))
+
+
+def test_room_is_that_of_a_services_targets() -> None:
+    view = room(target("t1", Resources(500, 8000)), target("t2", SIZE, "other"))
+    assert [t.name for t in view.usable("svc")] == ["t1"]
+    assert view.may_have("svc", Resources(500, 10))
+    assert not view.may_have("svc", Resources(501, 10))
+    assert view.may_have("other", Resources(501, 10))
+
+
+def test_a_silent_target_is_known_but_has_no_room() -> None:
+    view = room(target("t1", SIZE), now=11.0)
+    assert [t.name for t in view.known("svc")] == ["t1"]
+    assert view.usable("svc") == []
+    assert not view.may_have("svc", Resources(0, 0))
+
+
+def test_without_targets_there_is_no_room() -> None:
+    assert not room().may_have("svc", Resources(0, 0))
--- a/testing/council/test_system.py
+++ b/testing/council/test_system.py
@@ -13,7 +13,7 @@
 from paddleshunt_council.runner import Runner
 from paddleshunt_council.store import Store
 from paddleshunt_node.aio.entryservice import EntryConfig, EntryService
-from paddleshunt_node.aio.httpclient import Answer, HttpClient, NoAnswerError
+from paddleshunt_node.aio.httpclient import Answer, CallError, HttpClient, NoAnswerError
 from paddleshunt_node.aio.logline import LogLines
 from paddleshunt_node.aio.measures import Measures
 from paddleshunt_node.aio.process import Surroundings
@@ -123,11 +123,19 @@
         await until(self.beat)
         await until(self.is_ready)
 
+    def check_runs(self) -> None:
+        """Raise what has ended a process that should be running."""
+        for run in (self.entry_run, self.target_run):
+            if run.done():
+                run.result()
+
     async def beat(self) -> bool:
+        self.check_runs()
         path = "/paddleshunt/Instances.Heartbeat/i-1"
         return (await call(self.registration, "POST", path, BEAT)).status == 200
 
     async def is_ready(self) -> bool:
+        self.check_runs()
         return (await call(self.ready, "GET", "/paddleshunt/readiness")).status == 200
 
     async def submit(self, key: str, milliseconds: int, *, wait: float = 10.0) -> Answer:
@@ -161,7 +169,7 @@
         try:
             if await condition():
                 return
-        except Exception:
+        except CallError:
             pass
         await asyncio.sleep(0.05)
 
