--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -13,32 +13,15 @@
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
 from paddleshunt_core.leased.outcomes import AnswerJob, Completed
 from paddleshunt_core.leased.session import Session
-from paddleshunt_core.leased.wire import (
-    Body,
-    CatalogNews,
-    CatalogVersion,
-    Entries,
-    EntryAddress,
-    Frame,
-    Hello,
-)
-
-from paddleshunt_node.aio.dialer import Dialer
+from paddleshunt_core.leased.wire import Entries, EntryAddress, Frame, Hello
+
+from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
 from paddleshunt_node.aio.ports import CallerCodec, StorePort
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
 from paddleshunt_node.aio.storefollower import StoreFollower
 
-GOSSIP_SECONDS = 0.4
-"""Seconds between two messages to each other entry."""
-
-ENTRY_FRESH = 1.5
-"""Seconds since an entry was heard for which it counts as alive."""
-
-TELL_SECONDS = 5.0
-"""Seconds between two messages that tell a target of all entries."""
-
 LONELY_SECONDS = 3.0
 """Seconds after the start from which an entry is ready even without a target."""
 
@@ -85,17 +68,15 @@
         self._dispatcher = Dispatcher(
             self._times, config.hall, Random(), config.bounds.remote_factor
         )
-        self._catalog: Catalog = EMPTY
+        self.catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
         self._callers = HttpServer(self)
         self._links: dict[str, PeerLink] = {}
         self._sent: dict[str, float] = {}
-        self._entries: dict[str, tuple[EntryAddress, float]] = {}
-        self._dialer = Dialer(_EntrySide(self), config.peers, self._times.session, lambda _: True)
-        self._dialer.seeds(set(config.seeds))
-        self._follower = StoreFollower(
-            store, surroundings, EntryAddress(config.name, config.peers), self
-        )
+        own = EntryAddress(config.name, config.peers)
+        self._peers = EntryPeers(self, own, self._hello(0, 0), self._times.session)
+        self._peers.seeds(set(config.seeds))
+        self._follower = StoreFollower(store, surroundings, own, self)
         self._loop: asyncio.AbstractEventLoop
         self._flushing = False
         self._leaving = False
@@ -115,9 +96,9 @@
         return {
             "name": self._config.name,
             "life": self._life,
-            "catalog_version": self._catalog.version,
+            "catalog_version": self.catalog.version,
             "leaving": self._leaving,
-            "entries": sorted(self._entries),
+            "entries": self._peers.names(),
             **self._dispatcher.describe(now),
         }
 
@@ -133,9 +114,9 @@
         await serve_pages(pages, self._config.metrics, self._around)
         self._gauges()
         self._around.event("started", role="entry", node=self._config.name, life=self._life)
-        self._around.spawn(self._dialer.run())
+        self._around.spawn(self._peers.dial_for_ever())
         self._around.spawn(self._tick_for_ever())
-        self._around.spawn(self._gossip_for_ever())
+        self._around.spawn(self._peers.gossip_for_ever())
         self._around.spawn(self._follower.follow())
         self._around.spawn(self._follower.announce())
 
@@ -159,13 +140,13 @@
 
     def reload(self, seeds: set[str]) -> None:
         """Adopt new settings."""
-        self._dialer.seeds(seeds)
+        self._peers.seeds(seeds)
 
     def _gauges(self) -> None:
         measures = self._around.measures
         measures.gauge("paddleshunt_jobs", "Jobs held.", lambda: self._dispatcher.jobs)
         measures.gauge(
-            "paddleshunt_catalog_version", "Version in force.", lambda: self._catalog.version
+            "paddleshunt_catalog_version", "Version in force.", lambda: self.catalog.version
         )
         measures.gauge("paddleshunt_sessions", "Targets in session.", lambda: len(self._links))
         measures.gauge(
@@ -185,16 +166,16 @@
     @property
     def is_ready(self) -> bool:
         """Whether new connections may come here."""
-        if self._catalog.version == 0 or self._leaving:
+        if self.catalog.version == 0 or self._leaving:
             return False
         return bool(self._links) or self._now() > self._began + LONELY_SECONDS
 
     def handle(self, exchange: Exchange) -> None:
         """Take a caller's request."""
-        if self._catalog.version == 0:
+        if self.catalog.version == 0:
             exchange.respond(Response(503, headers=[(RETRY_AFTER, "1")]))
             return
-        read = self._codec.read(exchange.request, self._catalog)
+        read = self._codec.read(exchange.request, self.catalog)
         if isinstance(read, Response):
             exchange.respond(read)
             return
@@ -228,7 +209,7 @@
             outcome=kind,
             reason=reason,
             after_ms=round(effect.waited * 1000),
-            catalog=self._catalog.version,
+            catalog=self.catalog.version,
         )
         exchange = self._waiting.pop(effect.caller, None)
         if exchange is not None:
@@ -244,7 +225,7 @@
         """Take the greeting of a target, or of another entry."""
         now = self._now()
         if hello.entry:
-            self._note_entry(EntryAddress(hello.name, hello.address))
+            self._peers.note(EntryAddress(hello.name, hello.address))
             link.send(self._hello(0, 0))
             return
         session, effects = self._dispatcher.greeted(now, hello)
@@ -257,7 +238,7 @@
         if old is not None and old is not link:
             old.close()
         link.send(self._hello(session.number, session.received))
-        session.send(Entries(self._live_entries()))
+        session.send(Entries(self._peers.live()))
         self._flush_soon()
 
     def target_heard(self, link: PeerLink, frame: Frame) -> None:
@@ -266,7 +247,7 @@
             self._act(self._dispatcher.heard(self._now(), link.peer, frame))
             self._reply(link)
         else:
-            self.entry_heard(link, frame)
+            self._peers.heard(link, frame)
 
     def link_closed(self, link: PeerLink) -> None:
         """Take the end of a connection."""
@@ -276,63 +257,12 @@
 
     # Other entries.
 
-    def entry_opened(self, link: PeerLink) -> None:
-        """Greet an entry that this one has dialled."""
-        link.send(self._hello(0, 0))
-
-    def entry_greeted(self, hello: Hello) -> None:
-        """Take the greeting of an entry that this one has dialled."""
-        self._note_entry(EntryAddress(hello.name, hello.address))
-
-    def entry_heard(self, link: PeerLink, frame: Frame) -> None:
-        """Take what another entry says."""
-        for body in frame.bodies:
-            match body:
-                case Entries():
-                    for entry in body.entries:
-                        self._dialer.want(self._now(), entry.address)
-                case CatalogNews():
-                    self.adopt(body.catalog, link.peer)
-                case CatalogVersion():
-                    self._compare(link, body.version)
-                case _:
-                    pass
-        known = self._entries.get(link.peer)
-        if known is not None:
-            self._entries[link.peer] = (known[0], self._now())
-
-    def _note_entry(self, entry: EntryAddress) -> None:
-        known = self._entries.get(entry.name)
-        self._entries[entry.name] = (entry, self._now())
-        self._dialer.want(self._now(), entry.address)
-        if known is None or known[0] != entry:
-            self._around.event("entry_found", entry=entry.name, address=entry.address)
-            self._tell_targets(self._live_entries())
-
-    def _compare(self, link: PeerLink, version: int) -> None:
-        if version < self._catalog.version:
-            link.send(_loose(CatalogNews(self._catalog)))
-
-    def _live_entries(self) -> list[EntryAddress]:
-        now = self._now()
-        live = [entry for entry, at in self._entries.values() if now < at + ENTRY_FRESH]
-        return sorted([*live, EntryAddress(self._config.name, self._config.peers)])
+    def found(self, entry: EntryAddress) -> None:
+        """Take note of an entry that is new, or has moved."""
+        self._around.event("entry_found", entry=entry.name, address=entry.address)
 
-    async def _gossip_for_ever(self) -> None:
-        told: list[EntryAddress] = []
-        due = 0.0
-        while True:
-            live = self._live_entries()
-            news = _loose(Entries(live), CatalogVersion(self._catalog.version))
-            for link in self._dialer.links():
-                link.send(news)
-            if live != told or self._now() > due:
-                told = live
-                due = self._now() + TELL_SECONDS
-                self._tell_targets(live)
-            await asyncio.sleep(GOSSIP_SECONDS)
-
-    def _tell_targets(self, live: list[EntryAddress]) -> None:
+    def tell_targets(self, live: list[EntryAddress]) -> None:
+        """Tell the targets which entries live."""
         for name in self._links:
             session = self._dispatcher.session(name)
             if session is not None:
@@ -341,29 +271,27 @@
 
     def lacks_entries(self) -> bool:
         """Whether no other entry has been met."""
-        return not self._entries
+        return not self._peers.names()
 
     def met(self, entry: EntryAddress) -> None:
         """Dial an entry that was heard of."""
-        self._dialer.want(self._now(), entry.address)
+        self._peers.met(entry)
 
     # The configuration.
 
     def adopt(self, catalog: Catalog, source: str) -> None:
         """Follow `catalog` if it is newer than the one in force."""
-        if catalog.version <= self._catalog.version:
+        if catalog.version <= self.catalog.version:
             return
-        before = self._catalog.version
-        self._catalog = catalog
+        before = self.catalog.version
+        self.catalog = catalog
         limits = self._callers.limits
         limits.header_bytes = catalog.limits.header_bytes
         limits.body_bytes = catalog.limits.body_bytes
         limits.header_timeout = catalog.limits.header_timeout
         limits.idle_timeout = catalog.limits.idle_timeout
         self._around.event("catalog_adopted", version=catalog.version, before=before, source=source)
-        news = _loose(CatalogNews(catalog))
-        for link in self._dialer.links():
-            link.send(news)
+        self._peers.tell_catalog(catalog)
 
     # Time and sending.
 
@@ -446,31 +374,6 @@
         self._service.link_closed(link)
 
 
-@final
-class _EntrySide:
-    """Connections that this entry has made to other entries."""
-
-    def __init__(self, service: EntryService) -> None:
-        self._service = service
-
-    def opened(self, link: PeerLink) -> None:
-        self._service.entry_opened(link)
-
-    def greeted(self, link: PeerLink, hello: Hello) -> None:
-        self._service.entry_greeted(hello)
-
-    def heard(self, link: PeerLink, frame: Frame) -> None:
-        self._service.entry_heard(link, frame)
-
-    def closed(self, link: PeerLink) -> None:
-        pass
-
-
-def _loose(*bodies: Body) -> Frame:
-    """Return a frame outside any session."""
-    return Frame(1, 0, 0, 0, list(bodies))
-
-
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
