--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -0,0 +1,72 @@
+"""Sends the tasks that wait to targets with room, the most urgent jobs' first."""
+
+from collections.abc import Iterable
+from typing import final
+
+from paddleshunt_core.effects import Log, note
+from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
+from paddleshunt_core.leased.placement import Placement
+from paddleshunt_core.leased.room import RoomNow
+from paddleshunt_core.leased.targets import TargetRecord
+from paddleshunt_core.leased.wire import Assign
+
+
+@final
+class Assigner:
+    """Assigns tasks by a `Placement`."""
+
+    def __init__(self, placement: Placement) -> None:
+        self._placement = placement
+
+    def place(self, now: float, jobs: Iterable[JobRecord], room: RoomNow) -> list[Log]:
+        """Send what has room; messages lie in the targets' sessions then."""
+        waiting = [job for job in jobs if job.waiting()]
+        waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.urgency))
+        logs: list[Log] = []
+        for job in waiting:
+            service = job.queue.service
+            if room.may_have(service, job.request.need):
+                logs += self._place_job(now, job, room.usable(service))
+        return logs
+
+    def _place_job(self, now: float, job: JobRecord, targets: list[TargetRecord]) -> list[Log]:
+        able = self._placement.able(job, targets)
+        chosen: dict[str, list[TaskRecord]] = {}
+        by_name = {target.name: target for target in able}
+        for task in job.waiting() if able else ():
+            target = self._placement.choose(now, job, task, able)
+            if target is None:
+                break
+            task.number += 1
+            task.phase = TaskPhase.PLACED
+            task.target = target.name
+            task.placed = now
+            target.placed[task.run] = job.request.need
+            target.reserve(job.request.need)
+            chosen.setdefault(target.name, []).append(task)
+        return [_send(now, job, by_name[name], tasks) for name, tasks in chosen.items()]
+
+
+def _send(now: float, job: JobRecord, target: TargetRecord, tasks: list[TaskRecord]) -> Log:
+    assert target.session is not None  # noqa: S101
+    request = job.request
+    message = Assign(
+        job=request.key,
+        step=0,
+        spec=request.spec,
+        need=request.need,
+        estimate_ms=round(request.estimate * 1000),
+        start_within_ms=round((job.start_by - now) * 1000),
+        expires_ms=round((job.expires - now) * 1000),
+        runs=[(task.id.index, task.number) for task in tasks],
+    )
+    number = target.session.send(message)
+    target.assigned(number, request.need, len(tasks))
+    return note(
+        "job_placed",
+        request.key,
+        target=target.name,
+        indexes=",".join(str(task.id.index) for task in tasks),
+        load=round(target.load, 2),
+        report_age_ms=round((now - target.reported) * 1000),
+    )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -11,6 +11,7 @@
 
 from paddleshunt_core.effects import Log, note
 from paddleshunt_core.leased.admission import expected_wait, room_note
+from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
 from paddleshunt_core.leased.jobs import (
@@ -34,7 +35,6 @@
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import (
-    Assign,
     Body,
     End,
     Ended,
@@ -70,7 +70,7 @@
         self, times: LeaseTimes, hall: str, rng: Random, remote_factor: float = 1.0
     ) -> None:
         self._times = times
-        self._placement = Placement(hall, rng, remote_factor)
+        self._assigner = Assigner(Placement(hall, rng, remote_factor))
         self._jobs: dict[int, JobRecord] = {}
         self._by_key: dict[str, JobRecord] = {}
         self._targets: dict[str, TargetRecord] = {}
@@ -422,56 +422,4 @@
         return room_note(now, job, wait, self._room(now))
 
     def _place(self, now: float) -> list[Effect]:
-        waiting = [job for job in self._jobs.values() if job.waiting()]
-        if not waiting:
-            return []
-        waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.urgency))
-        room = self._room(now)
-        effects: list[Effect] = []
-        for job in waiting:
-            service = job.queue.service
-            if room.may_have(service, job.request.need):
-                effects += self._place_job(now, job, room.usable(service))
-        return effects
-
-    def _place_job(self, now: float, job: JobRecord, targets: list[TargetRecord]) -> list[Effect]:
-        able = self._placement.able(job, targets)
-        chosen: dict[str, list[TaskRecord]] = {}
-        for task in job.waiting() if able else ():
-            target = self._placement.choose(now, job, task, able)
-            if target is None:
-                break
-            task.number += 1
-            task.phase = TaskPhase.PLACED
-            task.target = target.name
-            task.placed = now
-            target.placed[task.run] = job.request.need
-            target.reserve(job.request.need)
-            chosen.setdefault(target.name, []).append(task)
-        return [self._send(now, job, self._targets[name], tasks) for name, tasks in chosen.items()]
-
-    def _send(
-        self, now: float, job: JobRecord, target: TargetRecord, tasks: list[TaskRecord]
-    ) -> Log:
-        assert target.session is not None  # noqa: S101
-        request = job.request
-        message = Assign(
-            job=request.key,
-            step=0,
-            spec=request.spec,
-            need=request.need,
-            estimate_ms=round(request.estimate * 1000),
-            start_within_ms=round((job.start_by - now) * 1000),
-            expires_ms=round((job.expires - now) * 1000),
-            runs=[(task.id.index, task.number) for task in tasks],
-        )
-        load = target.load
-        number = target.session.send(message)
-        target.assigned(number, request.need, len(tasks))
-        fields: dict[str, str | int | float] = {
-            "target": target.name,
-            "indexes": ",".join(str(task.id.index) for task in tasks),
-            "load": round(load, 2),
-            "report_age_ms": round((now - target.reported) * 1000),
-        }
-        return note("job_placed", request.key, **fields)
+        return list(self._assigner.place(now, self._jobs.values(), self._room(now)))
