--- a/testing/council/test_store.py
+++ b/testing/council/test_store.py
@@ -92,3 +92,14 @@
 def test_an_unreadable_catalog_says_why() -> None:
     with pytest.raises(CatalogError, match="version"):
         read_catalog(b'{"routes": [], "services": []}')
+
+
+def test_a_store_without_a_configuration_is_not_asked_all_the_time() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 0.5
+        while loop.time() < end:
+            await store.next_catalog()
+        assert len(standin.calls) <= 5
+
+    play(scene)
