Refuse nothing for want of targets while an entry has just started

Change: for half a second after its start an entry expects a short wait only; jobs that then can't start in time are refused as before.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -10,7 +10,7 @@
 from typing import final
 
 from paddleshunt_core.effects import Log, note
-from paddleshunt_core.leased.admission import expected_wait, room_note
+from paddleshunt_core.leased.admission import NO_TARGET_WAIT, expected_wait, room_note
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
@@ -55,6 +55,9 @@
 BACKOFF_SECONDS = 0.05
 """Seconds in which a target that gave a task back is given none."""
 
+SETTLE_SECONDS = 0.5
+"""Seconds after the start in which targets are still being met, and few say little of the room."""
+
 FORGET_SECONDS = 60.0
 """Seconds after which a silent target is forgotten."""
 
@@ -76,6 +79,7 @@
         self._targets: dict[str, TargetRecord] = {}
         self._sessions = 0
         self._moved: float | None = None
+        self._began: float | None = None
         self._thawed = float("-inf")
 
     @property
@@ -115,6 +119,8 @@
             return [*effects, self._hand_over(now, caller, self._by_key[request.key])]
         job = new_job(caller, request, queue, now)
         wait = self._wait(now, job)
+        if self._is_settling(now):
+            wait = min(wait, NO_TARGET_WAIT)
         if now + wait > job.refuse_after:
             refusal = self._refusal(caller, request, "no_room", wait)
             return [
@@ -142,6 +148,9 @@
         age = round((now - job.arrived) * 1000)
         return [note("caller_left", job.request.key, after_ms=age), *self._place(now)]
 
+    def _is_settling(self, now: float) -> bool:
+        return self._began is not None and now < self._began + SETTLE_SECONDS
+
     def _hand_over(self, now: float, caller: int, job: JobRecord) -> AnswerJob:
         """Let a job that came again go on for its new caller; the earlier one is likely gone."""
         earlier = job.caller
@@ -261,6 +270,8 @@
         """Give up all jobs if this process stood still: their callers may have gone elsewhere."""
         before = self._moved
         self._moved = now
+        if self._began is None:
+            self._began = now
         if before is None or now - before <= self._times.session:
             return []
         self._thawed = now
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -42,6 +42,19 @@
     assert fleet.answers[caller].retry_after > 0  # type: ignore[union-attr]
 
 
+def test_an_entry_that_has_just_started_does_not_take_its_first_target_for_all() -> None:
+    fleet = Fleet(targets=4)
+    for target in ("t1", "t2", "t3"):
+        fleet.kill(target)
+    fleet.run(0.1)
+    for target in ("t1", "t2", "t3"):
+        fleet.start(target)
+    callers = [fleet.submit("e0", f"j{n}", count=8) for n in range(4)]
+    assert not fleet.answers
+    fleet.run(2.0)
+    assert [fleet.answers.get(caller) for caller in callers] == [Completed()] * 4
+
+
 def test_a_refused_job_never_runs(fleet: Fleet) -> None:
     for number in range(12):
         fleet.submit(f"e{number % 2}", f"j{number}", count=12, length=1.0)
