--- a/testing/council/standins.py
+++ b/testing/council/standins.py
@@ -2,24 +2,11 @@
 
 import base64
 import json
-import socket
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
-
-_given_ports: set[int] = set()
-
-
-def free_port() -> int:
-    """Return a port that is free now and was not given to another part of a test before."""
-    while True:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port: int = sock.getsockname()[1]
-        if port not in _given_ports:
-            _given_ports.add(port)
-            return port
+from paddleshunt_platform.standins.ports import free_port
 
 
 class StandIn:
--- a/testing/council/test_system.py
+++ b/testing/council/test_system.py
@@ -18,7 +18,8 @@
 from paddleshunt_node.aio.measures import Measures
 from paddleshunt_node.aio.process import Surroundings
 from paddleshunt_node.aio.targetservice import TargetConfig, TargetService
-from standins import RunnerStandIn, StoreStandIn, free_port
+from paddleshunt_platform.standins.ports import free_port
+from standins import RunnerStandIn, StoreStandIn
 
 BOUNDS = Bounds(resend=4.0, hold_max=2.0, stop=0.2, grace=6.0)
 ROUTE = {
--- a/testing/node/aio/test_http.py
+++ b/testing/node/aio/test_http.py
@@ -1,12 +1,12 @@
 """The HTTP server and client together, over loopback."""
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
 from paddleshunt_node.aio.httpclient import HttpClient, NoAnswerError, NotSentError
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response, ServerLimits
+from paddleshunt_platform.standins.ports import free_port
 
 
 class Handler:
@@ -26,13 +26,6 @@
         self.left.append(exchange)
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def play(
     scene: Callable[[HttpServer, Handler, str], Awaitable[None]],
     limits: ServerLimits | None = None,
