Split addresses in one place, look at room once a submission, drop what nothing reads

host:port was taken apart in five places of the leased processes; a submission made three views of the targets' room, and a refusal after waiting worked out its wait twice; giving up after a stand-still repeated the choice of the outcome. Nothing read the time of a task's placing, the needs in TargetRecord.placed, the counts of messages, bytes and calls, HttpClient.close, or StorePort.catalog, and a connection that is closing is not open, so _broken said nothing more. No behaviour changes; tests are untouched.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -40,8 +40,7 @@
             task.number += 1
             task.phase = TaskPhase.PLACED
             task.target = target.name
-            task.placed = now
-            target.placed[task.run] = job.request.need
+            target.placed.add(task.run)
             target.reserve(job.request.need)
             chosen.setdefault(target.name, []).append(task)
         return [_send(now, job, by_name[name], tasks) for name, tasks in chosen.items()]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -118,16 +118,13 @@
         if request.key in self._by_key:
             return [*effects, self._hand_over(now, caller, self._by_key[request.key])]
         job = new_job(caller, request, queue, now)
-        wait = self._wait(now, job)
+        room = self._room(now)
+        wait = self._wait(job, room)
         if self._is_settling(now):
             wait = min(wait, NO_TARGET_WAIT)
         if now + wait > job.refuse_after:
             refusal = self._refusal(caller, request, "no_room", wait)
-            return [
-                *effects,
-                self._room_note(now, job, wait),
-                refusal,
-            ]
+            return [*effects, room_note(now, job, wait, room), refusal]
         self._jobs[caller] = job
         self._by_key[request.key] = job
         fields: dict[str, str | int | float] = {
@@ -137,7 +134,8 @@
             "deadline_ms": round(request.deadline * 1000),
             "wait_ms": round(wait * 1000),
         }
-        return [*effects, note("job_admitted", request.key, **fields), *self._place(now)]
+        admitted = note("job_admitted", request.key, **fields)
+        return [*effects, admitted, *self._assigner.place(now, self._jobs.values(), room)]
 
     def caller_left(self, now: float, caller: int) -> list[Effect]:
         """Stop the job of a caller that doesn't wait any more."""
@@ -219,7 +217,10 @@
 
     def finish(self, now: float) -> list[Effect]:
         """Answer all that is left, as the process ends."""
-        return [self._give_up(now, job, "leaving") for job in list(self._jobs.values())]
+        return [
+            self._give_up(now, job, "leaving", self._retry_after(now, job))
+            for job in list(self._jobs.values())
+        ]
 
     # Inside: callers.
 
@@ -230,23 +231,22 @@
 
     def _check_job(self, now: float, job: JobRecord) -> list[Effect]:
         if now > job.expires:
-            return [self._give_up(now, job, "deadline")]
+            return [self._give_up(now, job, "deadline", self._retry_after(now, job))]
         if not job.begun and now > job.refuse_after:
-            return [
-                self._room_note(now, job, self._wait(now, job)),
-                self._give_up(now, job, "no_room"),
-            ]
+            room = self._room(now)
+            wait = self._wait(job, room)
+            why = room_note(now, job, wait, room)
+            return [why, self._give_up(now, job, "no_room", max(RETRY_SECONDS, wait))]
         return []
 
-    def _give_up(self, now: float, job: JobRecord, reason: str) -> AnswerJob:
+    def _give_up(self, now: float, job: JobRecord, reason: str, retry_after: float) -> AnswerJob:
         """Answer a job that can't be of use; the answer says truly whether it has run."""
-        outcome: JobOutcome
-        if job.begun:
-            outcome = GivenUp(reason)
-        else:
-            outcome = Refused(reason, max(RETRY_SECONDS, self._wait(now, job)))
+        outcome = GivenUp(reason) if job.begun else Refused(reason, retry_after)
         return self._answer(now, job, outcome)
 
+    def _retry_after(self, now: float, job: JobRecord) -> float:
+        return max(RETRY_SECONDS, self._wait(job, self._room(now)))
+
     def _answer(self, now: float, job: JobRecord, outcome: JobOutcome) -> AnswerJob:
         self._drop(job)
         return AnswerJob(job.caller, job.request.key, outcome, now - job.arrived)
@@ -264,7 +264,7 @@
             if target.session is not None:
                 target.session.send(Stop(runs))
             for run in runs:
-                target.placed.pop(run, None)
+                target.placed.discard(run)
 
     def _notice_pause(self, now: float) -> list[Effect]:
         """Give up all jobs if this process stood still: their callers may have gone elsewhere."""
@@ -281,10 +281,7 @@
         }
         effects: list[Effect] = [note("stood_still", **fields)]
         for job in list(self._jobs.values()):
-            outcome: JobOutcome = GivenUp("stood_still")
-            if not job.begun:
-                outcome = Refused("stood_still", THAW_SECONDS)
-            effects.append(self._answer(now, job, outcome))
+            effects.append(self._give_up(now, job, "stood_still", THAW_SECONDS))
         return effects
 
     # Inside: targets.
@@ -328,7 +325,7 @@
         target.lost_at = target.session.renewed_ms / 1000 + self._times.session_end
         target.session = None
         target.reset()
-        target.held |= set(target.placed)
+        target.held |= target.placed
         target.placed.clear()
         for run in target.held:
             task = self._task(run, target)
@@ -354,7 +351,7 @@
         return []
 
     def _ended(self, now: float, target: TargetRecord, run: RunId, end: End) -> list[Effect]:
-        target.placed.pop(run, None)
+        target.placed.discard(run)
         task = self._task(run, target)
         if task is None or task.phase is not TaskPhase.PLACED:
             return []
@@ -426,11 +423,8 @@
     def _room(self, now: float) -> RoomNow:
         return RoomNow(now, self._targets.values(), self._times)
 
-    def _wait(self, now: float, job: JobRecord) -> float:
-        return expected_wait(job, self._room(now).usable(job.queue.service), self._jobs.values())
-
-    def _room_note(self, now: float, job: JobRecord, wait: float) -> Log:
-        return room_note(now, job, wait, self._room(now))
+    def _wait(self, job: JobRecord, room: RoomNow) -> float:
+        return expected_wait(job, room.usable(job.queue.service), self._jobs.values())
 
     def _place(self, now: float) -> list[Effect]:
         return list(self._assigner.place(now, self._jobs.values(), self._room(now)))
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -60,7 +60,6 @@
     phase: TaskPhase = TaskPhase.WAITING
     target: str = ""
     failures: int = 0
-    placed: float = 0.0
     ran: bool = False
     """Whether an earlier run of it may have started."""
     avoid: set[str] = field(default_factory=set)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -32,7 +32,7 @@
     """Needs of assignments that the last report doesn't cover, by their number."""
     on_way: Resources = NOTHING
     """Sum of what was promised to tasks that the last report doesn't cover."""
-    placed: dict[RunId, Resources] = field(default_factory=dict)
+    placed: set[RunId] = field(default_factory=set)
     held: set[RunId] = field(default_factory=set)
     backoff: float = 0.0
     """Until when nothing is sent there, as it gave a task back."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from paddleshunt_node.aio.framing import PeerHandler, PeerLink
+from paddleshunt_node.aio.sockets import split_address
 
 CONNECT_TIMEOUT = 0.4
 """Seconds for a connection to be made; behind a cut it would hang for minutes."""
@@ -80,14 +81,13 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _dial(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
         link = PeerLink(self._handler, self._silence)
         # Known before it opens, so that the handler can ask whom it dialled.
         self._links[address] = link
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                await loop.create_connection(lambda: link, host, int(port))
+                await loop.create_connection(lambda: link, *split_address(address))
         except (TimeoutError, OSError):
             if self._links.get(address) is link:
                 del self._links[address]
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -20,6 +20,7 @@
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
 from paddleshunt_node.aio.ports import CallerCodec, StorePort
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
+from paddleshunt_node.aio.sockets import split_address
 from paddleshunt_node.aio.storefollower import StoreFollower
 
 LONELY_SECONDS = 3.0
@@ -104,11 +105,12 @@
 
     async def _start(self) -> None:
         loop = self._loop = asyncio.get_running_loop()
-        await self._callers.start(*_split(self._config.callers))
+        await self._callers.start(*split_address(self._config.callers))
         ready = HttpServer(_Readiness(self))
-        await ready.start(*_split(self._config.ready))
+        await ready.start(*split_address(self._config.ready))
         await loop.create_server(
-            lambda: PeerLink(self._target_side, self._times.session), *_split(self._config.peers)
+            lambda: PeerLink(self._target_side, self._times.session),
+            *split_address(self._config.peers),
         )
         pages = OperatorPages(self._around.measures, self.describe)
         await serve_pages(pages, self._config.metrics, self._around)
@@ -372,8 +374,3 @@
 
     def closed(self, link: PeerLink) -> None:
         self._service.link_closed(link)
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
@@ -44,8 +44,6 @@
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self.peer = ""
-        self.messages_out = 0
-        self.bytes_out = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection."""
@@ -80,8 +78,6 @@
             return
         packed = _encoder.encode(message)
         self._transport.write(len(packed).to_bytes(LENGTH_BYTES, "big") + packed)
-        self.messages_out += 1
-        self.bytes_out += LENGTH_BYTES + len(packed)
 
     @property
     def is_open(self) -> bool:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/httpclient.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/httpclient.py
@@ -11,7 +11,7 @@
 
 from paddleshunt_node.aio.httptext import request_head
 from paddleshunt_node.aio.reading import ReadingProtocol
-from paddleshunt_node.aio.sockets import prepare
+from paddleshunt_node.aio.sockets import prepare, split_address
 
 CONNECT_TIMEOUT = 0.4
 """Seconds for a connection to be made; the first packet may be lost."""
@@ -52,12 +52,9 @@
     """Calls one host:port. Each call has a connection to itself; idle ones are kept."""
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+        self._host, self._port = split_address(address)
         self._address = address
         self._idle: list[_Connection] = []
-        self.calls = 0
         self.connections = 0
 
     async def call(
@@ -69,7 +66,6 @@
         headers: tuple[tuple[str, str], ...] = (),
     ) -> Answer:
         """Send a request and return the answer; raises `CallError`."""
-        self.calls += 1
         connection = await self._connection()
         head = request_head(
             method,
@@ -89,16 +85,10 @@
         except asyncio.CancelledError:
             connection.close()
             raise
-        if connection.reusable:
+        if connection.is_open:
             self._idle.append(connection)
         return answer
 
-    def close(self) -> None:
-        """End the kept connections."""
-        for connection in self._idle:
-            connection.close()
-        self._idle.clear()
-
     async def _connection(self) -> "_Connection":
         while self._idle:
             connection = self._idle.pop()
@@ -127,16 +117,11 @@
         self._waiting: asyncio.Future[Answer] | None = None
         self._headers: dict[str, str] = {}
         self._body = bytearray()
-        self._broken = False
 
     @property
     def is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
-    @property
-    def reusable(self) -> bool:
-        return self.is_open and not self._broken
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
@@ -165,7 +150,6 @@
             timer.cancel()
 
     def close(self) -> None:
-        self._broken = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -185,10 +169,8 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
-        if not self._parser.should_keep_alive():
-            self._broken = True
-            if self._transport is not None:
-                self._transport.close()
+        if not self._parser.should_keep_alive() and self._transport is not None:
+            self._transport.close()
         if self._waiting is not None and not self._waiting.done():
             self._waiting.set_result(Answer(status, self._headers, bytes(self._body)))
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -48,9 +48,6 @@
 class StorePort(Protocol):
     """The platform's store, as far as an entry or a target needs it."""
 
-    async def catalog(self) -> Catalog | None:
-        """Return the newest configuration; raises `StoreUnavailableError`."""
-
     async def next_catalog(self) -> Catalog | None:
         """Wait for a change and return the newest configuration; raises `StoreUnavailableError`."""
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -12,6 +12,7 @@
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
 from paddleshunt_node.aio.logline import LogLines
 from paddleshunt_node.aio.measures import Measures
+from paddleshunt_node.aio.sockets import split_address
 
 
 @final
@@ -82,8 +83,7 @@
 
 async def serve_pages(pages: OperatorPages, address: str, around: Surroundings) -> None:
     """Serve the operators' pages at host:port; without them the process still does its work."""
-    host, _, port = address.rpartition(":")
     try:
-        await HttpServer(pages).start(host, int(port))
+        await HttpServer(pages).start(*split_address(address))
     except OSError as problem:
         around.event("pages_unavailable", address=address, problem=str(problem))
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -26,6 +26,7 @@
     StoreUnavailableError,
 )
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
+from paddleshunt_node.aio.sockets import split_address
 
 LOOK_PAUSE = 0.08
 """Seconds before the next look after one that got no answer."""
@@ -116,8 +117,7 @@
     async def _start(self) -> None:
         self._loop = asyncio.get_running_loop()
         registration = HttpServer(_Registration(self))
-        host, _, port = self._config.registration.rpartition(":")
-        await registration.start(host, int(port))
+        await registration.start(*split_address(self._config.registration))
         pages = OperatorPages(self._around.measures, self.describe)
         await serve_pages(pages, self._config.metrics, self._around)
         self._gauges()
