Take the queue out of targets: nothing has waited there since

A target starts what fits and gives the rest back in the same call, so the phase QUEUED, its place in the order of starts, the pump after each answer, the giving back of queued runs, the queued work in reports and the time left to start in assignments did nothing.

Tests drop the constructor arguments that are gone; no assertion changes.

--- a/benchmarks/peer_frames.py
+++ b/benchmarks/peer_frames.py
@@ -47,7 +47,7 @@
     server = await loop.create_server(lambda: PeerLink(receiver, SILENCE), "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     _, link = await loop.create_connection(lambda: PeerLink(sender, SILENCE), "127.0.0.1", port)
-    body = Assign("k" * 16, 0, "x" * SPEC_BYTES, Resources(1600, 64), 400, 300, 2500, [(0, 1)])
+    body = Assign("k" * 16, 0, "x" * SPEC_BYTES, Resources(1600, 64), 400, 2500, [(0, 1)])
     began = time.process_time()
     for number in range(0, FRAMES, burst):
         for _ in range(burst):
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
@@ -25,13 +25,12 @@
         return 0.0
     reports = [target.report for target in able if target.report is not None]
     capacity = sum(report.capacity.processor for report in reports)
-    queued = sum(report.queued_ms for report in reports) / 1000
     ahead = sum(
         other.request.need.processor * other.request.estimate * len(other.waiting())
         for other in held
         if other.start_by <= job.start_by
     )
-    return (ahead + queued) / max(1, capacity)
+    return ahead / max(1, capacity)
 
 
 def room_note(now: float, job: JobRecord, wait: float, room: RoomNow) -> Log:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -55,7 +55,6 @@
         spec=request.spec,
         need=request.need,
         estimate_ms=round(request.estimate * 1000),
-        start_within_ms=round((job.start_by - now) * 1000),
         expires_ms=round((job.expires - now) * 1000),
         runs=[(task.id.index, task.number) for task in tasks],
     )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -81,12 +81,12 @@
 
     def add(self, now: float, runs: list[Run]) -> list[Effect]:
         """Start what fits, and give back the rest at once: other targets may have room."""
+        effects: list[Effect] = []
         for run in runs:
-            self.table.add(run)
-        effects = self.pump(now)
-        for run in runs:
-            if run.phase is Phase.QUEUED:
-                effects += self._ended(now, run, End.NO_ROOM, "no_room")
+            if self._may_start() and run.need.fits(self.free()):
+                effects.append(self._order(now, run))
+            else:
+                effects.append(self._tell(run, End.NO_ROOM, "no_room"))
         return effects
 
     def take_ends(self) -> list[tuple[Run, End]]:
@@ -107,12 +107,11 @@
             self.changed = True
             speed = round(self.health.speed(now), 2)
             effects.append(note("runner_health", health=level.name.lower(), speed=speed))
-        return effects + self.pump(now)
+        return effects
 
     def leave(self) -> None:
-        """Start nothing more, and give back what is queued."""
+        """Start nothing more."""
         self.leaving = True
-        self.return_queued()
         self.changed = True
 
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
@@ -129,8 +128,7 @@
             self.changed = True
         if account.leaving and not (known and known.leaving):
             effects.append(note("runner_leaving", runner=account.runner))
-            self.return_queued()
-        return effects + self.pump(now)
+        return effects
 
     def runner_left(self, now: float, runner: str) -> list[Effect]:
         """Take the runner's word that it ends now."""
@@ -176,8 +174,8 @@
             elif run.doubted is not None and run.doubted < answer.sent:
                 effects += self._stop(now, run, End.NOT_STARTED, "start_unanswered")
             elif run.settled is not None and run.settled < answer.sent:
-                effects += self._vanished(now, run)
-        return effects + self.pump(now)
+                effects += self._vanished(run)
+        return effects
 
     def look_failed(self, now: float, *, other_life: bool = False) -> list[Effect]:
         """Take a renewal that got no answer, or the answer that another life runs there."""
@@ -187,11 +185,10 @@
         self._failed_looks += 1
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self.table)))
-            self.return_queued()
             self.changed = True
         for run in self.table:
             if now > max(self._renewed, run.ordered) + self._times.run_end:
-                effects += self._ended(now, run, End.LOST, "lease_lapsed")
+                effects += self._ended(run, End.LOST, "lease_lapsed")
         return effects
 
     def start_answered(self, now: float, id_: RunId, answer: StartAnswer) -> list[Effect]:
@@ -204,7 +201,7 @@
             case StartAnswer.STARTED:
                 return self._started(now, run)
             case StartAnswer.NO_ROOM:
-                return self._no_room(now, run)
+                return self._no_room(run)
             case StartAnswer.UNKNOWN:
                 return self._doubt(now, run)
             case StartAnswer.OTHER_LIFE:
@@ -214,7 +211,7 @@
             case _:
                 pass
         end = End.STALE if answer is StartAnswer.STALE else End.NOT_STARTED
-        return [*self._ended(now, run, end, f"start_{answer.value}"), *self.pump(now)]
+        return self._ended(run, end, f"start_{answer.value}")
 
     def stop_answered(self, now: float, id_: RunId, *, done: bool) -> list[Effect]:
         """Take what became of an order to stop; an unanswered one is sent again."""
@@ -241,17 +238,11 @@
             return NOTHING
         return self.account.capacity - self.table.used
 
-    def pump(self, now: float) -> list[Effect]:
-        """Order the most urgent queued runs that fit."""
-        effects: list[Effect] = []
-        for run in self.table.queued():
-            if self._may_start() and run.need.fits(self.free()):
-                self.table.take_room(run)
-                run.ordered = run.moved = run.seen = now
-                run.settled = None
-                effects.append(StartRun(run.id, run.spec, self._times.hold))
-                self.changed = True
-        return effects
+    def _order(self, now: float, run: Run) -> StartRun:
+        self.table.add(run)
+        run.ordered = run.moved = run.seen = now
+        self.changed = True
+        return StartRun(run.id, run.spec, self._times.hold)
 
     def _may_start(self) -> bool:
         if not self.clean or self._foreign or self.state() is not RunnerState.READY:
@@ -270,20 +261,18 @@
         run.settled = None
         return [StopRun(run.id)]
 
-    def _no_room(self, now: float, run: Run) -> list[Effect]:
+    def _no_room(self, run: Run) -> list[Effect]:
         if run.phase is not Phase.STARTING:
-            return [*self._ended(now, run, run.ending, "no_room"), *self.pump(now)]
+            return self._ended(run, run.ending, "no_room")
         fields: dict[str, str | int | float] = {
             "used": self.table.used.processor,
             "run": run.id.number,
         }
         log = note("start_rejected", str(run.id.task), **fields)
-        return [log, *self._ended(now, run, End.NO_ROOM, "rejected"), *self.pump(now)]
+        return [log, *self._ended(run, End.NO_ROOM, "rejected")]
 
     def cancel(self, now: float, run: Run, reason: str) -> list[Effect]:
         """End a run that nobody wants any more."""
-        if run.phase is Phase.QUEUED:
-            return self._ended(now, run, End.NOT_STARTED, reason)
         if run.phase is Phase.STOPPING:
             return []
         return self._stop(now, run, End.STOPPED, reason)
@@ -301,8 +290,6 @@
         return [log, StopRun(run.id)]
 
     def _check(self, now: float, run: Run) -> list[Effect]:
-        if run.phase is Phase.QUEUED and now > run.expires:
-            return self._ended(now, run, End.NOT_STARTED, "expired")
         if run.phase is Phase.STOPPING and run.settled is None:
             if now > run.ordered + STOP_RETRY:
                 run.ordered = now
@@ -342,7 +329,7 @@
             end = run.ending if run.phase is Phase.STOPPING else End.STOPPED
             if end is End.NOT_STARTED:
                 end = End.STOPPED
-        return self._ended(now, run, end, finished.end.value)
+        return self._ended(run, end, finished.end.value)
 
     def _doubt(self, now: float, run: Run) -> list[Effect]:
         """Let the next look tell whether an unanswered start was carried out."""
@@ -377,11 +364,11 @@
             return self._stop(now, run, End.STUCK, "no_progress")
         return []
 
-    def _vanished(self, now: float, run: Run) -> list[Effect]:
+    def _vanished(self, run: Run) -> list[Effect]:
         """End a run that a later look of the runner doesn't know."""
         if run.phase is Phase.STOPPING:
-            return self._ended(now, run, run.ending, "gone")
-        return self._ended(now, run, End.LOST, "gone")
+            return self._ended(run, run.ending, "gone")
+        return self._ended(run, End.LOST, "gone")
 
     def _stop_foreign(self, running: dict[RunId, int], answer: LookAnswer) -> list[Effect]:
         """Stop what an earlier life of this target has left; until it is gone, start nothing."""
@@ -404,8 +391,7 @@
         }
         effects: list[Effect] = [note("runner_replaced", **fields)]
         for run in self.table:
-            if run.phase is not Phase.QUEUED:
-                effects += self._ended(now, run, End.LOST, "runner_replaced")
+            effects += self._ended(run, End.LOST, "runner_replaced")
         self.health = RunnerHealth()
         self._last_seen = 0
         self.clean = False
@@ -415,9 +401,14 @@
         self.changed = True
         return effects
 
-    def _ended(self, now: float, run: Run, end: End, reason: str) -> list[Effect]:
+    def _ended(self, run: Run, end: End, reason: str) -> list[Effect]:
         self.table.drop(run)
-        self._note(run, end)
+        return [self._tell(run, end, reason)]
+
+    def _tell(self, run: Run, end: End, reason: str) -> Log:
+        """Let the run's entry know of its end."""
+        self._ends.append((run, end))
+        self.changed = True
         fields: dict[str, str | int | float] = {
             "run": run.id.number,
             "end": end.name.lower(),
@@ -425,14 +416,4 @@
             "percent": run.percent,
             "entry": run.entry,
         }
-        return [note("run_ended", str(run.id.task), **fields)]
-
-    def return_queued(self) -> None:
-        """Give back what has not been started."""
-        for run in self.table.queued():
-            self.table.drop(run)
-            self._note(run, End.NOT_STARTED)
-
-    def _note(self, run: Run, end: End) -> None:
-        self._ends.append((run, end))
-        self.changed = True
+        return note("run_ended", str(run.id.task), **fields)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -10,9 +10,8 @@
 
 
 class Phase(Enum):
-    """Where a run is on its way. From STARTING to the end of STOPPING it takes room."""
+    """Where a run is on its way; in each of these it takes room."""
 
-    QUEUED = auto()
     STARTING = auto()
     RUNNING = auto()
     STOPPING = auto()
@@ -28,9 +27,8 @@
     spec: str
     need: Resources
     estimate: float
-    start_by: float
     expires: float
-    phase: Phase = Phase.QUEUED
+    phase: Phase = Phase.STARTING
     ordered: float = 0.0
     """When the last order about it was sent."""
     settled: float | None = None
@@ -67,31 +65,15 @@
         return self._runs.get(run)
 
     def add(self, run: Run) -> None:
-        """Add a queued run."""
+        """Add a run and count its need as used from now on."""
         self._runs[run.id] = run
-
-    def take_room(self, run: Run) -> None:
-        """Count a queued run's need as used from now on."""
-        run.phase = Phase.STARTING
         self.used += run.need
 
     def drop(self, run: Run) -> None:
         """Forget a run and free what it used."""
         del self._runs[run.id]
-        if run.phase is not Phase.QUEUED:
-            self.used -= run.need
-
-    def queued(self) -> list[Run]:
-        """Return the queued runs, the most urgent first."""
-        waiting = [run for run in self._runs.values() if run.phase is Phase.QUEUED]
-        return sorted(waiting, key=lambda run: run.start_by)
+        self.used -= run.need
 
     def of_entry(self, entry: str) -> list[Run]:
         """Return the runs of one entry's session."""
         return [run for run in self._runs.values() if run.entry == entry]
-
-    def queued_work(self) -> tuple[int, int]:
-        """Return how many runs are queued, and their work in core-milliseconds."""
-        waiting = [run for run in self._runs.values() if run.phase is Phase.QUEUED]
-        work = sum(run.need.processor * run.estimate for run in waiting)
-        return len(waiting), round(work)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -96,7 +96,7 @@
 
     @property
     def load(self) -> float:
-        """Share of its capacity that is in use, queued runs and those on their way included."""
+        """Share of its capacity that is in use, runs on their way included."""
         if self.report is None:
             return 1.0
         return (self.report.capacity - self.free).share_of(self.report.capacity)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -77,8 +77,7 @@
 class Assign(_Body, frozen=True, tag=1):
     """Run tasks of one step of a job.
 
-    `estimate_ms` is a rough guess of a task's length; `start_within_ms` is the time left to start
-    in, if the job is to end in time; after `expires_ms` nobody waits for it.
+    `estimate_ms` is a rough guess of a task's length; after `expires_ms` nobody waits for it.
     """
 
     job: str
@@ -86,14 +85,13 @@
     spec: str
     need: Resources
     estimate_ms: int
-    start_within_ms: int
     expires_ms: int
     runs: list[tuple[int, int]]
 
 
 @final
 class Stop(_Body, frozen=True, tag=2):
-    """Drop the runs if they are queued, stop them if they run."""
+    """Stop the runs."""
 
     runs: list[RunId]
 
@@ -107,10 +105,9 @@
 
 @final
 class RunnerReport(_Body, frozen=True, tag=5):
-    """State of a runner and its target's queue.
+    """State of a runner.
 
-    `queued` runs wait there; `queued_ms` is their work in core-milliseconds. `labels` say what
-    kind of host the runner's is, and in which rack it stands.
+    `labels` say what kind of host the runner's is, and in which rack it stands.
     """
 
     service: str
@@ -120,8 +117,6 @@
     speed: float
     capacity: Resources
     free: Resources
-    queued: int
-    queued_ms: int
     labels: tuple[str, ...] = ()
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -79,7 +79,7 @@
 
     @property
     def runs(self) -> int:
-        """Runs queued and at work here."""
+        """Runs at work here."""
         return len(self._control.table)
 
     def describe(self, now: float) -> dict[str, object]:
@@ -139,7 +139,7 @@
         effects: list[Effect] = []
         for body in bodies:
             effects += self._take(now, entry, body)
-        return effects + self._control.pump(now)
+        return effects
 
     # The runner.
 
@@ -182,7 +182,7 @@
         return effects + self._control.tick(now)
 
     def leave(self, now: float) -> list[Effect]:
-        """Start nothing more, and give back what is queued."""
+        """Start nothing more."""
         self._control.leave()
         return [note("leaving", runs=self.runs)]
 
@@ -278,7 +278,6 @@
     def _report(self, now: float, link: _EntryLink) -> RunnerReport:
         control = self._control
         account = control.account
-        queued, work = control.table.queued_work()
         return RunnerReport(
             service=account.service if account else "",
             runner=account.runner if account else "",
@@ -287,8 +286,6 @@
             speed=round(control.health.speed(now), 2),
             capacity=account.capacity if account else NOTHING,
             free=control.free(),
-            queued=queued,
-            queued_ms=work,
             labels=account.labels if account else (),
         )
 
@@ -311,6 +308,5 @@
         body.spec,
         body.need,
         body.estimate_ms / 1000,
-        now + body.start_within_ms / 1000,
         now + body.expires_ms / 1000,
     )
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -142,7 +142,7 @@
 
     def _gauges(self) -> None:
         measures = self._around.measures
-        measures.gauge("paddleshunt_runs", "Runs queued and at work.", lambda: self._worker.runs)
+        measures.gauge("paddleshunt_runs", "Runs at work.", lambda: self._worker.runs)
         measures.gauge("paddleshunt_sessions", "Entries in session.", lambda: len(self._links))
 
     def _now(self) -> float:
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -35,7 +35,7 @@
     worker.runner_spoke(0.9, account)
     worker.looked(0.95, LookAnswer(0.92, [], []))
     worker.opened(1.0, Hello("e", "life", True, "hall", "", 1, 0), 1.0)
-    assign = Assign("job", 0, "spec", Resources(1000, 10), 400, 300, 4000, [(0, 1)])
+    assign = Assign("job", 0, "spec", Resources(1000, 10), 400, 4000, [(0, 1)])
     effects = worker.heard(1.0, "e", Frame(1, 0, 1000, 1000, [assign]))
     assert [effect.run for effect in effects if isinstance(effect, StartRun)] == [RUN]
     return worker
@@ -46,7 +46,7 @@
     need = Resources(1000, 10)
     tasks = [(index, 1) for index in range(runs)]
     return Frame(
-        number, 0, at_ms, at_ms, [Assign(f"job{number}", 0, "spec", need, 400, 300, 4000, tasks)]
+        number, 0, at_ms, at_ms, [Assign(f"job{number}", 0, "spec", need, 400, 4000, tasks)]
     )
 
 
@@ -82,7 +82,7 @@
 def test_a_run_that_is_known_already_is_given_back() -> None:
     worker = working()
     worker.opened(1.0, Hello("e2", "life", True, "hall", "", 1, 0), 1.0)
-    assign = Assign("job", 0, "spec", Resources(1000, 10), 400, 300, 4000, [(0, 1)])
+    assign = Assign("job", 0, "spec", Resources(1000, 10), 400, 4000, [(0, 1)])
     effects = worker.heard(1.01, "e2", Frame(1, 0, 1010, 1010, [assign]))
     assert not [effect for effect in effects if isinstance(effect, StartRun)]
     worker.prepare_frames(1.02)
