Bring entries and targets together sooner after a start

A target sent a long look before its runner had given its account, threw the answer away when the account came, and counted that as a runner that does not answer. Entries and targets dialled in rounds of 0.25 s, and passed an entry that had restarted over for 2 s. Jobs were refused meanwhile.

Change: no look waits before the account is known; a look that another life of the runner has superseded says nothing; an address is dialled as soon as it is heard of, in rounds of 0.08 s while nothing is connected; gossip names an entry's life, and a new life ends a suspicion; until half a second after its first session an entry refuses a job only once nobody could use its answer.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -56,7 +56,7 @@
 """Seconds in which a target that gave a task back is given none."""
 
 SETTLE_SECONDS = 0.5
-"""Seconds after the start in which targets are still being met, and few say little of the room."""
+"""Seconds after the first session in which targets are still being met: few say little of room."""
 
 FORGET_SECONDS = 60.0
 """Seconds after which a silent target is forgotten."""
@@ -79,7 +79,8 @@
         self._targets: dict[str, TargetRecord] = {}
         self._sessions = 0
         self._moved: float | None = None
-        self._began: float | None = None
+        self._met: float | None = None
+        """When the first session with a target began."""
         self._thawed = float("-inf")
 
     @property
@@ -147,7 +148,7 @@
         return [note("caller_left", job.request.key, after_ms=age), *self._place(now)]
 
     def _is_settling(self, now: float) -> bool:
-        return self._began is not None and now < self._began + SETTLE_SECONDS
+        return self._met is None or now < self._met + SETTLE_SECONDS
 
     def _hand_over(self, now: float, caller: int, job: JobRecord) -> AnswerJob:
         """Let a job that came again go on for its new caller; the earlier one is likely gone."""
@@ -232,7 +233,9 @@
     def _check_job(self, now: float, job: JobRecord) -> list[Effect]:
         if now > job.expires:
             return [self._give_up(now, job, "deadline", self._retry_after(now, job))]
-        if not job.begun and now > job.refuse_after:
+        # While targets are being met, room is about to be found: a late answer beats a refusal.
+        last_start = job.useful_start if self._is_settling(now) else job.refuse_after
+        if not job.begun and now > last_start:
             room = self._room(now)
             wait = self._wait(job, room)
             why = room_note(now, job, wait, room)
@@ -270,8 +273,6 @@
         """Give up all jobs if this process stood still: their callers may have gone elsewhere."""
         before = self._moved
         self._moved = now
-        if self._began is None:
-            self._began = now
         if before is None or now - before <= self._times.session:
             return []
         self._thawed = now
@@ -291,6 +292,8 @@
     ) -> tuple[Session, list[Effect]]:
         """Begin anew with a target: it opens a session only when nothing of an old one is left."""
         self._sessions += 1
+        if self._met is None:
+            self._met = now
         target.life = hello.life
         target.hall = hello.hall
         session = target.session = Session(self._sessions, int(now * 1000))
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
@@ -5,6 +5,7 @@
 entries, and one entry's end moves only the sessions that it had.
 """
 
+from collections import deque
 from typing import final
 
 from xxhash import xxh64_intdigest
@@ -17,6 +18,9 @@
 SUSPECT_SECONDS = 2.0
 """Seconds for which an entry that could not be reached is passed over."""
 
+LIVES = 4
+"""Lives of one entry that are remembered: tellers may name an ended one for a second or two."""
+
 
 @final
 class EntryChoice:
@@ -27,10 +31,17 @@
         self._sessions = sessions
         self._told: dict[str, list[EntryAddress]] = {}
         self._suspected: dict[str, float] = {}
+        self._lives: dict[str, deque[str]] = {}
 
     def told(self, teller: str, entries: list[EntryAddress]) -> None:
-        """Take the entries that one entry knows to live; they replace what it said before."""
+        """Take the entries that one entry knows to live; they replace what it said before.
+
+        An entry that has started anew since it was suspected is not passed over any longer.
+        """
         self._told[teller] = entries
+        for entry in entries:
+            if self._has_new_life(entry):
+                self._suspected.pop(entry.name, None)
 
     def suspect(self, now: float, name: str) -> None:
         """Pass an entry over for a while: it can't be reached, or its session ended."""
@@ -53,5 +64,12 @@
         """Whether any entry has told of the others."""
         return bool(self._told)
 
+    def _has_new_life(self, entry: EntryAddress) -> bool:
+        lives = self._lives.setdefault(entry.name, deque(maxlen=LIVES))
+        if not entry.life or entry.life in lives:
+            return False
+        lives.append(entry.life)
+        return True
+
     def _rank(self, entry: EntryAddress) -> int:
         return xxh64_intdigest(f"{self._target}\n{entry.name}".encode())
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -17,6 +17,12 @@
 ESTIMATE_ERROR = 0.25
 """Part of its estimate by which a job's start may be late, and it may yet end in time."""
 
+USEFUL_OBJECTIVES = 3.0
+"""How many times its objective a job may take and yet be of use, if less, to its caller.
+
+The users count an answer as late up to this, and as worth nothing beyond it.
+"""
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -108,6 +114,12 @@
         late = self.start_by + ESTIMATE_ERROR * self.request.estimate
         return min(late, self.expires - self.request.estimate)
 
+    @property
+    def useful_start(self) -> float:
+        """When its tasks must start for its answer to be of any use."""
+        useful = self.arrived + USEFUL_OBJECTIVES * self.objective
+        return min(useful, self.expires) - self.request.estimate
+
     @property
     def expires(self) -> float:
         """When the caller stops waiting."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -153,7 +153,8 @@
         return Look(self._last_seen, lease, self._look_wait())
 
     def _look_wait(self) -> float:
-        if not self.clean:
+        # The runner's account changes whom a look is meant for: a long one under way is wasted.
+        if not self.clean or self.account is None:
             return 0.0
         return self._times.hold * (LOOK_SHARE if len(self.table) else IDLE_LOOK_SHARE)
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -122,10 +122,14 @@
 
 @final
 class EntryAddress(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """An entry's name and the host:port on which it listens for peers."""
+    """An entry's name and the host:port on which it listens for peers.
+
+    `life` is new at each start of the process; empty if the sender has not met the entry itself.
+    """
 
     name: str
     address: str
+    life: str = ""
 
 
 @final
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
@@ -14,6 +14,12 @@
 RETRY_SECONDS = 0.25
 """Seconds between two attempts at one address."""
 
+LONELY_RETRY_SECONDS = 0.08
+"""The same while no connection stands, as after a loss of all power: nothing works till one does.
+
+One entry's start-up takes 0.4 s; five attempts in that time cost less than one job's messages.
+"""
+
 FORGET_SECONDS = 20.0
 """Seconds without a connection after which an address is tried no more, unless it is a seed."""
 
@@ -46,9 +52,10 @@
         self._seeds = addresses - {self._own}
 
     def want(self, now: float, address: str) -> None:
-        """Try this address; it was heard of just now."""
+        """Try this address, at once and for a while; it was heard of just now."""
         if address != self._own:
             self._wanted[address] = now
+            self._try(address)
 
     def links(self) -> list[PeerLink]:
         """Return the connections that stand."""
@@ -67,7 +74,7 @@
                     del self._wanted[address]
             for address in self._seeds | self._wanted.keys():
                 self._try(address)
-            await asyncio.sleep(RETRY_SECONDS)
+            await asyncio.sleep(RETRY_SECONDS if self.links() else LONELY_RETRY_SECONDS)
 
     def _try(self, address: str) -> None:
         link = self._links.get(address)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -74,7 +74,7 @@
         self._callers = HttpServer(self)
         self._links: dict[str, PeerLink] = {}
         self._sent: dict[str, float] = {}
-        own = EntryAddress(config.name, config.peers)
+        own = EntryAddress(config.name, config.peers, self._life)
         self._peers = EntryPeers(self, own, self._hello(0, 0), self._times.session)
         self._peers.seeds(set(config.seeds))
         self._follower = StoreFollower(store, surroundings, own, self)
@@ -227,7 +227,7 @@
         """Take the greeting of a target, or of another entry."""
         now = self._now()
         if hello.entry:
-            self._peers.note(EntryAddress(hello.name, hello.address))
+            self._peers.note(EntryAddress(hello.name, hello.address, hello.life))
             link.send(self._hello(0, 0))
             return
         session, effects = self._dispatcher.greeted(now, hello)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -29,6 +29,12 @@
     """Another life of the runner answered than the one meant."""
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """A look's answer that says nothing: another life is meant since the look was sent."""
+
+
 class RunnerPort(Protocol):
     """The runner beside a target."""
 
@@ -41,7 +47,7 @@
     async def stop(self, order: StopRun) -> bool:
         """Order a stop; return whether the runner confirmed it."""
 
-    async def look(self, look: Look) -> LookAnswer | OtherLife | None:
+    async def look(self, look: Look) -> LookAnswer | OtherLife | Superseded | None:
         """Renew the lease and look at what runs; None: no answer."""
 
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -24,6 +24,7 @@
     RunnerPort,
     StorePort,
     StoreUnavailableError,
+    Superseded,
 )
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
 from paddleshunt_node.aio.sockets import split_address
@@ -184,6 +185,8 @@
                 if look.wait == 0:
                     await asyncio.sleep(SHORT_PAUSE)
                 continue
+            if isinstance(answer, Superseded):
+                continue
             self._act(self._worker.look_failed(now, other_life=isinstance(answer, OtherLife)))
             if isinstance(answer, OtherLife):
                 self._runner.expect("")
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -287,3 +287,24 @@
     assert fleet.answers[first] == GivenUp("came_again")
     assert fleet.answers[second] == Completed()
     assert sum(r.starts.total() for r in fleet.runners.values()) == 3
+
+
+def test_while_targets_are_being_met_a_late_job_waits_instead_of_being_refused() -> None:
+    fleet = Fleet(entries=1, targets=2)
+    for target in fleet.targets:
+        fleet.kill(target)
+    fleet.run(0.1)
+    caller = fleet.submit("e0", "short", count=4, length=0.12)
+    fleet.run(0.2)
+    for target in fleet.targets:
+        fleet.start(target)
+    fleet.run(0.5)
+    assert fleet.answers[caller] == Completed()
+
+
+def test_a_job_that_nobody_could_use_any_more_is_refused_while_targets_are_being_met() -> None:
+    fleet = Fleet(entries=1, targets=1)
+    fleet.kill("t0")
+    caller = fleet.submit("e0", "short", count=4, length=0.12)
+    fleet.run(0.8)
+    assert isinstance(fleet.answers[caller], Refused)
--- a/testing/core/leased/test_entrychoice.py
+++ b/testing/core/leased/test_entrychoice.py
@@ -65,3 +65,22 @@
     choice = choice_of("t1")
     choice.told("e1", ENTRIES[1:3])
     assert sorted(names(choice, linked=frozenset({"e1"}))) == ["e1", "e2"]
+
+
+def test_a_suspected_entry_that_has_started_anew_is_wanted_at_once() -> None:
+    choice = EntryChoice("t1")
+    choice.told("e0", [EntryAddress("e1", "10.0.0.1:7720", "first")])
+    choice.suspect(1.0, "e1")
+    choice.told("e0", [EntryAddress("e1", "10.0.0.1:7720", "first")])
+    assert names(choice, 1.1) == []
+    choice.told("e0", [EntryAddress("e1", "10.0.0.1:7720", "second")])
+    assert names(choice, 1.1) == ["e1"]
+
+
+def test_word_of_a_life_that_has_ended_clears_no_suspicion() -> None:
+    choice = EntryChoice("t1")
+    choice.told("e0", [EntryAddress("e1", "10.0.0.1:7720", "first")])
+    choice.told("e2", [EntryAddress("e1", "10.0.0.1:7720", "second")])
+    choice.suspect(1.0, "e1")
+    choice.told("e0", [EntryAddress("e1", "10.0.0.1:7720", "first")])
+    assert names(choice, 1.1) == []
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -152,3 +152,13 @@
     reports(worker, 1.2)
     worker.retire(1.3, {"e"})
     assert [report.state for report in reports(worker, 1.4)] == [RunnerState.READY]
+
+
+def test_no_look_waits_before_the_runner_has_given_its_account() -> None:
+    worker = Worker(lease_times(Bounds()))
+    worker.looked(1.0, LookAnswer(0.9, [], []))
+    assert worker.next_look(1.1).wait == 0
+    account = RunnerAccount("i-1", "svc", "hall", Resources(8000, 8000), False, None)
+    worker.runner_spoke(1.2, account)
+    worker.looked(1.4, LookAnswer(1.3, [], []))
+    assert worker.next_look(1.5).wait > 0
--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -16,7 +16,7 @@
 )
 from paddleshunt_core.leased.wire import RunId, TaskId
 from paddleshunt_council.runner import Runner
-from paddleshunt_node.aio.ports import OtherLife
+from paddleshunt_node.aio.ports import OtherLife, Superseded
 from standins import RunnerStandIn
 
 RUN = RunId(TaskId("5c0e7a21d94b36f8", 0, 7), 2)
@@ -121,3 +121,15 @@
         assert await runner.start(StartRun(RUN, "spec", 0.5)) is StartAnswer.NOT_SENT
 
     play(scene)
+
+
+@pytest.mark.parametrize("silent", [False, True], ids=["answered", "unanswered"])
+def test_a_look_says_nothing_once_another_life_is_meant(silent: bool) -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        standin.silent = silent
+        look = asyncio.ensure_future(runner.look(FIRST_LOOK))
+        await asyncio.sleep(0)
+        runner.expect("i-1")
+        assert await look == Superseded()
+
+    play(scene)
