--- a/packages/paddleshunt-core/src/paddleshunt_core/effects.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/effects.py
@@ -1,9 +1,10 @@
 """What a state machine asks its surroundings to do."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import final
 
 from paddleshunt_core.allotments import Allotment
+from paddleshunt_core.events import Log
 from paddleshunt_core.ids import Incarnation
 from paddleshunt_core.messages import Absent, Answer, Body, Running
 
@@ -39,21 +40,6 @@
     body: Answer | Running | Absent
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class Log:
-    """Write one line to the log."""
-
-    event: str
-    submission: str = ""
-    fields: dict[str, str | int | float] = field(default_factory=dict)
-
-
-def note(event: str, submission: str = "", /, **fields: str | int | float) -> Log:
-    """Return the line of one event about a submission, or about none."""
-    return Log(event, submission, fields)
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class WriteAllotment:
--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -10,7 +10,8 @@
 from paddleshunt_core.allotments import Allotment
 from paddleshunt_core.calls import Calls
 from paddleshunt_core.divider import Divider
-from paddleshunt_core.effects import Effect, Log, Reply, Send
+from paddleshunt_core.effects import Effect, Reply, Send
+from paddleshunt_core.events import Log
 from paddleshunt_core.ids import Incarnation, InvalidId, mint, parse_id
 from paddleshunt_core.members import Host, Member, Members, Role
 from paddleshunt_core.messages import (
--- a/packages/paddleshunt-core/src/paddleshunt_core/gate.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/gate.py
@@ -12,7 +12,8 @@
 from enum import Enum, auto
 from typing import final
 
-from paddleshunt_core.effects import Effect, Log, Send, Start
+from paddleshunt_core.effects import Effect, Send, Start
+from paddleshunt_core.events import Log
 from paddleshunt_core.ids import Incarnation
 from paddleshunt_core.messages import (
     Assign,
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 from typing import final
 
-from paddleshunt_core.effects import Effect, Log, Send
+from paddleshunt_core.effects import Effect, Send
+from paddleshunt_core.events import Log
 from paddleshunt_core.ids import Incarnation, InvalidId, parse_id
 from paddleshunt_core.job import Job
 from paddleshunt_core.links import FULL_SECONDS, Link, Outstanding, TaskKey, group
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from paddleshunt_core.effects import Log, note
+from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.jobs import JobRecord
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.targets import TargetRecord
@@ -26,7 +26,7 @@
     reports = [target.report for target in able if target.report is not None]
     capacity = sum(report.capacity.processor for report in reports)
     ahead = sum(
-        other.request.need.processor * other.request.estimate * len(other.waiting())
+        other.request.need.processor * other.length * len(other.waiting())
         for other in held
         if other.start_by <= job.start_by
     )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import final
 
-from paddleshunt_core.effects import Log, note
+from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.room import RoomNow
@@ -40,6 +40,7 @@
             task.number += 1
             task.phase = TaskPhase.PLACED
             task.target = target.name
+            task.placed_at = now
             target.placed.add(task.run)
             target.reserve(job.request.need)
             chosen.setdefault(target.name, []).append(task)
@@ -54,7 +55,7 @@
         step=0,
         spec=request.spec,
         need=request.need,
-        estimate_ms=round(request.estimate * 1000),
+        estimate_ms=round(job.length * 1000),
         expires_ms=round((job.expires - now) * 1000),
         runs=[(task.id.index, task.number) for task in tasks],
     )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import final
 
-from paddleshunt_core.effects import Log, note
+from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.admission import NO_TARGET_WAIT, expected_wait, room_note
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import LeaseTimes
@@ -22,6 +22,7 @@
     TaskRecord,
     new_job,
 )
+from paddleshunt_core.leased.lengths import Lengths
 from paddleshunt_core.leased.outcomes import (
     AnswerJob,
     Completed,
@@ -77,6 +78,7 @@
         self._jobs: dict[int, JobRecord] = {}
         self._by_key: dict[str, JobRecord] = {}
         self._targets: dict[str, TargetRecord] = {}
+        self._lengths = Lengths()
         self._sessions = 0
         self._moved: float | None = None
         self._met: float | None = None
@@ -118,7 +120,8 @@
             return [*effects, self._refusal(caller, request, "stood_still", THAW_SECONDS)]
         if request.key in self._by_key:
             return [*effects, self._hand_over(now, caller, self._by_key[request.key])]
-        job = new_job(caller, request, queue, now)
+        expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
+        job = new_job(caller, request, queue, now, expected)
         room = self._room(now)
         wait = self._wait(job, room)
         if self._is_settling(now):
@@ -132,6 +135,8 @@
             "queue": queue.name,
             "tasks": request.count,
             "estimate_ms": round(request.estimate * 1000),
+            "length_ms": round(expected.length * 1000),
+            "age_ms": round(expected.age * 1000),
             "deadline_ms": round(request.deadline * 1000),
             "wait_ms": round(wait * 1000),
         }
@@ -361,6 +366,7 @@
         job = self._by_key[run.task.job]
         if end is End.DONE:
             task.phase = TaskPhase.DONE
+            self._learn(now, job, task, target)
             if all(other.phase is TaskPhase.DONE for other in job.tasks):
                 return [self._answer(now, job, Completed())]
             return []
@@ -382,6 +388,13 @@
             task.avoid.add(target.name)
         return [log]
 
+    def _learn(self, now: float, job: JobRecord, task: TaskRecord, target: TargetRecord) -> None:
+        """Learn from an end how long tasks take; one on a runner that is not well says nothing."""
+        if target.report is not None and target.report.health is Health.GOOD:
+            request = job.request
+            lengths = self._lengths.of(job.queue.name)
+            lengths.ended(request.estimate, request.deadline, now - task.placed_at)
+
     def _failed(
         self, now: float, target: TargetRecord, job: JobRecord, task: TaskRecord
     ) -> list[Effect]:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.lengths import Expectation
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import RunId, TaskId
 
@@ -65,6 +66,8 @@
     number: int = 0
     phase: TaskPhase = TaskPhase.WAITING
     target: str = ""
+    placed_at: float = 0.0
+    """When its newest run was sent to its target."""
     failures: int = 0
     ran: bool = False
     """Whether an earlier run of it may have started."""
@@ -87,6 +90,17 @@
     queue: Queue
     arrived: float
     tasks: list[TaskRecord]
+    expected: Expectation
+
+    @property
+    def length(self) -> float:
+        """Seconds that a task is expected to take."""
+        return self.expected.length
+
+    @property
+    def first_sent(self) -> float:
+        """When its caller is taken to have sent it first."""
+        return self.arrived - self.expected.age
 
     @property
     def begun(self) -> bool:
@@ -96,12 +110,12 @@
     @property
     def objective(self) -> float:
         """Seconds in which the job should end."""
-        return self.queue.stretch * self.request.estimate + self.queue.latency
+        return self.queue.stretch * self.length + self.queue.latency
 
     @property
     def start_by(self) -> float:
         """When its tasks must start to end in time."""
-        return self.arrived + self.objective - self.request.estimate
+        return self.first_sent + self.objective - self.length
 
     @property
     def urgency(self) -> float:
@@ -111,14 +125,14 @@
     @property
     def refuse_after(self) -> float:
         """When a job that was not tried is refused: it would be late, and make others late."""
-        late = self.start_by + ESTIMATE_ERROR * self.request.estimate
-        return min(late, self.expires - self.request.estimate)
+        late = self.start_by + ESTIMATE_ERROR * self.length
+        return min(late, self.expires - self.length)
 
     @property
     def useful_start(self) -> float:
         """When its tasks must start for its answer to be of any use."""
-        useful = self.arrived + USEFUL_OBJECTIVES * self.objective
-        return min(useful, self.expires) - self.request.estimate
+        useful = self.first_sent + USEFUL_OBJECTIVES * self.objective
+        return min(useful, self.expires) - self.length
 
     @property
     def expires(self) -> float:
@@ -130,7 +144,9 @@
         return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
 
 
-def new_job(caller: int, request: JobRequest, queue: Queue, now: float) -> JobRecord:
-    """Return the record of a job that has just come."""
+def new_job(
+    caller: int, request: JobRequest, queue: Queue, now: float, expected: Expectation | None = None
+) -> JobRecord:
+    """Return the record of a job that has just come; its estimate holds if nothing is expected."""
     tasks = [TaskRecord(TaskId(request.key, 0, index)) for index in range(request.count)]
-    return JobRecord(caller, request, queue, now, tasks)
+    return JobRecord(caller, request, queue, now, tasks, expected or Expectation(request.estimate))
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/lengths.py
@@ -0,0 +1,116 @@
+"""How long tasks really take: a line for each queue, fitted to the ends that an entry has seen.
+
+A caller gives a rough estimate of a task's length, and says how long it waits for the answer.
+Who hands in longer work waits longer, so both tell of the length; how much each tells is learned
+from the ends of tasks. Until some were seen, the estimate is taken as it is.
+
+A caller that sends a job again waits only for the rest of its time. Such a job shows by a deadline
+that is too short for any length its estimate allows, which gives its age away.
+"""
+
+from dataclasses import dataclass
+from typing import final
+
+MEMORY = 0.995
+"""What is left of an end's weight after the next: about the last 200 ends count."""
+
+PRIOR = (1.0, 0.6, 8.0)
+"""Weights of the belief that the estimate is right, for offset, estimate and deadline.
+
+Half and twice as strong were tried on the logs of a day: weaker ones erred as little after a few
+ends as later, much stronger ones (10, 3, 100) erred by a tenth more in the first sixty.
+"""
+
+FARTHEST = 4.0
+"""By which factor a learned length may differ from its estimate at most."""
+
+OLD_RATIO = 0.35
+"""Learned length, in estimates, below which a job is taken for one that was sent again.
+
+Callers' estimates were seen to lie within 0.4 and 1.9 of the length.
+"""
+
+LEAST_DEADLINE_SLOPE = 0.02
+"""Seconds of length for a second of deadline, below which a deadline tells no age."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """What a job is expected to be: `length` of a task and `age` since its first try, seconds."""
+
+    length: float
+    age: float = 0.0
+
+
+@final
+class QueueLengths:
+    """Least squares over the ends of one queue, each weighted by its estimate's inverse square."""
+
+    def __init__(self) -> None:
+        self._squares = [[0.0] * 3 for _ in range(3)]
+        self._products = [0.0] * 3
+        self._line = (0.0, 1.0, 0.0)
+        self._stale = False
+
+    def ended(self, estimate: float, deadline: float, took: float) -> None:
+        """Note that a task of a job with these figures took `took` seconds."""
+        ratio = min(FARTHEST, max(1 / FARTHEST, took / estimate))
+        row = _row(estimate, deadline)
+        for i in range(3):
+            for j in range(3):
+                self._squares[i][j] = MEMORY * self._squares[i][j] + row[i] * row[j]
+            self._products[i] = MEMORY * self._products[i] + row[i] * ratio
+        self._stale = True
+
+    def expect(self, estimate: float, deadline: float) -> Expectation:
+        """Return the length and age of a job with these figures."""
+        offset, slope, patience = self._fitted()
+        length = offset + slope * estimate + patience * deadline
+        if length < OLD_RATIO * estimate and patience > LEAST_DEADLINE_SLOPE:
+            usual = (estimate - offset - slope * estimate) / patience
+            return Expectation(estimate, max(0.0, usual - deadline))
+        least, most = estimate / FARTHEST, estimate * FARTHEST
+        return Expectation(min(most, max(least, length)))
+
+    def _fitted(self) -> tuple[float, float, float]:
+        if self._stale:
+            self._stale = False
+            matrix = [list(row) for row in self._squares]
+            for i, weight in enumerate(PRIOR):
+                matrix[i][i] += weight
+            products = list(self._products)
+            products[1] += PRIOR[1]
+            self._line = _solved(matrix, products)
+        return self._line
+
+
+@final
+class Lengths:
+    """The lengths of all queues, by name."""
+
+    def __init__(self) -> None:
+        self._queues: dict[str, QueueLengths] = {}
+
+    def of(self, queue: str) -> QueueLengths:
+        """Return what is known of a queue."""
+        return self._queues.setdefault(queue, QueueLengths())
+
+
+def _row(estimate: float, deadline: float) -> tuple[float, float, float]:
+    """Return what the ratio of length and estimate is a line over."""
+    return 1 / estimate, 1.0, deadline / estimate
+
+
+def _solved(matrix: list[list[float]], right: list[float]) -> tuple[float, float, float]:
+    """Solve three linear equations by elimination; the prior keeps the matrix regular."""
+    for i in range(3):
+        pivot = matrix[i][i]
+        for j in range(i + 1, 3):
+            factor = matrix[j][i] / pivot
+            matrix[j] = [a - factor * b for a, b in zip(matrix[j], matrix[i], strict=True)]
+            right[j] -= factor * right[i]
+    third = right[2] / matrix[2][2]
+    second = (right[1] - matrix[1][2] * third) / matrix[1][1]
+    first = (right[0] - matrix[0][1] * second - matrix[0][2] * third) / matrix[0][0]
+    return first, second, third
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -64,7 +64,7 @@
         It does as long as it would end in time elsewhere too, and again from when it would only
         end in time near its data.
         """
-        work = job.request.estimate
+        work = job.length
         elsewhere = job.arrived + job.objective - self._remote_factor * work - OVERHEAD_SECONDS
         return now < elsewhere or elsewhere + 2 * OVERHEAD_SECONDS < now < job.start_by
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -2,7 +2,7 @@
 
 from typing import final
 
-from paddleshunt_core.effects import Log, note
+from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.health import SLOW, RunnerHealth
 from paddleshunt_core.leased.orders import (
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import final
 
-from paddleshunt_core.effects import note
+from paddleshunt_core.events import note
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.orders import Look, LookAnswer, RunnerAccount, StartAnswer
 from paddleshunt_core.leased.resources import NOTHING
--- a/packages/paddleshunt-core/src/paddleshunt_core/target.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/target.py
@@ -6,7 +6,8 @@
 
 import xxhash
 
-from paddleshunt_core.effects import Effect, Log, Send
+from paddleshunt_core.effects import Effect, Send
+from paddleshunt_core.events import Log
 from paddleshunt_core.gate import Gate, GateLimits
 from paddleshunt_core.home import Home, HomeLimits
 from paddleshunt_core.ids import Incarnation
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -7,7 +7,7 @@
 from time import monotonic
 from typing import final
 
-from paddleshunt_core.effects import Log
+from paddleshunt_core.events import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
@@ -11,7 +11,7 @@
 from collections import Counter
 from typing import final
 
-from paddleshunt_core.effects import Log
+from paddleshunt_core.events import Log
 
 from paddleshunt_node.logs import KeyValueFormatter
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -7,7 +7,7 @@
 from typing import Any, final
 
 import msgspec
-from paddleshunt_core.effects import Log
+from paddleshunt_core.events import Log
 
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
 from paddleshunt_node.aio.logline import LogLines
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -6,7 +6,7 @@
 from time import monotonic
 from typing import final
 
-from paddleshunt_core.effects import Log
+from paddleshunt_core.events import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.entrychoice import EntryChoice
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
--- a/packages/paddleshunt-node/src/paddleshunt_node/node.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/node.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol, final
 
-from paddleshunt_core.effects import Effect, Log, Reply, Send, Start, WriteAllotment
+from paddleshunt_core.effects import Effect, Reply, Send, Start, WriteAllotment
+from paddleshunt_core.events import Log
 from paddleshunt_core.ids import Incarnation, boot_stamp
 from paddleshunt_core.messages import (
     PROTOCOL_VERSION,
--- /dev/null
+++ b/testing/core/leased/test_lengths.py
@@ -0,0 +1,70 @@
+"""What an entry learns of lengths from the ends that it sees."""
+
+from random import Random
+
+import pytest
+from paddleshunt_core.leased.lengths import FARTHEST, Expectation, Lengths, QueueLengths
+
+
+def taught(ends: int, *, patience: float = 5.0, seed: int = 1) -> QueueLengths:
+    """Return lengths of a queue whose callers wait 2 s and `patience` times the length."""
+    rng = Random(seed)
+    lengths = QueueLengths()
+    for _ in range(ends):
+        length = rng.uniform(0.1, 0.8)
+        lengths.ended(length * rng.uniform(0.6, 1.6), 2 + patience * length, length)
+    return lengths
+
+
+def test_an_estimate_is_believed_until_ends_were_seen() -> None:
+    assert QueueLengths().expect(0.4, 3.0) == Expectation(0.4)
+
+
+def test_one_end_does_not_outweigh_the_estimate_wholly() -> None:
+    lengths = QueueLengths()
+    lengths.ended(0.4, 3.0, 0.6)
+    assert 0.4 < lengths.expect(0.4, 3.0).length < 0.59
+
+
+@pytest.mark.parametrize("length", [0.15, 0.3, 0.6])
+def test_a_deadline_that_follows_the_length_corrects_a_wrong_estimate(length: float) -> None:
+    lengths = taught(100)
+    for estimate in (0.7 * length, 1.4 * length):
+        expected = lengths.expect(estimate, 2 + 5 * length)
+        assert expected.length == pytest.approx(length, rel=0.2)
+
+
+def test_a_deadline_that_tells_nothing_counts_for_nothing() -> None:
+    lengths = taught(200, patience=0.0)
+    assert lengths.expect(0.4, 2.0).length == pytest.approx(lengths.expect(0.4, 2.2).length, rel=0.1)
+
+
+def test_estimates_that_are_all_too_low_are_corrected() -> None:
+    lengths = QueueLengths()
+    for number in range(50):
+        estimate = 0.2 + 0.01 * (number % 10)
+        lengths.ended(estimate, 3.0, 1.5 * estimate)
+    assert lengths.expect(0.3, 3.0).length == pytest.approx(0.45, rel=0.1)
+
+
+def test_a_job_that_was_sent_again_is_known_by_its_short_deadline() -> None:
+    lengths = taught(100)
+    again = lengths.expect(0.4, 2 + 5 * 0.4 - 1.6)
+    assert again.length == 0.4
+    assert again.age == pytest.approx(1.6, abs=0.4)
+    assert lengths.expect(0.4, 2 + 5 * 0.4).age == 0.0
+
+
+def test_no_end_moves_the_expectation_farther_than_the_limit() -> None:
+    lengths = QueueLengths()
+    for _ in range(300):
+        lengths.ended(0.1, 3.0, 60.0)
+    assert lengths.expect(0.1, 3.0).length <= FARTHEST * 0.1
+
+
+def test_queues_are_learned_apart() -> None:
+    lengths = Lengths()
+    for _ in range(50):
+        lengths.of("slow").ended(0.2, 3.0, 0.6)
+    assert lengths.of("slow").expect(0.2, 3.0).length > 0.5
+    assert lengths.of("other").expect(0.2, 3.0) == Expectation(0.2)
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -24,8 +24,9 @@
     Started,
     Submitted,
 )
-from paddleshunt_core.effects import Effect, Log, Reply, Send, Start, WriteAllotment
+from paddleshunt_core.effects import Effect, Reply, Send, Start, WriteAllotment
 from paddleshunt_core.entry import Entry, EntrySettings, Minted
+from paddleshunt_core.events import Log
 from paddleshunt_core.gate import GateLimits
 from paddleshunt_core.home import HomeLimits
 from paddleshunt_core.ids import Incarnation
--- a/testing/node/aio/test_logline.py
+++ b/testing/node/aio/test_logline.py
@@ -1,7 +1,7 @@
 """Log lines: bounded a second, and never in the way."""
 
 import pytest
-from paddleshunt_core.effects import note
+from paddleshunt_core.events import note
 from paddleshunt_node.aio.logline import FAILED_LINES_A_SECOND, LINES_A_SECOND, LogLines
 
 
