Offer scarce room to the entry with the most urgent task; know how slow each target is

All entries saw the same room and raced for it, so a job of eight short tasks got its places one by one within 0.1 to 0.2 s while less urgent tasks of other entries went first.

Change: entries tell targets what their most urgent waiting task needs, with assignments or in rounds; a target that is nearly full shows its room to the most urgent one that fits, for 12 ms. An entry learns how slow each target is and sends a task where it ends in time, if it does anywhere.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -17,9 +17,24 @@
 
     def __init__(self, placement: Placement) -> None:
         self._placement = placement
+        self.heads: dict[str, JobRecord] = {}
+        """By service, the first job in the order of starts that waits for room."""
+        self.assigned: list[TargetRecord] = []
+        """Targets that were sent tasks by the last call of `place`."""
+
+    @property
+    def typical_slowness(self) -> float:
+        """Slowness of a usual target."""
+        return self._placement.typical_slowness
+
+    def compare(self, targets: Iterable[TargetRecord]) -> None:
+        """Note how slow targets usually are."""
+        self._placement.compare(targets)
 
     def place(self, now: float, jobs: Iterable[JobRecord], room: RoomNow) -> list[Log]:
         """Send what has room; messages lie in the targets' sessions then."""
+        self.heads.clear()
+        self.assigned.clear()
         waiting = [job for job in jobs if job.waiting()]
         waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.urgency))
         logs: list[Log] = []
@@ -27,6 +42,8 @@
             service = job.queue.service
             if room.may_have(service, job.request.need):
                 logs += self._place_job(now, job, room.usable(service))
+            if service not in self.heads and job.waiting():
+                self.heads[service] = job
         return logs
 
     def _place_job(self, now: float, job: JobRecord, targets: list[TargetRecord]) -> list[Log]:
@@ -44,6 +61,7 @@
             target.placed.add(task.run)
             target.reserve(job.request.need)
             chosen.setdefault(target.name, []).append(task)
+        self.assigned += [by_name[name] for name in chosen]
         return [_send(now, job, by_name[name], tasks) for name, tasks in chosen.items()]
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -35,6 +35,7 @@
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.targets import TargetRecord
+from paddleshunt_core.leased.wants import Wants
 from paddleshunt_core.leased.wire import (
     Body,
     End,
@@ -79,6 +80,7 @@
         self._by_key: dict[str, JobRecord] = {}
         self._targets: dict[str, TargetRecord] = {}
         self._lengths = Lengths()
+        self._wants = Wants()
         self._sessions = 0
         self._moved: float | None = None
         self._met: float | None = None
@@ -141,7 +143,7 @@
             "wait_ms": round(wait * 1000),
         }
         admitted = note("job_admitted", request.key, **fields)
-        return [*effects, admitted, *self._assigner.place(now, self._jobs.values(), room)]
+        return [*effects, admitted, *self._place(now, room)]
 
     def caller_left(self, now: float, caller: int) -> list[Effect]:
         """Stop the job of a caller that doesn't wait any more."""
@@ -217,6 +219,7 @@
         effects = self._notice_pause(now)
         for target in list(self._targets.values()):
             effects += self._check_target(now, target)
+        self._assigner.compare(self._targets.values())
         for job in list(self._jobs.values()):
             effects += self._check_job(now, job)
         return effects + self._place(now)
@@ -392,8 +395,11 @@
         """Learn from an end how long tasks take; one on a runner that is not well says nothing."""
         if target.report is not None and target.report.health is Health.GOOD:
             request = job.request
+            took = now - task.placed_at
+            target.took(took / job.length)
+            sound = took * self._assigner.typical_slowness / target.slowness
             lengths = self._lengths.of(job.queue.name)
-            lengths.ended(request.estimate, request.deadline, now - task.placed_at)
+            lengths.ended(request.estimate, request.deadline, sound)
 
     def _failed(
         self, now: float, target: TargetRecord, job: JobRecord, task: TaskRecord
@@ -442,5 +448,8 @@
     def _wait(self, job: JobRecord, room: RoomNow) -> float:
         return expected_wait(job, room.usable(job.queue.service), self._jobs.values())
 
-    def _place(self, now: float) -> list[Effect]:
-        return list(self._assigner.place(now, self._jobs.values(), self._room(now)))
+    def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
+        logs = self._assigner.place(now, self._jobs.values(), room or self._room(now))
+        heads = self._assigner.heads
+        self._wants.tell(now, heads, self._targets.values(), self._assigner.assigned)
+        return list(logs)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -1,6 +1,8 @@
 """Chooses a target for one task."""
 
+from collections.abc import Iterable
 from random import Random
+from statistics import median
 from typing import final
 
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
@@ -28,6 +30,13 @@
         self._hall = hall
         self._remote_factor = remote_factor
         self._probed: dict[str, float] = {}
+        self.typical_slowness = 1.0
+        """Slowness of a usual target; a job's length is meant for such a one."""
+
+    def compare(self, targets: Iterable[TargetRecord]) -> None:
+        """Note how slow targets usually are."""
+        known = [target.slowness for target in targets if target.report is not None]
+        self.typical_slowness = median(known) if known else 1.0
 
     def able(self, job: JobRecord, targets: list[TargetRecord]) -> list[TargetRecord]:
         """Return the targets whose runner may run the job's tasks; none if none has room."""
@@ -56,7 +65,7 @@
             near = [t for t in good if t.has_label(rack)]
             if near or (self._awaits_rack(now, job) and any(t.has_label(rack) for t in sound)):
                 good = near
-        return self._least_loaded(good)
+        return self._least_loaded(self._in_time(now, job, good, sound))
 
     def _awaits_rack(self, now: float, job: JobRecord) -> bool:
         """Whether a task had better wait for room near its data.
@@ -74,6 +83,16 @@
                 return target
         return None
 
+    def _in_time(
+        self, now: float, job: JobRecord, good: list[TargetRecord], sound: list[TargetRecord]
+    ) -> list[TargetRecord]:
+        """Return the targets with room where the task ends in time; all if it does nowhere."""
+        due = job.first_sent + job.objective
+        slowest = (due - now) / job.length * self.typical_slowness
+        if any(target.slowness <= slowest for target in sound):
+            return [target for target in good if target.slowness <= slowest]
+        return good
+
     def _least_loaded(self, targets: list[TargetRecord]) -> TargetRecord | None:
         """Return a target of little load; entries that know the same choose differently."""
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -9,6 +9,12 @@
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import Frame, Health, RunId, RunnerReport, RunnerState
 
+SLOWNESS_STEP = 0.05
+"""Weight of one end in a target's slowness: about the last 20 ends count."""
+
+SLOWNESS_LIMITS = (0.5, 3.0)
+"""Bounds of what one end may say of a target's slowness; beyond, the runner's health decides."""
+
 FRESH_HEARTBEATS = 2.0
 """Heartbeats without a word after which a target is given nothing new."""
 
@@ -36,15 +42,23 @@
     held: set[RunId] = field(default_factory=set)
     backoff: float = 0.0
     """Until when nothing is sent there, as it gave a task back."""
+    slowness: float = 1.0
+    """How many times as long as expected its runner's tasks take, over the last ends."""
+    told_want: str = ""
+    """Key of the waiting job that it was told of last; empty if it has none to go by."""
+    told_at: float = 0.0
 
     def take_report(self, now: float, report: RunnerReport) -> None:
-        """Adopt a report."""
+        """Adopt a report; another life of the runner may be of another kind."""
+        if self.report is not None and self.report.runner != report.runner:
+            self.slowness = 1.0
         self.report = report
         self.reported = now
 
     def reset(self) -> None:
         """Forget what a session that has ended told, and what it was sent."""
         self.report = None
+        self.told_want = ""
         self.unseen.clear()
         self.on_way = NOTHING
 
@@ -55,6 +69,7 @@
     def assigned(self, number: int, need: Resources, tasks: int) -> None:
         """Note the number of the message that carries reserved tasks."""
         self.unseen.extend((number, need) for _ in range(tasks))
+        self.told_want = ""
 
     def covered(self, frame: Frame) -> None:
         """Forget the assignments that a report in `frame` covers."""
@@ -62,6 +77,11 @@
             _, need = self.unseen.popleft()
             self.on_way -= need
 
+    def took(self, ratio: float) -> None:
+        """Note that a task took `ratio` times as long as was expected."""
+        least, most = SLOWNESS_LIMITS
+        self.slowness += SLOWNESS_STEP * (min(most, max(least, ratio)) - self.slowness)
+
     def is_fresh(self, now: float, times: LeaseTimes) -> bool:
         """Whether it was heard just now over a connection that stands."""
         return self.connected and now - self.heard <= times.heartbeat * FRESH_HEARTBEATS
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -96,6 +96,17 @@
     runs: list[RunId]
 
 
+@final
+class Want(_Body, frozen=True, tag=9):
+    """The most urgent task that waits for room at an entry, which must start in `within_ms`.
+
+    It holds until the entry assigns the target something, or leaves an offer of room unused.
+    """
+
+    need: Resources
+    within_ms: int
+
+
 @final
 class Ended(_Body, frozen=True, tag=4):
     """Runs that ended, and how."""
@@ -153,7 +164,7 @@
     version: int
 
 
-Body = Assign | Stop | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
+Body = Assign | Stop | Want | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -10,8 +10,9 @@
 
 from paddleshunt_core.events import note
 from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.offers import Offers
 from paddleshunt_core.leased.orders import Look, LookAnswer, RunnerAccount, StartAnswer
-from paddleshunt_core.leased.resources import NOTHING
+from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.runnercontrol import Effect, RunnerControl
 from paddleshunt_core.leased.runtable import Run
 from paddleshunt_core.leased.session import Session
@@ -28,6 +29,7 @@
     RunnerState,
     Stop,
     TaskId,
+    Want,
 )
 
 REPORT_SECONDS = 0.03
@@ -52,6 +54,8 @@
     reported: float = float("-inf")
     plenty: bool = False
     """Whether the last report told of plenty of room."""
+    shown: Resources = NOTHING
+    """Room that the last report told of."""
     retired: float | None = None
     """Since when the session is to end, as other entries are preferred; None if it is not."""
 
@@ -64,6 +68,7 @@
         self._times = times
         self._control = RunnerControl(times)
         self._links: dict[str, _EntryLink] = {}
+        self._offers = Offers()
 
     # What others ask about this target.
 
@@ -206,16 +211,23 @@
         self._collect()
         next_due: float | None = None
         plenty = self._has_plenty()
-        for link in self._links.values():
+        free = self._control.free()
+        holder = self._holder(now, free, plenty)
+        if holder is not None:
+            next_due = self._offers.lapses()
+        for name, link in self._links.items():
             if link.session is None:
                 continue
+            shown = free if holder in (None, name) else NOTHING
+            link.report_due = link.report_due or shown != link.shown
             pause = self._times.heartbeat if plenty and link.plenty else REPORT_SECONDS
-            due = link.reported + pause
+            due = now if holder == name else link.reported + pause
             if link.report_due and (link.ends or now >= due):
-                link.session.send(self._report(now, link))
+                link.session.send(self._report(now, link, shown))
                 link.report_due = False
                 link.reported = now
                 link.plenty = plenty
+                link.shown = shown
             elif link.report_due:
                 next_due = due if next_due is None else min(next_due, due)
             if link.ends:
@@ -234,6 +246,12 @@
             return False
         return control.table.used.share_of(control.account.capacity) < 1 - PLENTY
 
+    def _holder(self, now: float, free: Resources, plenty: bool) -> str | None:
+        """Return the entry that alone is shown the room; None if all are shown it."""
+        if plenty or self._control.level is not Health.GOOD:
+            return None
+        return self._offers.holder(now, free)
+
     def _any_session(self, now: float) -> bool:
         return any(
             link.session is not None and not self._is_over(now, link.session)
@@ -245,6 +263,7 @@
         self._collect()
         link.session = None
         link.ends = []
+        self._offers.drop(entry)
         effects: list[Effect] = []
         runs = self._control.table.of_entry(entry)
         for run in runs:
@@ -255,7 +274,10 @@
     def _take(self, now: float, entry: str, body: Body) -> list[Effect]:
         match body:
             case Assign():
+                self._offers.drop(entry)
                 return self._assign(now, entry, body)
+            case Want():
+                self._offers.want(entry, body.need, now + body.within_ms / 1000)
             case Stop():
                 return [
                     effect
@@ -275,7 +297,7 @@
         self._links[entry].ends += [(run.id, End.NOT_STARTED) for run in runs if run not in new]
         return control.add(now, new)
 
-    def _report(self, now: float, link: _EntryLink) -> RunnerReport:
+    def _report(self, now: float, link: _EntryLink, shown: Resources) -> RunnerReport:
         control = self._control
         account = control.account
         return RunnerReport(
@@ -285,7 +307,7 @@
             health=control.level,
             speed=round(control.health.speed(now), 2),
             capacity=account.capacity if account else NOTHING,
-            free=control.free(),
+            free=shown,
             labels=account.labels if account else (),
         )
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -362,6 +362,14 @@
             self._flushing = True
             self._loop.call_soon(self._flush)
 
+    def _flush_reports_at(self, due: float) -> None:
+        timer = self._report_timer
+        if timer is not None:
+            if timer.when() <= due:
+                return
+            timer.cancel()
+        self._report_timer = self._loop.call_at(due, self._flush_reports)
+
     def _flush_reports(self) -> None:
         self._report_timer = None
         self._flush()
@@ -370,8 +378,8 @@
         self._flushing = False
         now = self._now()
         next_report = self._worker.prepare_frames(now)
-        if next_report is not None and self._report_timer is None:
-            self._report_timer = self._loop.call_later(next_report - now, self._flush_reports)
+        if next_report is not None:
+            self._flush_reports_at(next_report)
         for name, link in self._links.items():
             session = self._worker.session(name)
             if session is None:
--- a/testing/core/leased/test_lengths.py
+++ b/testing/core/leased/test_lengths.py
@@ -36,7 +36,9 @@
 
 def test_a_deadline_that_tells_nothing_counts_for_nothing() -> None:
     lengths = taught(200, patience=0.0)
-    assert lengths.expect(0.4, 2.0).length == pytest.approx(lengths.expect(0.4, 2.2).length, rel=0.1)
+    assert lengths.expect(0.4, 2.0).length == pytest.approx(
+        lengths.expect(0.4, 2.2).length, rel=0.1
+    )
 
 
 def test_estimates_that_are_all_too_low_are_corrected() -> None:
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -1,6 +1,7 @@
 """The target's worker, step by step."""
 
 from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.offers import OFFER_SECONDS
 from paddleshunt_core.leased.orders import (
     FinishedRun,
     LookAnswer,
@@ -22,6 +23,7 @@
     RunnerReport,
     RunnerState,
     TaskId,
+    Want,
 )
 from paddleshunt_core.leased.worker import REPORT_SECONDS, Worker
 
@@ -162,3 +164,52 @@
     worker.runner_spoke(1.2, account)
     worker.looked(1.4, LookAnswer(1.3, [], []))
     assert worker.next_look(1.5).wait > 0
+
+
+def full_worker(entries: tuple[str, ...]) -> Worker:
+    """Return a worker whose runner has 1,000 of 8,000 left, with sessions from time 1.0."""
+    worker = Worker(lease_times(Bounds()))
+    account = RunnerAccount("i-1", "svc", "hall", Resources(8000, 8000), False, None)
+    worker.runner_spoke(0.9, account)
+    worker.looked(0.95, LookAnswer(0.92, [], []))
+    for entry in entries:
+        worker.opened(1.0, Hello(entry, "life", True, "hall", "", 1, 0), 1.0)
+    assign = Assign("job", 0, "spec", Resources(1000, 10), 400, 4000, [(n, 1) for n in range(7)])
+    worker.heard(1.0, entries[0], Frame(1, 0, 1000, 1000, [assign]))
+    return worker
+
+
+def shown(worker: Worker, entry: str, at: float) -> list[int]:
+    """Return the free processor of the reports that an entry is sent now."""
+    worker.prepare_frames(at)
+    session = worker.session(entry)
+    assert session is not None
+    bodies = session.frame(int(at * 1000)).bodies
+    return [body.free.processor for body in bodies if isinstance(body, RunnerReport)]
+
+
+def test_scarce_room_is_shown_to_the_entry_with_the_most_urgent_task_alone() -> None:
+    worker = full_worker(("e0", "e1"))
+    need = Resources(1000, 10)
+    worker.heard(1.01, "e0", Frame(2, 0, 1010, 1010, [Want(need, 300)]))
+    worker.heard(1.01, "e1", Frame(1, 0, 1010, 1010, [Want(need, 100)]))
+    assert shown(worker, "e1", 1.011) == [1000]
+    assert shown(worker, "e0", 1.012) == [0]
+
+
+def test_room_that_an_entry_leaves_unused_is_shown_to_the_next() -> None:
+    worker = full_worker(("e0", "e1"))
+    need = Resources(1000, 10)
+    worker.heard(1.01, "e0", Frame(2, 0, 1010, 1010, [Want(need, 300)]))
+    worker.heard(1.01, "e1", Frame(1, 0, 1010, 1010, [Want(need, 100)]))
+    shown(worker, "e1", 1.011)
+    assert worker.prepare_frames(1.012) is not None
+    assert shown(worker, "e0", 1.012 + OFFER_SECONDS)[-1] == 1000
+
+
+def test_plenty_of_room_is_shown_to_all() -> None:
+    worker = working()
+    worker.opened(1.0, Hello("e1", "life", True, "hall", "", 1, 0), 1.0)
+    worker.heard(1.01, "e1", Frame(1, 0, 1010, 1010, [Want(Resources(1000, 10), 100)]))
+    assert shown(worker, "e", 1.2) == [7000]
+    assert shown(worker, "e1", 1.4) == [7000]
