--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -36,7 +36,7 @@
         self.heads.clear()
         self.assigned.clear()
         waiting = [job for job in jobs if job.waiting()]
-        waiting.sort(key=lambda job: (job.start_by < now and not job.begun, job.urgency))
+        waiting.sort(key=lambda job: job.urgency(now))
         logs: list[Log] = []
         for job in waiting:
             service = job.queue.service
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -32,6 +32,7 @@
     Refused,
 )
 from paddleshunt_core.leased.placement import Placement
+from paddleshunt_core.leased.resources import NOTHING
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.targets import TargetRecord
@@ -81,6 +82,10 @@
         self._targets: dict[str, TargetRecord] = {}
         self._lengths = Lengths()
         self._wants = Wants()
+        self._unplaced = False
+        """Whether something was heard that may let a task be placed."""
+        self._offering: list[TargetRecord] = []
+        """Targets that have told of room since the last placing."""
         self._sessions = 0
         self._moved: float | None = None
         self._met: float | None = None
@@ -208,10 +213,13 @@
         target.heard = now
         for body in bodies:
             effects += self._take(now, target, frame, body)
-        if bodies:
-            effects += self._place(now)
+        self._unplaced = self._unplaced or bool(bodies)
         return effects
 
+    def place_waiting(self, now: float) -> list[Effect]:
+        """Place what waits, once for all that was heard since the last call."""
+        return self._place(now) if self._unplaced else []
+
     # Time.
 
     def tick(self, now: float) -> list[Effect]:
@@ -354,6 +362,8 @@
             case RunnerReport():
                 target.covered(frame)
                 target.take_report(now, body)
+                if body.free != NOTHING:
+                    self._offering.append(target)
             case Ended():
                 effects: list[Effect] = []
                 for run, end in body.ends:
@@ -450,6 +460,9 @@
 
     def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
         logs = self._assigner.place(now, self._jobs.values(), room or self._room(now))
+        self._unplaced = False
+        self._wants.decline(self._offering, self._assigner.assigned)
+        self._offering.clear()
         heads = self._assigner.heads
         self._wants.tell(now, heads, self._targets.values(), self._assigner.assigned)
         return list(logs)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -15,6 +15,9 @@
 PRIORITY_SECONDS = 0.15
 """Head start in the order of starts that a queue has for each step of priority."""
 
+LATE_SECONDS = 60.0
+"""By how much a job goes behind that has not begun and can't end in time any more."""
+
 ESTIMATE_ERROR = 0.25
 """Part of its estimate by which a job's start may be late, and it may yet end in time."""
 
@@ -117,10 +120,10 @@
         """When its tasks must start to end in time."""
         return self.first_sent + self.objective - self.length
 
-    @property
-    def urgency(self) -> float:
-        """Place in the order of starts; less goes first."""
-        return self.start_by + PRIORITY_SECONDS * self.queue.priority
+    def urgency(self, now: float) -> float:
+        """Return its place in the order of starts at `now`; less goes first."""
+        late = LATE_SECONDS if self.start_by < now and not self.begun else 0.0
+        return self.start_by + PRIORITY_SECONDS * self.queue.priority + late
 
     @property
     def refuse_after(self) -> float:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -20,8 +20,11 @@
 from paddleshunt_core.leased.runtable import Phase, Run, RunTable
 from paddleshunt_core.leased.wire import End, Health, RunId, RunnerState
 
-LOOK_SHARE = 0.15
-"""Part of the runner's lease that one look may wait for an end."""
+LOOK_SHARE = 0.07
+"""Part of the runner's lease that one look may wait for an end: 48 ms of the council's 0.69 s.
+
+What only a look can tell, a hang or an order that was lost, is known so much sooner.
+"""
 
 IDLE_LOOK_SHARE = 0.45
 """The same while no run is at work."""
@@ -35,6 +38,15 @@
 STUCK_LOOKS = 2
 """Looks in a row that must have shown no progress."""
 
+HUNG_SECONDS = 0.12
+"""Seconds without progress of any run after which a runner counts as hung: two looks and a half."""
+
+HUNG_SHARE = 0.03
+"""The same as a share of a run's estimate; a runner tells progress in steps of a hundredth."""
+
+HUNG_RUNS = 2
+"""Runs that must all stand still; one alone may be its task's own fault."""
+
 SLOW_RESTART = 1.2
 """A run on a slow runner is stopped if what is left takes so many times its estimate."""
 
@@ -68,8 +80,6 @@
         self.health = RunnerHealth()
         self.level = Health.GOOD
         self.leaving = False
-        self.changed = False
-        """Whether there is something to report that was not when this was last reset."""
         self.clean = False
         """Whether this life of the runner was seen with nothing foreign at work."""
         self._ends: list[tuple[Run, End]] = []
@@ -104,7 +114,6 @@
         level = self.health.level(now)
         if level is not self.level:
             self.level = level
-            self.changed = True
             speed = round(self.health.speed(now), 2)
             effects.append(note("runner_health", health=level.name.lower(), speed=speed))
         return effects
@@ -112,7 +121,6 @@
     def leave(self) -> None:
         """Start nothing more."""
         self.leaving = True
-        self.changed = True
 
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
         """Take the runner's account of itself."""
@@ -124,8 +132,6 @@
             self.clean = False
             self._met = now
         self.account = account
-        if known != account:
-            self.changed = True
         if account.leaving and not (known and known.leaving):
             effects.append(note("runner_leaving", runner=account.runner))
         return effects
@@ -156,6 +162,8 @@
         # The runner's account changes whom a look is meant for: a long one under way is wasted.
         if not self.clean or self.account is None:
             return 0.0
+        if any(run.doubted is not None or run.phase is Phase.STOPPING for run in self.table):
+            return 0.0
         return self._times.hold * (LOOK_SHARE if len(self.table) else IDLE_LOOK_SHARE)
 
     def looked(self, now: float, answer: LookAnswer) -> list[Effect]:
@@ -163,7 +171,6 @@
         effects: list[Effect] = []
         if self._failed_looks >= UNREACHABLE_LOOKS:
             effects.append(note("runner_reachable"))
-            self.changed = True
         self._failed_looks = 0
         for finished in answer.finished:
             effects += self._listed(now, finished)
@@ -176,7 +183,7 @@
                 effects += self._stop(now, run, End.NOT_STARTED, "start_unanswered")
             elif run.settled is not None and run.settled < answer.sent:
                 effects += self._vanished(run)
-        return effects
+        return effects + self._leave_hung(now)
 
     def look_failed(self, now: float, *, other_life: bool = False) -> list[Effect]:
         """Take a renewal that got no answer, or the answer that another life runs there."""
@@ -186,7 +193,6 @@
         self._failed_looks += 1
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self.table)))
-            self.changed = True
         for run in self.table:
             if now > max(self._renewed, run.ordered) + self._times.run_end:
                 effects += self._ended(run, End.LOST, "lease_lapsed")
@@ -242,7 +248,6 @@
     def _order(self, now: float, run: Run) -> StartRun:
         self.table.add(run)
         run.ordered = run.moved = run.seen = now
-        self.changed = True
         return StartRun(run.id, run.spec, self._times.hold)
 
     def _may_start(self) -> bool:
@@ -313,6 +318,18 @@
             for effect in self._stop(now, run, End.STUCK, "slow")
         ]
 
+    def _leave_hung(self, now: float) -> list[Effect]:
+        """Stop all runs, to run elsewhere, if none of them makes progress any more."""
+        runs = [run for run in self.table if run.phase is Phase.RUNNING]
+        if len(runs) < HUNG_RUNS or not all(_stands_still(now, run) for run in runs):
+            return []
+        self.health.suspect(now)
+        return [
+            effect
+            for run in runs
+            for effect in self._stop(now, run, End.STUCK, "runner_stands_still")
+        ]
+
     def _listed(self, now: float, finished: FinishedRun) -> list[Effect]:
         self._last_seen = max(self._last_seen, finished.number)
         self._foreign.discard(finished.run)
@@ -377,7 +394,6 @@
         self._foreign = {id_ for id_ in running if self.table.get(id_) is None and id_ not in ended}
         if not self._foreign and not self.clean and answer.sent >= self._met:
             self.clean = True
-            self.changed = True
         effects: list[Effect] = []
         for id_ in self._foreign:
             effects.append(note("foreign_run_stopping", str(id_.task), run=id_.number))
@@ -399,7 +415,6 @@
         self._foreign = set()
         if not runner:
             self.account = None
-        self.changed = True
         return effects
 
     def _ended(self, run: Run, end: End, reason: str) -> list[Effect]:
@@ -409,7 +424,6 @@
     def _tell(self, run: Run, end: End, reason: str) -> Log:
         """Let the run's entry know of its end."""
         self._ends.append((run, end))
-        self.changed = True
         fields: dict[str, str | int | float] = {
             "run": run.id.number,
             "end": end.name.lower(),
@@ -418,3 +432,8 @@
             "entry": run.entry,
         }
         return note("run_ended", str(run.id.task), **fields)
+
+
+def _stands_still(now: float, run: Run) -> bool:
+    patience = max(HUNG_SECONDS, HUNG_SHARE * run.estimate)
+    return run.still >= STUCK_LOOKS and now > run.moved + patience
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -46,6 +46,7 @@
     """How many times as long as expected its runner's tasks take, over the last ends."""
     told_want: str = ""
     """Key of the waiting job that it was told of last; empty if it has none to go by."""
+    told_need: Resources = NOTHING
     told_at: float = 0.0
 
     def take_report(self, now: float, report: RunnerReport) -> None:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wants.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wants.py
@@ -5,20 +5,17 @@
 
 from paddleshunt_core.leased.jobs import JobRecord
 from paddleshunt_core.leased.targets import TargetRecord
-from paddleshunt_core.leased.wire import Want
+from paddleshunt_core.leased.wire import Decline, Want
 
 PAUSE_SECONDS = 0.02
 """Shortest time between two rounds in which all targets are told; a short task waits 0.1 s."""
 
-PAUSE_SECONDS_A_TARGET = 0.001
-"""The same for each target: a message costs an entry some 40 us, so rounds take 4% of a core."""
+PAUSE_SECONDS_A_TARGET = 0.0004
+"""The same for each target: a message costs an entry some 40 us, a round a tenth of a core."""
 
 REPEAT_SECONDS = 0.1
 """Seconds after which a target is told again: an offer that came late may have lapsed."""
 
-LATE_MS = 60_000
-"""Urgency of a job that is late already: it goes behind all others."""
-
 
 @final
 class Wants:
@@ -43,6 +40,15 @@
         told = self._tell(now, heads, targets)
         self._next_round = now + max(PAUSE_SECONDS, PAUSE_SECONDS_A_TARGET * told)
 
+    def decline(self, targets: Iterable[TargetRecord], assigned: Iterable[TargetRecord]) -> None:
+        """Let others have the room of targets that reported, unless they were `assigned` tasks."""
+        used = {target.name for target in assigned}
+        for target in targets:
+            offered = target.report is not None and target.told_need.fits(target.report.free)
+            if target.told_want and offered and target.name not in used and target.session:
+                target.session.send(Decline())
+                target.told_want = ""
+
     def _tell(
         self, now: float, heads: Mapping[str, JobRecord], targets: Iterable[TargetRecord]
     ) -> int:
@@ -53,6 +59,7 @@
             if job is not None and target.session is not None:
                 target.session.send(Want(job.request.need, _within_ms(now, job)))
                 target.told_want = job.request.key
+                target.told_need = job.request.need
                 target.told_at = now
                 told += 1
         return told
@@ -72,6 +79,4 @@
 
 
 def _within_ms(now: float, job: JobRecord) -> int:
-    if job.start_by < now and not job.begun:
-        return LATE_MS
-    return round((job.urgency - now) * 1000)
+    return round((job.urgency(now) - now) * 1000)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -107,6 +107,11 @@
     within_ms: int
 
 
+@final
+class Decline(_Body, frozen=True, tag=10):
+    """Leave the room that was offered to other entries: nothing waits that fits."""
+
+
 @final
 class Ended(_Body, frozen=True, tag=4):
     """Runs that ended, and how."""
@@ -125,7 +130,6 @@
     runner: str
     state: RunnerState
     health: Health
-    speed: float
     capacity: Resources
     free: Resources
     labels: tuple[str, ...] = ()
@@ -164,7 +168,9 @@
     version: int
 
 
-Body = Assign | Stop | Want | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
+Body = (
+    Assign | Stop | Want | Decline | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
+)
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -19,6 +19,7 @@
 from paddleshunt_core.leased.wire import (
     Assign,
     Body,
+    Decline,
     End,
     Ended,
     Frame,
@@ -51,11 +52,12 @@
     session: Session | None = None
     ends: list[tuple[RunId, End]] = field(default_factory=list)
     report_due: bool = True
+    """Whether a report is due even if it says nothing new: it tells what it takes account of."""
     reported: float = float("-inf")
     plenty: bool = False
     """Whether the last report told of plenty of room."""
-    shown: Resources = NOTHING
-    """Room that the last report told of."""
+    report: RunnerReport | None = None
+    """The last report in this session."""
     retired: float | None = None
     """Since when the session is to end, as other entries are preferred; None if it is not."""
 
@@ -196,12 +198,9 @@
         effects: list[Effect] = []
         for name, link in self._links.items():
             if link.session is None or name in preferred:
-                if link.retired is not None:
-                    link.retired = None
-                    link.report_due = True
+                link.retired = None
             elif link.retired is None:
                 link.retired = now
-                link.report_due = True
             elif now > link.retired + RETIRE_SECONDS and not self._control.table.of_entry(name):
                 effects += self._end_session(now, name, "other_entries_preferred")
         return effects
@@ -218,18 +217,18 @@
         for name, link in self._links.items():
             if link.session is None:
                 continue
-            shown = free if holder in (None, name) else NOTHING
-            link.report_due = link.report_due or shown != link.shown
-            pause = self._times.heartbeat if plenty and link.plenty else REPORT_SECONDS
-            due = now if holder == name else link.reported + pause
-            if link.report_due and (link.ends or now >= due):
-                link.session.send(self._report(now, link, shown))
-                link.report_due = False
-                link.reported = now
-                link.plenty = plenty
-                link.shown = shown
-            elif link.report_due:
-                next_due = due if next_due is None else min(next_due, due)
+            report = self._report(now, link, free if holder in (None, name) else NOTHING)
+            if report != link.report or link.report_due:
+                pause = self._times.heartbeat if plenty and link.plenty else REPORT_SECONDS
+                due = now if holder == name else link.reported + pause
+                if link.ends or now >= due:
+                    link.session.send(report)
+                    link.report = report
+                    link.report_due = False
+                    link.reported = now
+                    link.plenty = plenty
+                else:
+                    next_due = due if next_due is None else min(next_due, due)
             if link.ends:
                 link.session.send(Ended(link.ends))
                 link.ends = []
@@ -276,6 +275,8 @@
             case Assign():
                 self._offers.drop(entry)
                 return self._assign(now, entry, body)
+            case Decline():
+                self._offers.drop(entry)
             case Want():
                 self._offers.want(entry, body.need, now + body.within_ms / 1000)
             case Stop():
@@ -290,7 +291,7 @@
     def _assign(self, now: float, entry: str, body: Assign) -> list[Effect]:
         control = self._control
         runs = [_run(now, entry, body, index, number) for index, number in body.runs]
-        control.changed = True
+        self._links[entry].report_due = True
         takes = control.state() is RunnerState.READY and control.level is not Health.SICK
         # A run that is known belongs to an earlier try of the job, which is being stopped.
         new = [run for run in runs if takes and control.table.get(run.id) is None]
@@ -305,22 +306,17 @@
             runner=account.runner if account else "",
             state=control.state() if link.retired is None else RunnerState.LEAVING,
             health=control.level,
-            speed=round(control.health.speed(now), 2),
             capacity=account.capacity if account else NOTHING,
             free=shown,
             labels=account.labels if account else (),
         )
 
     def _collect(self) -> None:
-        """Give each entry the ends of its runs, and a report if there is something new."""
+        """Give each entry the ends of its runs."""
         for run, end in self._control.take_ends():
             link = self._links.get(run.entry)
             if link is not None and link.session is not None:
                 link.ends.append((run.id, end))
-        if self._control.changed:
-            self._control.changed = False
-            for link in self._links.values():
-                link.report_due = True
 
 
 def _run(now: float, entry: str, body: Assign, index: int, number: int) -> Run:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -190,14 +190,15 @@
         if self._waiting.pop(exchange.number, None) is not None:
             self._act(self._dispatcher.caller_left(self._now(), exchange.number))
 
-    def _act(self, effects: list[Effect]) -> None:
+    def _act(self, effects: list[Effect], *, flush: bool = True) -> None:
         for effect in effects:
             if isinstance(effect, Log):
                 self._around.log(effect)
                 self._around.measures.event(effect.event)
             else:
                 self._answer(effect)
-        self._flush_soon()
+        if flush:
+            self._flush_soon()
 
     def _answer(self, effect: AnswerJob) -> None:
         outcome = effect.outcome
@@ -322,6 +323,7 @@
 
     def _flush(self) -> None:
         self._flushing = False
+        self._act(self._dispatcher.place_waiting(self._now()), flush=False)
         for link in list(self._links.values()):
             session = self._dispatcher.session(link.peer)
             if session is not None and session.pending:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -32,7 +32,7 @@
 LOOK_PAUSE = 0.08
 """Seconds before the next look after one that got no answer."""
 
-SHORT_PAUSE = 0.02
+SHORT_PAUSE = 0.01
 """Seconds between two looks that don't wait."""
 
 LONELY_SECONDS = 2.0
--- a/testing/core/leased/test_placement.py
+++ b/testing/core/leased/test_placement.py
@@ -18,9 +18,7 @@
 
 def target(name: str, *labels: str, free: Resources = FREE) -> TargetRecord:
     record = TargetRecord(name, "hall", "1")
-    record.report = RunnerReport(
-        "svc", name, RunnerState.READY, Health.GOOD, 1.0, FREE, free, labels
-    )
+    record.report = RunnerReport("svc", name, RunnerState.READY, Health.GOOD, FREE, free, labels)
     return record
 
 
--- a/testing/core/leased/test_stale_ends.py
+++ b/testing/core/leased/test_stale_ends.py
@@ -26,7 +26,7 @@
 
 
 def report(free: Resources) -> RunnerReport:
-    return RunnerReport("svc", "i", RunnerState.READY, Health.GOOD, 1.0, WHOLE, free)
+    return RunnerReport("svc", "i", RunnerState.READY, Health.GOOD, WHOLE, free)
 
 
 def test_an_end_from_another_target_than_the_runs_own_is_ignored() -> None:
--- a/testing/core/leased/test_wants.py
+++ b/testing/core/leased/test_wants.py
@@ -1,13 +1,14 @@
 """What targets are told of the tasks that wait at an entry."""
 
+import msgspec
 import pytest
 from paddleshunt_core.leased.catalog import Queue
-from paddleshunt_core.leased.jobs import JobRecord, JobRequest, new_job
+from paddleshunt_core.leased.jobs import LATE_SECONDS, JobRecord, JobRequest, new_job
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.targets import TargetRecord
-from paddleshunt_core.leased.wants import LATE_MS, PAUSE_SECONDS, REPEAT_SECONDS, Wants
-from paddleshunt_core.leased.wire import Health, RunnerReport, RunnerState, Want
+from paddleshunt_core.leased.wants import PAUSE_SECONDS, REPEAT_SECONDS, Wants
+from paddleshunt_core.leased.wire import Decline, Health, RunnerReport, RunnerState, Want
 
 QUEUE = Queue("q", "host", "/q/", "svc", stretch=1.6, latency=0.06)
 NEED = Resources(2000, 64)
@@ -18,9 +19,7 @@
     capacity = Resources(8000, 8000)
     record.take_report(
         1.0,
-        RunnerReport(
-            service, "i-1", RunnerState.READY, Health.GOOD, 1.0, capacity, NOTHING, labels
-        ),
+        RunnerReport(service, "i-1", RunnerState.READY, Health.GOOD, capacity, NOTHING, labels),
     )
     return record
 
@@ -72,7 +71,7 @@
 def test_a_job_that_is_late_already_goes_behind_all_others() -> None:
     ours = target("t0")
     Wants().tell(9.0, {"svc": waiting(at=1.0)}, [ours], [])
-    assert told(ours) == [Want(NEED, LATE_MS)]
+    assert told(ours) == [Want(NEED, round(1000 * (LATE_SECONDS + 0.36 - 8.0)))]
 
 
 @pytest.mark.parametrize(("labels", "count"), [((), 0), (("big",), 1)], ids=["without", "with"])
@@ -80,3 +79,26 @@
     ours = target("t0", labels=labels)
     Wants().tell(1.0, {"svc": waiting(label="big")}, [ours], [])
     assert len(told(ours)) == count
+
+
+def test_room_that_is_offered_and_not_used_is_declined() -> None:
+    offering, used, wants = target("t0"), target("t1"), Wants()
+    wants.tell(1.0, {"svc": waiting()}, [offering, used], [])
+    for record in (offering, used):
+        told(record)
+        assert record.report is not None
+        record.report = msgspec.structs.replace(record.report, free=NEED)
+    wants.decline([offering, used], [used])
+    assert offering.session is not None and used.session is not None
+    assert offering.session.frame(0).bodies == [Decline()]
+    assert used.session.frame(0).bodies == []
+
+
+def test_room_too_small_for_what_is_wanted_is_no_offer() -> None:
+    ours, wants = target("t0"), Wants()
+    wants.tell(1.0, {"svc": waiting()}, [ours], [])
+    told(ours)
+    assert ours.report is not None and ours.session is not None
+    ours.report = msgspec.structs.replace(ours.report, free=Resources(500, 64))
+    wants.decline([ours], [])
+    assert ours.session.frame(0).bodies == []
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -15,6 +15,7 @@
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import (
     Assign,
+    Decline,
     End,
     Ended,
     Frame,
@@ -213,3 +214,67 @@
     worker.heard(1.01, "e1", Frame(1, 0, 1010, 1010, [Want(Resources(1000, 10), 100)]))
     assert shown(worker, "e", 1.2) == [7000]
     assert shown(worker, "e1", 1.4) == [7000]
+
+
+def test_room_that_an_entry_declines_is_shown_to_the_next_at_once() -> None:
+    worker = full_worker(("e0", "e1"))
+    need = Resources(1000, 10)
+    worker.heard(1.01, "e0", Frame(2, 0, 1010, 1010, [Want(need, 300)]))
+    worker.heard(1.01, "e1", Frame(1, 0, 1010, 1010, [Want(need, 100)]))
+    shown(worker, "e1", 1.011)
+    worker.heard(1.012, "e1", Frame(2, 0, 1012, 1012, [Decline()]))
+    assert shown(worker, "e0", 1.012)[-1] == 1000
+
+
+def test_an_entry_is_sent_no_report_that_says_nothing_new() -> None:
+    worker = full_worker(("e0", "e1"))
+    assert shown(worker, "e1", 1.1) == [1000]
+    assert shown(worker, "e1", 1.2) == []
+
+
+def test_an_assignment_is_followed_by_a_report_even_if_it_came_to_nothing() -> None:
+    worker = full_worker(("e0", "e1"))
+    shown(worker, "e1", 1.1)
+    wide = Assign("wide", 0, "spec", Resources(5000, 10), 400, 4000, [(0, 1)])
+    worker.heard(1.2, "e1", Frame(1, 0, 1200, 1200, [wide]))
+    assert shown(worker, "e1", 1.2) == [1000]
+
+
+def hold_looks(worker: Worker, runs: dict[RunId, int], until: float) -> list[object]:
+    """Show the worker the same percents every 50 ms; return what it does."""
+    effects: list[object] = []
+    at = 1.05
+    while at < until:
+        rows = [RunningRun(run, percent) for run, percent in runs.items()]
+        effects += worker.looked(at, LookAnswer(at - 0.01, rows, []))
+        at += 0.05
+    return effects
+
+
+def test_a_runner_on_which_all_runs_stand_still_is_left_soon() -> None:
+    worker = full_worker(("e0",))
+    runs = {RunId(TaskId("job", 0, n), 1): 10 for n in range(7)}
+    for run in runs:
+        worker.start_answered(1.01, run, StartAnswer.STARTED)
+    effects = hold_looks(worker, runs, 1.3)
+    assert {e.run for e in effects if isinstance(e, StopRun)} == set(runs)
+
+
+def test_one_run_that_moves_shows_that_the_runner_does_not_hang() -> None:
+    worker = full_worker(("e0",))
+    runs = {RunId(TaskId("job", 0, n), 1): 10 for n in range(7)}
+    for run in runs:
+        worker.start_answered(1.01, run, StartAnswer.STARTED)
+    effects: list[object] = []
+    for step in range(5):
+        at = 1.05 + 0.05 * step
+        rows = [RunningRun(run, 10 + (step if i == 0 else 0)) for i, run in enumerate(runs)]
+        effects += worker.looked(at, LookAnswer(at - 0.01, rows, []))
+    assert not [e for e in effects if isinstance(e, StopRun)]
+
+
+def test_a_look_does_not_wait_while_it_is_to_settle_a_doubtful_start() -> None:
+    worker = working()
+    assert worker.next_look(1.05).wait > 0
+    worker.start_answered(1.06, RUN, StartAnswer.UNKNOWN)
+    assert worker.next_look(1.07).wait == 0
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -346,6 +346,7 @@
         dispatcher = self.dispatchers[entry]
         if isinstance(message, Frame):
             self._act_entry(entry, dispatcher.heard(self.now, target, message))
+            self._act_entry(entry, dispatcher.place_waiting(self.now))
             return
         session, effects = dispatcher.greeted(self.now, message)
         self._act_entry(entry, effects)
