--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := $(VENV)/.ready
 SOURCES := packages platform testing examples benchmarks
 
-.PHONY: demo test lint format fuzz bench slopes docs-check clean
+.PHONY: demo test lint format fuzz bench slopes docs-check plots clean
 
 $(READY): constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -46,5 +46,10 @@
 fuzz: $(READY)
 	PADDLESHUNT_FUZZ=$(FUZZ) $(BIN)/python -m pytest testing/test_fuzz.py -s --timeout=3600
 
+# The pictures of docs/measurements, from the tables beside them.
+plots: $(READY)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt matplotlib
+	$(BIN)/python benchmarks/rounds.py docs/measurements/deciding-well.csv docs/measurements/deciding-well.svg
+
 docs-check: $(READY)
 	$(BIN)/python testing/docs_check.py
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -5,7 +5,6 @@
 leave, frames of targets and ticks; it returns answers, and frames to send lie in its sessions.
 """
 
-from collections.abc import Iterable
 from random import Random
 from typing import final
 
@@ -14,6 +13,7 @@
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.jobbook import JobBook
 from paddleshunt_core.leased.jobs import (
     STALE_STEP,
     JobRecord,
@@ -32,9 +32,9 @@
     Refused,
 )
 from paddleshunt_core.leased.placement import Placement
-from paddleshunt_core.leased.resources import NOTHING
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.standstill import THAW_SECONDS, StandStill
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wants import Wants
 from paddleshunt_core.leased.wire import (
@@ -49,9 +49,6 @@
     Stop,
 )
 
-THAW_SECONDS = 0.1
-"""Seconds after a stand-still in which new requests are refused: they may be old."""
-
 RETRY_SECONDS = 1.0
 """When a refused caller is told to come back, if nothing better is known."""
 
@@ -77,20 +74,16 @@
     ) -> None:
         self._times = times
         self._assigner = Assigner(Placement(hall, rng, remote_factor))
-        self._jobs: dict[int, JobRecord] = {}
-        self._by_key: dict[str, JobRecord] = {}
+        self._jobs = JobBook()
         self._targets: dict[str, TargetRecord] = {}
         self._lengths = Lengths()
         self._wants = Wants()
         self._unplaced = False
         """Whether something was heard that may let a task be placed."""
-        self._offering: list[TargetRecord] = []
-        """Targets that have told of room since the last placing."""
         self._sessions = 0
-        self._moved: float | None = None
         self._met: float | None = None
         """When the first session with a target began."""
-        self._thawed = float("-inf")
+        self._pauses = StandStill(times.session)
 
     @property
     def jobs(self) -> int:
@@ -105,7 +98,7 @@
         """Return a summary of the state for a dump."""
         return {
             "jobs": len(self._jobs),
-            "waiting_tasks": sum(len(job.waiting()) for job in self._jobs.values()),
+            "waiting_tasks": sum(len(job.waiting()) for job in self._jobs.all()),
             "targets": {
                 target.name: {
                     "session": target.session.number if target.session else 0,
@@ -123,10 +116,11 @@
     def submit(self, now: float, caller: int, request: JobRequest, queue: Queue) -> list[Effect]:
         """Take a job, or refuse it."""
         effects = self._notice_pause(now)
-        if now < self._thawed + THAW_SECONDS:
+        if self._pauses.just_ended(now):
             return [*effects, self._refusal(caller, request, "stood_still", THAW_SECONDS)]
-        if request.key in self._by_key:
-            return [*effects, self._hand_over(now, caller, self._by_key[request.key])]
+        held = self._jobs.of_key(request.key)
+        if held is not None:
+            return [*effects, self._hand_over(now, caller, held)]
         expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
         job = new_job(caller, request, queue, now, expected)
         room = self._room(now)
@@ -136,8 +130,7 @@
         if now + wait > job.refuse_after:
             refusal = self._refusal(caller, request, "no_room", wait)
             return [*effects, room_note(now, job, wait, room), refusal]
-        self._jobs[caller] = job
-        self._by_key[request.key] = job
+        self._jobs.add(job)
         fields: dict[str, str | int | float] = {
             "queue": queue.name,
             "tasks": request.count,
@@ -152,7 +145,7 @@
 
     def caller_left(self, now: float, caller: int) -> list[Effect]:
         """Stop the job of a caller that doesn't wait any more."""
-        job = self._jobs.get(caller)
+        job = self._jobs.of_caller(caller)
         if job is None:
             return []
         self._drop(job)
@@ -164,10 +157,7 @@
 
     def _hand_over(self, now: float, caller: int, job: JobRecord) -> AnswerJob:
         """Let a job that came again go on for its new caller; the earlier one is likely gone."""
-        earlier = job.caller
-        del self._jobs[earlier]
-        job.caller = caller
-        self._jobs[caller] = job
+        earlier = self._jobs.hand_over(job, caller)
         outcome = GivenUp("came_again")
         return AnswerJob(earlier, job.request.key, outcome, now - job.arrived)
 
@@ -228,7 +218,7 @@
         for target in list(self._targets.values()):
             effects += self._check_target(now, target)
         self._assigner.compare(self._targets.values())
-        for job in list(self._jobs.values()):
+        for job in self._jobs.all():
             effects += self._check_job(now, job)
         return effects + self._place(now)
 
@@ -236,7 +226,7 @@
         """Answer all that is left, as the process ends."""
         return [
             self._give_up(now, job, "leaving", self._retry_after(now, job))
-            for job in list(self._jobs.values())
+            for job in self._jobs.all()
         ]
 
     # Inside: callers.
@@ -272,8 +262,7 @@
 
     def _drop(self, job: JobRecord) -> None:
         """Forget a job, and stop what it has running."""
-        del self._jobs[job.caller]
-        del self._by_key[job.request.key]
+        self._jobs.drop(job)
         by_target: dict[str, list[RunId]] = {}
         for task in job.tasks:
             if task.phase is TaskPhase.PLACED:
@@ -287,17 +276,15 @@
 
     def _notice_pause(self, now: float) -> list[Effect]:
         """Give up all jobs if this process stood still: their callers may have gone elsewhere."""
-        before = self._moved
-        self._moved = now
-        if before is None or now - before <= self._times.session:
+        seconds = self._pauses.moved(now)
+        if not seconds:
             return []
-        self._thawed = now
         fields: dict[str, str | int | float] = {
-            "seconds": round(now - before, 2),
+            "seconds": round(seconds, 2),
             "jobs": len(self._jobs),
         }
         effects: list[Effect] = [note("stood_still", **fields)]
-        for job in list(self._jobs.values()):
+        for job in self._jobs.all():
             effects.append(self._give_up(now, job, "stood_still", THAW_SECONDS))
         return effects
 
@@ -323,7 +310,7 @@
             "lost": len(lost),
         }
         log = note("session_opened", **fields)
-        return session, [log, *self._run_again(target, lost, "session_replaced")]
+        return session, [log, *self._jobs.run_again(lost, target.name, "session_replaced")]
 
     def _check_target(self, now: float, target: TargetRecord) -> list[Effect]:
         if target.session is not None:
@@ -333,7 +320,7 @@
         if target.held and now > target.lost_at:
             lost = list(target.held)
             target.held.clear()
-            return self._run_again(target, lost, "lease_lapsed")
+            return [*self._jobs.run_again(lost, target.name, "lease_lapsed")]
         if now > target.heard + FORGET_SECONDS:
             del self._targets[target.name]
         return []
@@ -346,10 +333,7 @@
         target.reset()
         target.held |= target.placed
         target.placed.clear()
-        for run in target.held:
-            task = self._task(run, target)
-            if task is not None:
-                task.phase = TaskPhase.HELD
+        self._jobs.hold(target.held, target.name)
         fields: dict[str, str | int | float] = {
             "target": target.name,
             "silent_ms": round((now - target.heard) * 1000),
@@ -362,8 +346,7 @@
             case RunnerReport():
                 target.covered(frame)
                 target.take_report(now, body)
-                if body.free != NOTHING:
-                    self._offering.append(target)
+                self._wants.reported(target)
             case Ended():
                 effects: list[Effect] = []
                 for run, end in body.ends:
@@ -373,10 +356,10 @@
 
     def _ended(self, now: float, target: TargetRecord, run: RunId, end: End) -> list[Effect]:
         target.placed.discard(run)
-        task = self._task(run, target)
-        if task is None or task.phase is not TaskPhase.PLACED:
+        task = self._jobs.task(run, target.name)
+        job = self._jobs.of_key(run.task.job)
+        if task is None or job is None or task.phase is not TaskPhase.PLACED:
             return []
-        job = self._by_key[run.task.job]
         if end is End.DONE:
             task.phase = TaskPhase.DONE
             self._learn(now, job, task, target)
@@ -422,47 +405,17 @@
             return [self._answer(now, job, Failed("attempts"))]
         return []
 
-    def _run_again(self, target: TargetRecord, runs: Iterable[RunId], reason: str) -> list[Effect]:
-        """Place tasks again whose runs can't be at work any more."""
-        effects: list[Effect] = []
-        for run in runs:
-            task = self._task(run, target)
-            if task is None or task.phase is TaskPhase.DONE:
-                continue
-            task.phase = TaskPhase.WAITING
-            task.ran = True
-            fields: dict[str, str | int | float] = {
-                "index": run.task.index,
-                "target": task.target,
-                "end": reason,
-            }
-            effects.append(note("task_returned", run.task.job, **fields))
-        return effects
-
-    def _task(self, run: RunId, target: TargetRecord) -> TaskRecord | None:
-        """Return the task whose newest run this is, at this target.
-
-        A job that came again counts its runs anew, so number and target must both be right.
-        """
-        job = self._by_key.get(run.task.job)
-        if job is None:
-            return None
-        task = job.tasks[run.task.index]
-        return task if task.number == run.number and task.target == target.name else None
-
     # Inside: placement.
 
     def _room(self, now: float) -> RoomNow:
         return RoomNow(now, self._targets.values(), self._times)
 
     def _wait(self, job: JobRecord, room: RoomNow) -> float:
-        return expected_wait(job, room.usable(job.queue.service), self._jobs.values())
+        return expected_wait(job, room.usable(job.queue.service), self._jobs.all())
 
     def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
-        logs = self._assigner.place(now, self._jobs.values(), room or self._room(now))
+        logs = self._assigner.place(now, self._jobs.all(), room or self._room(now))
         self._unplaced = False
-        self._wants.decline(self._offering, self._assigner.assigned)
-        self._offering.clear()
         heads = self._assigner.heads
         self._wants.tell(now, heads, self._targets.values(), self._assigner.assigned)
         return list(logs)
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
@@ -0,0 +1,85 @@
+"""The jobs that an entry is home of, by caller and by key, and their tasks by run."""
+
+from collections.abc import Iterable
+from typing import final
+
+from paddleshunt_core.events import Log, note
+from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
+from paddleshunt_core.leased.wire import RunId
+
+
+@final
+class JobBook:
+    """All jobs held at one entry."""
+
+    def __init__(self) -> None:
+        self._by_caller: dict[int, JobRecord] = {}
+        self._by_key: dict[str, JobRecord] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_caller)
+
+    def all(self) -> list[JobRecord]:
+        """Return all jobs, the oldest first."""
+        return list(self._by_caller.values())
+
+    def of_caller(self, caller: int) -> JobRecord | None:
+        """Return the job that a caller waits for."""
+        return self._by_caller.get(caller)
+
+    def of_key(self, key: str) -> JobRecord | None:
+        """Return the job of a key."""
+        return self._by_key.get(key)
+
+    def add(self, job: JobRecord) -> None:
+        """Hold a job."""
+        self._by_caller[job.caller] = job
+        self._by_key[job.request.key] = job
+
+    def drop(self, job: JobRecord) -> None:
+        """Forget a job."""
+        del self._by_caller[job.caller]
+        del self._by_key[job.request.key]
+
+    def hand_over(self, job: JobRecord, caller: int) -> int:
+        """Let a job go on for another caller; return the one before."""
+        earlier = job.caller
+        del self._by_caller[earlier]
+        job.caller = caller
+        self._by_caller[caller] = job
+        return earlier
+
+    def task(self, run: RunId, target: str) -> TaskRecord | None:
+        """Return the task whose newest run this is, at this target.
+
+        A job that came again counts its runs anew, so number and target must both be right.
+        """
+        job = self._by_key.get(run.task.job)
+        if job is None:
+            return None
+        task = job.tasks[run.task.index]
+        return task if task.number == run.number and task.target == target else None
+
+    def hold(self, runs: Iterable[RunId], target: str) -> None:
+        """Mark tasks whose target fell silent: they may still run there."""
+        for run in runs:
+            task = self.task(run, target)
+            if task is not None:
+                task.phase = TaskPhase.HELD
+
+    def run_again(self, runs: Iterable[RunId], target: str, reason: str) -> list[Log]:
+        """Let tasks wait again whose runs can't be at work any more."""
+        logs: list[Log] = []
+        for run in runs:
+            task = self.task(run, target)
+            if task is None or task.phase is TaskPhase.DONE:
+                continue
+            task.phase = TaskPhase.WAITING
+            task.ran = True
+            fields: dict[str, str | int | float] = {
+                "index": run.task.index,
+                "target": target,
+                "end": reason,
+            }
+            logs.append(note("task_returned", run.task.job, **fields))
+        return logs
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -16,6 +16,13 @@
     StartRun,
     StopRun,
 )
+from paddleshunt_core.leased.progress import (
+    HUNG_RUNS,
+    is_better_elsewhere,
+    is_stuck,
+    note_progress,
+    stands_still,
+)
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.runtable import Phase, Run, RunTable
 from paddleshunt_core.leased.wire import End, Health, RunId, RunnerState
@@ -29,27 +36,6 @@
 IDLE_LOOK_SHARE = 0.45
 """The same while no run is at work."""
 
-STUCK_SECONDS = 0.35
-"""Seconds without progress after which a run is stopped, to run elsewhere."""
-
-STUCK_LEAST = 0.15
-"""The same for a run whose whole estimate is less."""
-
-STUCK_LOOKS = 2
-"""Looks in a row that must have shown no progress."""
-
-HUNG_SECONDS = 0.12
-"""Seconds without progress of any run after which a runner counts as hung: two looks and a half."""
-
-HUNG_SHARE = 0.03
-"""The same as a share of a run's estimate; a runner tells progress in steps of a hundredth."""
-
-HUNG_RUNS = 2
-"""Runs that must all stand still; one alone may be its task's own fault."""
-
-SLOW_RESTART = 1.2
-"""A run on a slow runner is stopped if what is left takes so many times its estimate."""
-
 MIN_SECONDS = 0.001
 """Shortest time that a run is taken to have lasted."""
 
@@ -314,14 +300,14 @@
         return [
             effect
             for run in self.table
-            if run.phase is Phase.RUNNING and (100 - run.percent) / 100 > SLOW_RESTART * speed
+            if run.phase is Phase.RUNNING and is_better_elsewhere(run, speed)
             for effect in self._stop(now, run, End.STUCK, "slow")
         ]
 
     def _leave_hung(self, now: float) -> list[Effect]:
         """Stop all runs, to run elsewhere, if none of them makes progress any more."""
         runs = [run for run in self.table if run.phase is Phase.RUNNING]
-        if len(runs) < HUNG_RUNS or not all(_stands_still(now, run) for run in runs):
+        if len(runs) < HUNG_RUNS or not all(stands_still(now, run) for run in runs):
             return []
         self.health.suspect(now)
         return [
@@ -365,19 +351,8 @@
             run.phase = Phase.RUNNING
         run.doubted = None
         run.settled = now if run.phase is Phase.RUNNING else run.settled
-        if percent > run.percent:
-            work = run.estimate * (percent - run.percent) / 100
-            self.health.progressed(now, work, now - run.seen)
-            run.percent = percent
-            run.moved = now
-            run.still = 0
-        elif now > run.seen:
-            self.health.progressed(now, 0.0, now - run.seen)
-            run.still += 1
-        run.seen = now
-        patience = min(STUCK_SECONDS, max(STUCK_LEAST, run.estimate))
-        stuck = run.still >= STUCK_LOOKS and now > run.moved + patience
-        if run.phase is Phase.RUNNING and stuck:
+        note_progress(now, run, percent, self.health)
+        if run.phase is Phase.RUNNING and is_stuck(now, run):
             self.health.suspect(now)
             return self._stop(now, run, End.STUCK, "no_progress")
         return []
@@ -432,8 +407,3 @@
             "entry": run.entry,
         }
         return note("run_ended", str(run.id.task), **fields)
-
-
-def _stands_still(now: float, run: Run) -> bool:
-    patience = max(HUNG_SECONDS, HUNG_SHARE * run.estimate)
-    return run.still >= STUCK_LOOKS and now > run.moved + patience
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wants.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wants.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         self._next_round = 0.0
+        self._reported: list[TargetRecord] = []
 
     def tell(
         self,
@@ -31,7 +32,11 @@
         targets: Iterable[TargetRecord],
         assigned: Iterable[TargetRecord],
     ) -> None:
-        """Tell targets that don't know yet: all in rounds, those just `assigned` tasks at once."""
+        """Tell targets that don't know yet: all in rounds, those just `assigned` tasks at once.
+
+        First decline what targets have offered since the last call and were not assigned for.
+        """
+        self._decline(assigned)
         if not heads:
             return
         if now < self._next_round:
@@ -40,14 +45,20 @@
         told = self._tell(now, heads, targets)
         self._next_round = now + max(PAUSE_SECONDS, PAUSE_SECONDS_A_TARGET * told)
 
-    def decline(self, targets: Iterable[TargetRecord], assigned: Iterable[TargetRecord]) -> None:
-        """Let others have the room of targets that reported, unless they were `assigned` tasks."""
+    def reported(self, target: TargetRecord) -> None:
+        """Note that a target has just reported its room: it may be an offer."""
+        if target.told_want:
+            self._reported.append(target)
+
+    def _decline(self, assigned: Iterable[TargetRecord]) -> None:
+        """Let others have the room that was offered, unless a target was `assigned` tasks."""
         used = {target.name for target in assigned}
-        for target in targets:
+        for target in self._reported:
             offered = target.report is not None and target.told_need.fits(target.report.free)
             if target.told_want and offered and target.name not in used and target.session:
                 target.session.send(Decline())
                 target.told_want = ""
+        self._reported.clear()
 
     def _tell(
         self, now: float, heads: Mapping[str, JobRecord], targets: Iterable[TargetRecord]
--- a/testing/core/leased/test_wants.py
+++ b/testing/core/leased/test_wants.py
@@ -88,7 +88,9 @@
         told(record)
         assert record.report is not None
         record.report = msgspec.structs.replace(record.report, free=NEED)
-    wants.decline([offering, used], [used])
+    for record in (offering, used):
+        wants.reported(record)
+    wants.tell(1.001, {}, [offering, used], [used])
     assert offering.session is not None and used.session is not None
     assert offering.session.frame(0).bodies == [Decline()]
     assert used.session.frame(0).bodies == []
@@ -100,5 +102,6 @@
     told(ours)
     assert ours.report is not None and ours.session is not None
     ours.report = msgspec.structs.replace(ours.report, free=Resources(500, 64))
-    wants.decline([ours], [])
+    wants.reported(ours)
+    wants.tell(1.001, {}, [ours], [])
     assert ours.session.frame(0).bodies == []
