--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 from random import Random
-from statistics import median
 from typing import final
 
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
@@ -35,8 +34,8 @@
 
     def compare(self, targets: Iterable[TargetRecord]) -> None:
         """Note how slow targets usually are."""
-        known = [target.slowness for target in targets if target.report is not None]
-        self.typical_slowness = median(known) if known else 1.0
+        known = sorted(target.slowness for target in targets if target.report is not None)
+        self.typical_slowness = known[len(known) // 2] if known else 1.0
 
     def able(self, job: JobRecord, targets: list[TargetRecord]) -> list[TargetRecord]:
         """Return the targets whose runner may run the job's tasks; none if none has room."""
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -1,5 +1,6 @@
 """Jobs under failures, in the small fleet of `leasedfleet`, under two sets of bounds."""
 
+import leasedfleet
 import pytest
 from leasedfleet import QUEUE, Fleet
 from paddleshunt_core.leased.bounds import Bounds
@@ -308,3 +309,16 @@
     caller = fleet.submit("e0", "short", count=4, length=0.12)
     fleet.run(0.8)
     assert isinstance(fleet.answers[caller], Refused)
+
+
+def test_entries_do_not_race_for_scarce_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A message takes a step each way; in steps of 10 ms an offer of 12 ms would lapse on its way.
+    monkeypatch.setattr(leasedfleet, "STEP", 0.002)
+    fleet = Fleet(entries=4, targets=12)
+    fleet.run(0.4)
+    for number in range(50):
+        fleet.submit(f"e{number % 4}", f"j{number}", count=10, length=0.2, deadline=9.0)
+        fleet.run(0.02)
+    placed, returned = len(fleet.ends("job_placed")), len(fleet.ends("task_returned"))
+    assert placed > 50
+    assert returned < placed / 6
--- /dev/null
+++ b/testing/core/leased/test_jobbook.py
@@ -0,0 +1,73 @@
+"""Jobs by caller and key, and tasks by run."""
+
+import pytest
+from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.jobbook import JobBook
+from paddleshunt_core.leased.jobs import JobRecord, JobRequest, TaskPhase, new_job
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.wire import RunId, TaskId
+
+QUEUE = Queue("q", "host", "/q/", "svc")
+RUN = RunId(TaskId("job", 0, 1), 3)
+
+
+@pytest.fixture
+def job() -> JobRecord:
+    record = new_job(7, JobRequest("job", "spec", 2, Resources(1000, 64), 0.5, 4.0), QUEUE, 1.0)
+    task = record.tasks[1]
+    task.number, task.target, task.phase = 3, "t0", TaskPhase.PLACED
+    return record
+
+
+@pytest.fixture
+def book(job: JobRecord) -> JobBook:
+    book = JobBook()
+    book.add(job)
+    return book
+
+
+def test_a_job_is_found_by_caller_and_key_until_it_is_dropped(
+    book: JobBook, job: JobRecord
+) -> None:
+    assert book.of_caller(7) is book.of_key("job") is job
+    book.drop(job)
+    assert len(book) == 0
+    assert book.of_caller(7) is book.of_key("job") is None
+
+
+def test_a_job_that_is_handed_over_is_its_new_callers(book: JobBook, job: JobRecord) -> None:
+    assert book.hand_over(job, 8) == 7
+    assert book.of_caller(7) is None
+    assert book.of_caller(8) is job
+
+
+@pytest.mark.parametrize(
+    ("run", "target"),
+    [
+        (RunId(TaskId("job", 0, 1), 2), "t0"),
+        (RUN, "t1"),
+        (RunId(TaskId("other", 0, 1), 3), "t0"),
+    ],
+    ids=["an earlier run", "another target", "another job"],
+)
+def test_only_the_newest_run_at_its_own_target_names_a_task(
+    book: JobBook, job: JobRecord, run: RunId, target: str
+) -> None:
+    assert book.task(RUN, "t0") is job.tasks[1]
+    assert book.task(run, target) is None
+
+
+def test_tasks_that_are_held_wait_again_once_their_runs_are_over(
+    book: JobBook, job: JobRecord
+) -> None:
+    book.hold([RUN], "t0")
+    assert job.tasks[1].phase is TaskPhase.HELD
+    (log,) = book.run_again([RUN], "t0", "lease_lapsed")
+    assert (log.event, log.fields["end"]) == ("task_returned", "lease_lapsed")
+    assert (job.tasks[1].phase, job.tasks[1].ran) == (TaskPhase.WAITING, True)
+
+
+def test_a_task_that_is_done_does_not_wait_again(book: JobBook, job: JobRecord) -> None:
+    job.tasks[1].phase = TaskPhase.DONE
+    assert book.run_again([RUN], "t0", "lease_lapsed") == []
+    assert job.tasks[1].phase is TaskPhase.DONE
--- /dev/null
+++ b/testing/core/leased/test_progress.py
@@ -0,0 +1,81 @@
+"""What the progress of a run says of it."""
+
+import pytest
+from paddleshunt_core.leased.health import RunnerHealth
+from paddleshunt_core.leased.progress import (
+    HUNG_SECONDS,
+    HUNG_SHARE,
+    STUCK_LEAST,
+    STUCK_SECONDS,
+    is_better_elsewhere,
+    is_stuck,
+    note_progress,
+    stands_still,
+)
+from paddleshunt_core.leased.resources import NOTHING
+from paddleshunt_core.leased.runtable import Run
+from paddleshunt_core.leased.wire import RunId, TaskId
+
+
+def run_of(estimate: float) -> Run:
+    run = Run(RunId(TaskId("job", 0, 0), 1), "e", "spec", NOTHING, estimate, 99.0)
+    run.moved = run.seen = 1.0
+    return run
+
+
+def watch(run: Run, *looks: tuple[float, int]) -> RunnerHealth:
+    health = RunnerHealth()
+    for at, percent in looks:
+        note_progress(at, run, percent, health)
+    return health
+
+
+def test_progress_is_evidence_on_the_runner() -> None:
+    health = watch(run_of(1.0), (1.5, 25), (2.0, 50))
+    assert health.speed(2.0) == pytest.approx(0.5)
+
+
+@pytest.mark.parametrize(
+    ("estimate", "patience"), [(0.05, STUCK_LEAST), (0.2, 0.2), (5.0, STUCK_SECONDS)]
+)
+def test_a_run_is_stuck_after_a_patience_that_its_length_sets(
+    estimate: float, patience: float
+) -> None:
+    run = run_of(estimate)
+    watch(run, (1.0 + patience / 2, 0), (1.0 + patience, 0))
+    assert not is_stuck(1.0 + patience, run)
+    assert is_stuck(1.0 + patience + 0.01, run)
+
+
+def test_one_look_without_progress_shows_nothing() -> None:
+    run = run_of(0.1)
+    watch(run, (2.0, 0))
+    assert not is_stuck(2.0, run)
+    assert not stands_still(2.0, run)
+
+
+def test_a_run_that_moved_is_not_stuck() -> None:
+    run = run_of(0.1)
+    watch(run, (1.5, 0), (2.0, 0), (2.05, 30))
+    assert not is_stuck(2.1, run)
+
+
+@pytest.mark.parametrize(
+    ("estimate", "patience"),
+    [(0.1, HUNG_SECONDS), (10.0, 10.0 * HUNG_SHARE)],
+    ids=["short", "long"],
+)
+def test_a_long_run_may_stand_longer_as_its_percents_are_longer(
+    estimate: float, patience: float
+) -> None:
+    run = run_of(estimate)
+    watch(run, (1.0 + patience / 2, 0), (1.0 + patience, 0))
+    assert not stands_still(1.0 + patience, run)
+    assert stands_still(1.0 + patience + 0.01, run)
+
+
+@pytest.mark.parametrize(("percent", "elsewhere"), [(10, True), (80, False)])
+def test_a_slow_run_near_its_end_is_left_to_end(percent: int, elsewhere: bool) -> None:
+    run = run_of(1.0)
+    run.percent = percent
+    assert is_better_elsewhere(run, 0.3) is elsewhere
