--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -7,11 +7,12 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from random import Random
 
 import msgspec
+from fakestore import FakeStore
+from fleetparts import Job, Links, Process, Shape
 from paddleshunt_core.allotments import Allotment
 from paddleshunt_core.checker import (
     Adopted,
@@ -28,7 +29,6 @@
 from paddleshunt_core.entry import Entry, EntrySettings, Minted
 from paddleshunt_core.events import Log
 from paddleshunt_core.gate import GateLimits
-from paddleshunt_core.home import HomeLimits
 from paddleshunt_core.ids import Incarnation
 from paddleshunt_core.members import Host, HostState, Role
 from paddleshunt_core.messages import (
@@ -49,13 +49,8 @@
     ABSENT,
     ALLOTMENT_PREFIX,
     TABLE_KEY,
-    Changed,
     Listing,
-    StoreError,
-    Unanswered,
-    Unreachable,
     Value,
-    Written,
     allotment_key,
 )
 from paddleshunt_platform.tableedit import EditOutcome, apply_edit, read_table
@@ -68,120 +63,6 @@
 SERVICE = "results"
 
 
-class FakeStore:
-    """The store as the core's surroundings see it, with faults to set."""
-
-    def __init__(self) -> None:
-        self.values: dict[str, Value] = {}
-        self.revision = 1
-        self.down = False
-        self.lose_answers = 0
-        self.written: Callable[[Value], None] = lambda value: None
-        self._saved: dict[str, Value] = {}
-
-    def get(self, key: str) -> Value | StoreError | None:
-        return Unreachable("down") if self.down else self.values.get(key)
-
-    def list(self, prefix: str) -> Listing | StoreError:
-        if self.down:
-            return Unreachable("down")
-        found = tuple(v for k, v in self.values.items() if k.startswith(prefix))
-        return Listing(found, self.revision)
-
-    def compare_and_swap(self, key: str, data: bytes, version: int) -> object:
-        if self.down:
-            return Unreachable("down")
-        found = self.values.get(key)
-        if (found.version if found else ABSENT) != version:
-            return Changed(found)
-        self.revision += 1
-        self.values[key] = Value(key, data, self.revision)
-        self.written(self.values[key])
-        if self.lose_answers:
-            self.lose_answers -= 1
-            return Unanswered("lost")
-        return Written()
-
-    def watch(self, prefix: str, after: int) -> Iterator[Value | StoreError]:
-        raise NotImplementedError
-
-    def grant_lease(self, seconds: int) -> int | StoreError:
-        raise NotImplementedError
-
-    def keep_lease(self, lease: int) -> bool | StoreError:
-        raise NotImplementedError
-
-    def save(self) -> None:
-        self._saved = dict(self.values)
-
-    def go_back(self) -> None:
-        self.values = dict(self._saved)
-
-
-@dataclass
-class Process:
-    """One process of the fleet and what its surroundings keep of it."""
-
-    host: str
-    role: Role
-    site: str
-    incarnation: Incarnation
-    machine: Entry | Target
-    alive: bool = True
-    paused: bool = False
-    held: list[Callable[[], None]] = field(default_factory=list)
-    versions: dict[str, int] = field(default_factory=dict)
-    revision: int = 0
-
-
-@dataclass
-class Job:
-    """A submission of a test's caller, and every answer it got."""
-
-    name: str
-    submission: str
-    message: Submit
-    answers: list[str] = field(default_factory=list)
-    answered_at: list[float] = field(default_factory=list)
-    sent: float = 0.0
-    retry_after_ms: int = 0
-
-    @property
-    def outcome(self) -> str:
-        return self.answers[-1] if self.answers else "none"
-
-
-@dataclass
-class Links:
-    """Faults between hosts: what is cut, and how many messages of a kind to drop and so on."""
-
-    cut: set[tuple[str, str]] = field(default_factory=set)
-    drop: Counter[str] = field(default_factory=Counter)
-    duplicate: Counter[str] = field(default_factory=Counter)
-    delay: dict[str, float] = field(default_factory=dict)
-    late_copy: Counter[str] = field(default_factory=Counter)
-    late_seconds: float = 0.0
-    drop_share: float = 0.0
-    duplicate_share: float = 0.0
-    jitter: float = 0.0
-
-
-@dataclass(frozen=True)
-class Shape:
-    """Size of a fleet: targets by site, entries, slots, and limits of each row."""
-
-    sites: dict[str, int]
-    entries: int = 2
-    slots: int = 4
-    pipeline: int = 2
-    max_running: int | None = None
-    max_in_flight: int | None = None
-    home: HomeLimits = field(default_factory=HomeLimits)
-    task_seconds: tuple[float, float] = (0.05, 0.5)
-    straggler_share: float = 0.0
-    straggler_seconds: float = 3.0
-
-
 class Fleet:
     """Entries, targets, runners and a store, in one thread and by a fake clock."""
 
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -8,23 +8,20 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from leasedrunner import Runner
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import Queue
 from paddleshunt_core.leased.dispatcher import AnswerJob, Dispatcher
 from paddleshunt_core.leased.jobs import JobRequest
 from paddleshunt_core.leased.orders import (
-    FinishedRun,
-    LookAnswer,
-    RunEnd,
     RunnerAccount,
-    RunningRun,
     StartAnswer,
     StartRun,
     StopRun,
 )
 from paddleshunt_core.leased.outcomes import JobOutcome
-from paddleshunt_core.leased.resources import NOTHING, Resources
-from paddleshunt_core.leased.wire import Frame, Hello, RunId, TaskId
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.wire import Frame, Hello, TaskId
 from paddleshunt_core.leased.worker import Worker
 
 STEP = 0.01
@@ -35,107 +32,6 @@
 QUEUE = Queue("q", "host", "/q/", "svc", max_attempts=2, stretch=1.6, latency=0.06)
 
 
-@dataclass
-class RunnerTask:
-    """A run at work on a fake runner."""
-
-    need: Resources
-    length: float
-    done: float = 0.0
-
-
-class Runner:
-    """A fake runner: room, leases, ends; it can hang, fail, slow down, die and answer late."""
-
-    def __init__(self, capacity: Resources, lengths: dict[str, float]) -> None:
-        self.capacity = capacity
-        self.lengths = lengths
-        self.needs: dict[RunId, Resources] = {}
-        self.up = True
-        self.life = 1
-        self.speed = 1.0
-        self.fails = False
-        self.mute = False
-        self.refuses = False
-        self.loses_answers = False
-        self.late: float | None = None
-        self.starts: Counter[TaskId] = Counter()
-        self.rejected = 0
-        self.clear()
-
-    def clear(self) -> None:
-        self.running: dict[RunId, RunnerTask] = {}
-        self.finished: list[FinishedRun] = []
-        self.ended: set[RunId] = set()
-        self.lease_until = 0.0
-        self.count = 0
-
-    def crash(self) -> None:
-        self.clear()
-        self.up = False
-
-    def restart(self) -> None:
-        self.clear()
-        self.up = True
-        self.life += 1
-
-    @property
-    def used(self) -> Resources:
-        total = NOTHING
-        for task in self.running.values():
-            total += task.need
-        return total
-
-    def step(self, now: float) -> None:
-        if now > self.lease_until:
-            for run in list(self.running):
-                self._end(run, RunEnd.LAPSED)
-        for run, task in list(self.running.items()):
-            task.done += STEP * self.speed
-            if task.done >= task.length:
-                self._end(run, RunEnd.FAILED if self.fails else RunEnd.DONE)
-
-    def start(self, now: float, order: StartRun, ordered: float) -> StartAnswer:
-        if self.refuses:
-            return StartAnswer.NOT_SENT
-        if now > ordered + order.lease:
-            return StartAnswer.LATE
-        self.lease_until = max(self.lease_until, ordered + order.lease)
-        run = order.run
-        if run in self.running:
-            return StartAnswer.STARTED
-        if any(other.task == run.task and other.number >= run.number for other in self.ended):
-            return StartAnswer.STALE
-        need = self.needs[run]
-        if not need.fits(self.capacity - self.used):
-            self.rejected += 1
-            return StartAnswer.NO_ROOM
-        self.starts[run.task] += 1
-        self.running[run] = RunnerTask(need, self.lengths[run.task.job])
-        return StartAnswer.STARTED
-
-    def stop(self, run: RunId) -> None:
-        if run in self.running:
-            self._end(run, RunEnd.STOPPED)
-        self.ended.add(run)
-
-    def look(self, sent: float, last_seen: int, lease: float | None) -> LookAnswer:
-        if lease is not None:
-            self.lease_until = max(self.lease_until, sent + lease)
-        self.finished = [row for row in self.finished if row.number > last_seen]
-        running = [
-            RunningRun(run, min(99, int(100 * task.done / task.length)))
-            for run, task in self.running.items()
-        ]
-        return LookAnswer(sent, running, list(self.finished))
-
-    def _end(self, run: RunId, end: RunEnd) -> None:
-        del self.running[run]
-        self.ended.add(run)
-        self.count += 1
-        self.finished.append(FinishedRun(self.count, run, end))
-
-
 @dataclass
 class Link:
     """One connection between a target and an entry, with what is on its way."""
@@ -271,7 +167,7 @@
         self.now += STEP
         for runner in self.runners.values():
             if runner.up:
-                runner.step(self.now)
+                runner.step(self.now, STEP)
         self._carry_out_late()
         self._dial()
         for pair in list(self.links):
--- a/testing/platform/test_tableedit.py
+++ b/testing/platform/test_tableedit.py
@@ -1,5 +1,5 @@
 import pytest
-from fleet import FakeStore
+from fakestore import FakeStore
 from paddleshunt_core.table import EMPTY_TABLE, EditConflict, Row, revise
 from paddleshunt_platform.store import Unanswered, Unreachable, Value
 from paddleshunt_platform.tableedit import Applied, NotApplied, NotKnown, apply_edit, read_table
--- a/testing/scenario.py
+++ b/testing/scenario.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 
 import msgspec
-from fleet import Fleet, Shape
+from fleet import Fleet
+from fleetparts import Shape
 from paddleshunt_core.checker import Rule
 from paddleshunt_core.home import HomeLimits
 from paddleshunt_core.ids import SubmissionId, parse_id
--- a/testing/scenarios/test_fault_pairs.py
+++ b/testing/scenarios/test_fault_pairs.py
@@ -5,7 +5,8 @@
 from itertools import combinations_with_replacement
 
 import pytest
-from fleet import Fleet, Shape
+from fleet import Fleet
+from fleetparts import Shape
 from paddleshunt_core.members import HostState
 
 SITES = {"hall": 3, "depot": 3}
--- a/testing/test_fuzz.py
+++ b/testing/test_fuzz.py
@@ -8,7 +8,8 @@
 
 import msgspec
 import pytest
-from fleet import SERVICE, Fleet, Shape
+from fleet import SERVICE, Fleet
+from fleetparts import Shape
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
