--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/lengths.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/lengths.py
@@ -30,6 +30,9 @@
 Callers' estimates were seen to lie within 0.4 and 1.9 of the length.
 """
 
+MOST_QUEUES = 1000
+"""Queues that are remembered; one takes about 1 KB, and the largest configuration seen had 360."""
+
 LEAST_DEADLINE_SLOPE = 0.02
 """Seconds of length for a second of deadline, below which a deadline tells no age."""
 
@@ -87,14 +90,18 @@
 
 @final
 class Lengths:
-    """The lengths of all queues, by name."""
+    """The lengths of all queues, by name; what was not asked for longest is forgotten first."""
 
     def __init__(self) -> None:
         self._queues: dict[str, QueueLengths] = {}
 
     def of(self, queue: str) -> QueueLengths:
         """Return what is known of a queue."""
-        return self._queues.setdefault(queue, QueueLengths())
+        lengths = self._queues.pop(queue, None) or QueueLengths()
+        self._queues[queue] = lengths
+        if len(self._queues) > MOST_QUEUES:
+            del self._queues[next(iter(self._queues))]
+        return lengths
 
 
 def _row(estimate: float, deadline: float) -> tuple[float, float, float]:
--- a/testing/core/leased/test_lengths.py
+++ b/testing/core/leased/test_lengths.py
@@ -3,7 +3,13 @@
 from random import Random
 
 import pytest
-from paddleshunt_core.leased.lengths import FARTHEST, Expectation, Lengths, QueueLengths
+from paddleshunt_core.leased.lengths import (
+    FARTHEST,
+    MOST_QUEUES,
+    Expectation,
+    Lengths,
+    QueueLengths,
+)
 
 
 def taught(ends: int, *, patience: float = 5.0, seed: int = 1) -> QueueLengths:
@@ -70,3 +76,14 @@
         lengths.of("slow").ended(0.2, 3.0, 0.6)
     assert lengths.of("slow").expect(0.2, 3.0).length > 0.5
     assert lengths.of("other").expect(0.2, 3.0) == Expectation(0.2)
+
+
+def test_queues_that_were_not_asked_for_longest_are_forgotten_first() -> None:
+    lengths = Lengths()
+    for name in ("kept", "forgotten"):
+        lengths.of(name).ended(0.2, 3.0, 0.6)
+    for number in range(MOST_QUEUES - 1):
+        lengths.of("kept")
+        lengths.of(f"q{number}")
+    assert lengths.of("kept").expect(0.2, 3.0) != Expectation(0.2)
+    assert lengths.of("forgotten").expect(0.2, 3.0) == Expectation(0.2)
