Let a target's log tell how old a decision was when its order left, and why a run was given up

Change: no decision is changed. run_ordered carries the age of the decision when the call left, the entry and what was left of its session; targets tell of stand-stills (two heartbeats); run_lapsed says on what grounds a run is taken for lost; assignments given back say whether the runner is full, foreign runs are there, or it is not ready; stage 'ordered' has a histogram. These lines belong to those that a full second does not cut.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -27,11 +27,16 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Order the runner to start a run, whose lease is `lease` seconds from now."""
+    """Order the runner to start a run of an entry, whose lease is `lease` seconds from now.
+
+    `decided` is the steady time, in seconds, at which it was decided.
+    """
 
     run: RunId
     spec: str
     lease: float
+    entry: str
+    decided: float
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -79,7 +79,9 @@
         """Start what fits, and give back the rest at once: other targets may have room."""
         effects: list[Effect] = []
         for run in runs:
-            if self._may_start() and run.need.fits(self.free()):
+            if not self._may_start():
+                effects.append(self._tell(run, End.NO_ROOM, self._why_not_started()))
+            elif run.need.fits(self.free()):
                 effects.append(self._order(now, run))
             else:
                 effects.append(self._tell(run, End.NO_ROOM, "no_room"))
@@ -180,7 +182,9 @@
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self.table)))
         for run in self.table:
-            if now > max(self._renewed, run.ordered) + self._times.run_end:
+            renewed = max(self._renewed, run.ordered)
+            if now > renewed + self._times.run_end:
+                effects.append(_lapsed_note(now, run, renewed))
                 effects += self._ended(run, End.LOST, "lease_lapsed")
         return effects
 
@@ -234,7 +238,7 @@
     def _order(self, now: float, run: Run) -> StartRun:
         self.table.add(run)
         run.ordered = run.moved = run.seen = now
-        return StartRun(run.id, run.spec, self._times.hold)
+        return StartRun(run.id, run.spec, self._times.hold, run.entry, now)
 
     def _may_start(self) -> bool:
         if not self.clean or self._foreign or self.state() is not RunnerState.READY:
@@ -243,6 +247,14 @@
             return True
         return self.level is Health.PROBATION and self.table.used == NOTHING
 
+    def _why_not_started(self) -> str:
+        """Return why nothing may start here now, for the log."""
+        if not self.clean:
+            return "runner_not_looked_at"
+        if self._foreign:
+            return "foreign_runs"
+        return "runner_not_ready"
+
     def _started(self, now: float, run: Run) -> list[Effect]:
         self._renewed = max(self._renewed, run.ordered)
         if run.phase is Phase.STARTING:
@@ -407,3 +419,14 @@
             "entry": run.entry,
         }
         return note("run_ended", str(run.id.task), **fields)
+
+
+def _lapsed_note(now: float, run: Run, renewed: float) -> Log:
+    """Return the line that says on what grounds a run is taken for lost."""
+    fields: dict[str, str | int | float] = {
+        "run": run.id.number,
+        "phase": run.phase.name.lower(),
+        "renewed_ago_ms": round((now - renewed) * 1000),
+        "answered": run.settled is not None,
+    }
+    return note("run_lapsed", str(run.id.task), **fields)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -16,6 +16,7 @@
 from paddleshunt_core.leased.runnercontrol import Effect, RunnerControl
 from paddleshunt_core.leased.runtable import Run
 from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.standstill import StandStill
 from paddleshunt_core.leased.wire import (
     Assign,
     Body,
@@ -39,6 +40,9 @@
 PLENTY = 0.3
 """Share of the runner's room that is free, above which changes are told with the next heartbeat."""
 
+STILL_HEARTBEATS = 2.0
+"""Heartbeats without a tick after which this process is taken to have stood still."""
+
 RETIRE_SECONDS = 0.3
 """Shortest time for which an entry is told to send nothing more, before its session ends."""
 
@@ -71,6 +75,7 @@
         self._control = RunnerControl(times)
         self._links: dict[str, _EntryLink] = {}
         self._offers = Offers()
+        self._pauses = StandStill(STILL_HEARTBEATS * times.heartbeat)
 
     # What others ask about this target.
 
@@ -131,6 +136,11 @@
         fields: dict[str, str | int | float] = {"entry": hello.name, "session": hello.session}
         return [*effects, note("session_opened", **fields)]
 
+    def session_left(self, now: float, entry: str) -> float:
+        """Return the seconds that are left of an entry's session; 0 or less if it is over."""
+        session = self.session(entry)
+        return 0.0 if session is None else session.confirmed_ms / 1000 + self._times.session - now
+
     def closed(self, now: float, entry: str) -> list[Effect]:
         """Take an entry's word that it doesn't go on with the session."""
         return self._end_session(now, entry, "refused") if self.session(entry) else []
@@ -182,7 +192,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Act on the passing of time."""
-        effects: list[Effect] = []
+        effects = self._notice_pause(now)
         for name, link in self._links.items():
             if link.session is not None and self._is_over(now, link.session):
                 effects += self._end_session(now, name, "silent")
@@ -236,6 +246,11 @@
 
     # Inside.
 
+    def _notice_pause(self, now: float) -> list[Effect]:
+        """Tell of a stand-still: what was decided before it may be out of date."""
+        seconds = self._pauses.moved(now)
+        return [note("stood_still", seconds=round(seconds, 2), runs=self.runs)] if seconds else []
+
     def _is_over(self, now: float, session: Session) -> bool:
         return now * 1000 > session.confirmed_ms + self._times.session * 1000
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
@@ -22,7 +22,16 @@
 """The same for events that decide or explain a failed request."""
 
 FAILURE_EVENTS = frozenset(
-    {"job_answered", "task_returned", "run_stopping", "start_rejected", "session_ended"}
+    {
+        "job_answered",
+        "task_returned",
+        "run_stopping",
+        "run_lapsed",
+        "foreign_run_stopping",
+        "start_rejected",
+        "session_ended",
+        "stood_still",
+    }
 )
 """Events without which a failed request can't be explained."""
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -202,8 +202,10 @@
 
     async def _start_run(self, order: StartRun) -> None:
         began = self._now()
+        session_left = self._worker.session_left(began, order.entry)
         answer = await self._runner.start(order)
         now = self._now()
+        self._around.measures.stage("ordered", began - order.decided)
         self._around.measures.stage("started", now - began)
         self._around.event(
             "run_ordered",
@@ -211,6 +213,9 @@
             run=order.run.number,
             answer=answer.value,
             after_ms=round((now - began) * 1000),
+            decided_ms=round((began - order.decided) * 1000),
+            entry=order.entry,
+            session_left_ms=round(session_left * 1000),
         )
         self._act(self._worker.start_answered(now, order.run, answer))
 
--- /dev/null
+++ b/testing/core/leased/test_sight.py
@@ -0,0 +1,66 @@
+"""What a target logs so that stale decisions and lost leases can be told apart afterwards."""
+
+import pytest
+from paddleshunt_core.events import Log
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, RunningRun, StartRun
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.wire import Assign, Frame, Hello, RunId, TaskId
+from paddleshunt_core.leased.worker import Worker
+
+TIMES = lease_times(Bounds())
+NEED = Resources(1000, 10)
+RUN = RunId(TaskId("job", 0, 0), 1)
+
+
+def assign(job: str) -> Assign:
+    return Assign(job, 0, "spec", NEED, 400, 4000, [(0, 1)])
+
+
+def lines(effects: list[object], event: str) -> list[dict[str, object]]:
+    """Return the fields of the lines of one event."""
+    return [dict(e.fields) for e in effects if isinstance(e, Log) and e.event == event]
+
+
+@pytest.fixture
+def worker() -> Worker:
+    """A worker in session with an entry since 1.0, whose runner was looked at."""
+    worker = Worker(TIMES)
+    worker.runner_spoke(0.9, RunnerAccount("i-1", "svc", "hall", NEED + NEED, False, None))
+    worker.looked(0.95, LookAnswer(0.92, [], []))
+    worker.opened(1.0, Hello("e", "life", True, "hall", "", 1, 0), 1.0)
+    return worker
+
+
+def test_an_order_names_its_entry_and_when_it_was_decided(worker: Worker) -> None:
+    effects = worker.heard(1.1, "e", Frame(1, 0, 1100, 1000, [assign("job")]))
+    orders = [effect for effect in effects if isinstance(effect, StartRun)]
+    assert [(order.entry, order.decided) for order in orders] == [("e", 1.1)]
+
+
+def test_what_is_left_of_a_session_counts_from_the_newest_echo(worker: Worker) -> None:
+    worker.heard(1.3, "e", Frame(1, 0, 1300, 1200, []))
+    assert worker.session_left(1.3, "e") == pytest.approx(TIMES.session - 0.1)
+    assert worker.session_left(1.3, "unknown") == 0.0
+
+
+def test_a_stand_still_is_told_once_with_its_length(worker: Worker) -> None:
+    worker.tick(1.1)
+    assert lines(worker.tick(1.2), "stood_still") == []
+    assert lines(worker.tick(2.7), "stood_still") == [{"seconds": 1.5, "runs": 0}]
+    assert lines(worker.tick(2.8), "stood_still") == []
+
+
+def test_a_run_taken_for_lost_says_on_what_grounds(worker: Worker) -> None:
+    worker.heard(1.0, "e", Frame(1, 0, 1000, 1000, [assign("job")]))
+    effects = worker.look_failed(2.5)
+    assert lines(effects, "run_lapsed") == [
+        {"run": 1, "phase": "starting", "renewed_ago_ms": 1500, "answered": False}
+    ]
+
+
+def test_an_assignment_given_back_says_why(worker: Worker) -> None:
+    foreign = RunId(TaskId("other", 0, 0), 1)
+    worker.looked(1.05, LookAnswer(1.04, [RunningRun(foreign, 5)], []))
+    effects = worker.heard(1.1, "e", Frame(1, 0, 1100, 1050, [assign("job")]))
+    assert [line["reason"] for line in lines(effects, "run_ended")] == ["foreign_runs"]
--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -22,6 +22,7 @@
 RUN = RunId(TaskId("5c0e7a21d94b36f8", 0, 7), 2)
 NAME = "5c0e7a21d94b36f8.0.0.7"
 FIRST_LOOK = Look(0, None, 0.0)
+START = StartRun(RUN, "spec", 0.5, "e", 0.0)
 
 
 def play(scene: Callable[[Runner, RunnerStandIn], Awaitable[None]]) -> None:
@@ -35,7 +36,7 @@
 
 def test_nothing_is_started_before_the_clock_is_known() -> None:
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
-        assert await runner.start(StartRun(RUN, "spec", 0.5)) is StartAnswer.NOT_SENT
+        assert await runner.start(START) is StartAnswer.NOT_SENT
         assert standin.calls == []
 
     play(scene)
@@ -44,7 +45,7 @@
 def test_a_start_carries_name_token_and_a_deadline_on_the_runners_clock() -> None:
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
-        assert await runner.start(StartRun(RUN, "spec", 0.5)) is StartAnswer.STARTED
+        assert await runner.start(START) is StartAnswer.STARTED
         path, asked = standin.calls[-1]
         assert path == "/paddleshunt/run-start"
         assert (asked["task"], asked["run"], asked["spec"]) == (NAME, 2, "spec")
@@ -70,7 +71,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         standin.status, standin.reason = status, reason
-        assert await runner.start(StartRun(RUN, "spec", 0.5)) is answer
+        assert await runner.start(START) is answer
 
     play(scene)
 
@@ -79,7 +80,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         standin.silent = True
-        assert await runner.start(StartRun(RUN, "spec", 0.5)) is StartAnswer.UNKNOWN
+        assert await runner.start(START) is StartAnswer.UNKNOWN
         assert not await runner.stop(StopRun(RUN))
         assert await runner.look(FIRST_LOOK) is None
 
@@ -109,7 +110,7 @@
         assert isinstance(await runner.look(FIRST_LOOK), LookAnswer)
         standin.life = "i-2"
         assert isinstance(await runner.look(FIRST_LOOK), OtherLife)
-        assert await runner.start(StartRun(RUN, "spec", 0.5)) is StartAnswer.OTHER_LIFE
+        assert await runner.start(START) is StartAnswer.OTHER_LIFE
 
     play(scene)
 
@@ -118,7 +119,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         runner.expect("i-2")
-        assert await runner.start(StartRun(RUN, "spec", 0.5)) is StartAnswer.NOT_SENT
+        assert await runner.start(START) is StartAnswer.NOT_SENT
 
     play(scene)
 
