Show two runs of one task at once with real processes, failing, and the order that causes it

Change: tests only. testing/soak runs the real entry and target programs as processes among stand-ins of store, runners and callers; targets are stopped (SIGSTOP) at moments around the time at which a batch of orders leaves, and go on 1.4 s later. Also seen: deadlines of up to 718 ms for a lease of 676, at runners whose clock is slow: the estimate of the runner's clock runs ahead while the target stands still.

--- /dev/null
+++ b/testing/council/soakcallers.py
@@ -0,0 +1,110 @@
+"""Callers of a soak: they hand jobs in, wait on open connections, and send again on silence."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+from random import Random
+from time import monotonic
+
+from deployment import Deployment, Process
+from paddleshunt_node.aio.httpclient import CallError, HttpClient
+from record import Record, TrySeen
+from soakconfig import PREFIX
+
+MOST_TRIES = 3
+SERVED = 200
+REFUSALS = (429, 503)
+RETRIED = (502, 504)
+
+
+@dataclass(frozen=True)
+class _Job:
+    """A job to hand in: its tasks' number, length, and need of processor."""
+
+    count: int
+    length: float
+    deadline: float
+    need: int
+
+
+class Callers:
+    """Hands in jobs at a rate; each caller keeps its connection until the answer, or its end."""
+
+    def __init__(
+        self, deployment: Deployment, record: Record, rng: Random, *, leaving: float = 0.03
+    ) -> None:
+        self._deployment = deployment
+        self._record = record
+        self._rng = rng
+        self._leaving = leaving
+        """Share of callers that leave before their answer."""
+        self._resend = deployment.bounds.resend_ms / 1000
+        self._clients: list[HttpClient] = []
+        """Kept, so that answered connections stay open as long as their entry leaves them so."""
+        self._jobs: set[asyncio.Task[None]] = set()
+        self.rate = 0.0
+        """Jobs a second."""
+
+    async def run(self) -> None:
+        """Hand in jobs until cancelled."""
+        while True:
+            await asyncio.sleep(self._rng.expovariate(max(self.rate, 0.001)))
+            count, length = self._rng.choice([(8, 0.12), (4, 1.8), (2, 0.4), (2, 0.4), (6, 0.9)])
+            self.submit(count, length)
+
+    def submit(self, count: int, length: float, deadline: float = 4.0, need: int = 1000) -> str:
+        """Hand a job in, and return its key."""
+        key = f"{self._rng.getrandbits(64):016x}"
+        self._deployment.lengths[key] = length
+        task = asyncio.ensure_future(self._call(key, _Job(count, length, deadline, need)))
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+        return key
+
+    async def finish(self) -> None:
+        """Wait for the answers that are due yet."""
+        await asyncio.gather(*self._jobs)
+
+    async def _call(self, key: str, job: "_Job") -> None:
+        for _ in range(MOST_TRIES):
+            entry = self._choose()
+            if entry is not None:
+                seen = self._record.sent(key, job.count, entry.name, monotonic())
+                seen.outcome = await self._try(entry, seen, job)
+                seen.ended = monotonic()
+                if seen.outcome in ("completed", "failed", "refused", "left"):
+                    return
+            await asyncio.sleep(self._resend)
+
+    async def _try(self, entry: Process, seen: TrySeen, job: "_Job") -> str:
+        body = json.dumps(self._body(job)).encode()
+        headers = (("X-Deadline-Ms", str(round(job.deadline * 1000))),)
+        client = HttpClient(f"{entry.address}:{self._deployment.ports['callers']}")
+        self._clients.append(client)
+        patience = job.deadline
+        leaves = self._rng.random() < self._leaving
+        if leaves:
+            patience = self._rng.uniform(0.05, 0.5)
+        try:
+            answer = await client.call("POST", f"{PREFIX}{seen.job}", patience, body, headers)
+        except CallError as problem:
+            return "left" if leaves else f"broken: {problem}"
+        if answer.status == SERVED:
+            return str(json.loads(answer.body)["state"])
+        if answer.status in REFUSALS:
+            return "refused"
+        return f"status {answer.status}"
+
+    def _body(self, job: "_Job") -> dict[str, object]:
+        step = {
+            "count": job.count,
+            "cpu": job.need,
+            "mem_mb": 10,
+            "estimated_ms": round(job.length * 1000 * self._rng.uniform(0.6, 1.6)),
+        }
+        return {"spec": str(job.need), "steps": [step], "best_effort": True}
+
+    def _choose(self) -> Process | None:
+        """Return an entry as the platform's balancer would: one that was ready lately."""
+        entries = [e for e in self._deployment.entries if e.up]
+        return self._rng.choice(entries) if entries else None
--- /dev/null
+++ b/testing/council/soakrunner.py
@@ -0,0 +1,291 @@
+"""A stand-in of the platform's runner, by its published protocol, with faults that a soak sets.
+
+It keeps leases by its own clock, which may be slow, runs what fits, and lists ends until they are
+seen.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from time import monotonic
+from typing import Any
+
+from paddleshunt_node.aio.httpclient import CallError, HttpClient
+from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from record import Record, RunSeen
+
+BEAT_SECONDS = 1.0
+BEAT_RETRY_SECONDS = 0.15
+STEP_SECONDS = 0.005
+LISTED = 500
+
+
+@dataclass
+class Faults:
+    """What is wrong with a runner now."""
+
+    silent: bool = False
+    """Takes calls and says nothing; does nothing."""
+    loses_answers: bool = False
+    late: float = 0.0
+    """Carries orders out so many seconds later, and says nothing."""
+    fails: bool = False
+    stands_still: bool = False
+    """What runs makes no progress."""
+    speed: float = 1.0
+
+
+class SoakRunner:
+    """One runner. `lengths` tells how long a job's tasks take."""
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        registration: str,
+        record: Record,
+        lengths: dict[str, float],
+        rng: Random,
+        *,
+        capacity: int = 8000,
+        hold_max: float = 1.0,
+        stop: float = 0.05,
+        guards: bool = True,
+    ) -> None:
+        self.name = name
+        self.faults = Faults()
+        self.up = True
+        self.on_start: Callable[[], None] | None = None
+        """Called once, when the next order to start arrives."""
+        self.starts_late = 0
+        self._address = address
+        self._registration = HttpClient(registration)
+        self._record = record
+        self._lengths = lengths
+        self._rng = rng
+        self._capacity = capacity
+        self._hold_max = hold_max
+        self._stop = stop
+        self._guards = guards
+        self._lives = 0
+        self._rate = 1.0
+        self.life = ""
+        self._server = HttpServer(self)
+        self._waiting: list[tuple[float, Exchange]] = []
+        self._live_anew()
+
+    async def start(self) -> None:
+        """Listen, and register for ever."""
+        await self._server.start(*self._address)
+
+    async def run(self) -> None:
+        """Let time pass and register, until cancelled."""
+        next_beat = 0.0
+        while True:
+            now = monotonic()
+            self.step(now)
+            if self.up and now >= next_beat:
+                next_beat = now + (BEAT_SECONDS if await self._beat() else BEAT_RETRY_SECONDS)
+            await asyncio.sleep(STEP_SECONDS)
+
+    def crash(self) -> None:
+        """Die with all that runs."""
+        now = monotonic()
+        self.step(now)
+        for run in list(self.running.values()):
+            self._end(run, "died", now)
+        self.up = False
+
+    def restart(self) -> None:
+        """Come back as another life."""
+        self._live_anew()
+        self.up = True
+
+    # HTTP.
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a call."""
+        now = monotonic()
+        self.step(now)
+        request = exchange.request
+        if not self.up or self.faults.silent:
+            return
+        if request.headers.get("x-expected-instance", self.life) != self.life:
+            exchange.respond(Response(421))
+            return
+        asked = json.loads(request.body)
+        kind = request.path.rpartition("/")[2]
+        if kind == "run-start" and self.on_start is not None:
+            hook, self.on_start = self.on_start, None
+            hook()
+        if self.faults.late and kind != "hold":
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.late, self._carry_out, self.life, kind, asked)
+            return
+        if kind == "hold":
+            self._hold(now, exchange, asked)
+            return
+        status, body = self._do(now, kind, asked)
+        if not self.faults.loses_answers:
+            self._answer(exchange, status, body)
+
+    def abandoned(self, exchange: Exchange) -> None:
+        """Forget a call whose caller has gone."""
+        self._waiting = [(at, other) for at, other in self._waiting if other is not exchange]
+
+    # Time.
+
+    def clock_ms(self, now: float) -> int:
+        """Return the runner's own steady clock."""
+        return int((now - self._born) * 1000 * self._rate) + self._clock_base
+
+    def step(self, now: float) -> None:
+        """Let what is due end."""
+        moved = False
+        for run in list(self.running.values()):
+            end = min(run.lease_end, run.due)
+            if self.faults.stands_still and run.due <= now < run.lease_end:
+                run.due = now + STEP_SECONDS
+            elif end <= now:
+                how = "lapsed" if run.lease_end < run.due else self._way_of(run)
+                self._end(run, how, end)
+                moved = True
+        for waiting in list(self._waiting):
+            if moved or waiting[0] <= now:
+                self._waiting.remove(waiting)
+                self._answer(waiting[1], 200, self._lists())
+
+    # Inside.
+
+    def _live_anew(self) -> None:
+        self._lives += 1
+        self.life = f"i-{self.name}-{self._lives}"
+        self._born = monotonic()
+        self._clock_base = self._rng.randrange(10_000, 900_000)
+        self._rate = self._rng.choice([1.0, 0.98])
+        self._fence = 0
+        self._count = 0
+        self._deadline_ms = 0
+        self.running: dict[str, RunSeen] = {}
+        self._stopping: set[str] = set()
+        self._needs: dict[str, int] = {}
+        self._finished: list[list[Any]] = []
+        self._highest: dict[str, int] = {}
+
+    async def _beat(self) -> bool:
+        body = {
+            "service": "svc",
+            "zone": "hall",
+            "state": "ready",
+            "capacity": {"cpu": self._capacity, "mem_mb": 64000, "gpu": 0},
+        }
+        path = f"/paddleshunt/Instances.Heartbeat/{self.life}"
+        try:
+            answer = await self._registration.call("POST", path, 0.5, json.dumps(body).encode())
+        except CallError:
+            return False
+        return answer.status == 200
+
+    def _carry_out(self, life: str, kind: str, asked: dict[str, Any]) -> None:
+        if self.up and life == self.life:
+            now = monotonic()
+            self.step(now)
+            self._do(now, kind, asked)
+
+    def _do(self, now: float, kind: str, asked: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        if int(asked["fencing_token"]) < self._fence:
+            return 409, {"reason": "fence"}
+        self._fence = int(asked["fencing_token"])
+        if kind == "run-stop":
+            self._stop_run(now, str(asked["task"]), int(asked["run"]))
+            return 200, {}
+        return self._start_run(now, asked)
+
+    def _start_run(self, now: float, asked: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        task, number = str(asked["task"]), int(asked["run"])
+        deadline = int(asked["deadline_ms"])
+        if deadline <= self.clock_ms(now):
+            self.starts_late += 1
+            return 409, {"reason": "late"}
+        self._prolong(now, deadline)
+        known = self.running.get(task)
+        if known is not None and known.number == number:
+            return 200, {}
+        if number <= self._highest.get(task, 0) or known is not None:
+            return 409, {"reason": "old"}
+        need = int(asked["spec"])
+        used = sum(self._needs.values())
+        if used + need > self._capacity:
+            if self._guards:
+                return 409, {"reason": "room"}
+            self._record.over_capacity(self.name, now, used + need, self._capacity)
+        length = self._lengths[task.partition(".")[0]] / self.faults.speed
+        lease_end = now + (self._deadline_ms - self.clock_ms(now)) / 1000 / self._rate
+        run = RunSeen(task, number, self.name, now, lease_end, now + length)
+        run.notes.append(f"deadline {deadline - self.clock_ms(now):+d} ms")
+        self.running[task] = run
+        self._needs[task] = need
+        self._record.started(run)
+        return 200, {}
+
+    def _stop_run(self, now: float, task: str, number: int) -> None:
+        self._highest[task] = max(self._highest.get(task, 0), number)
+        run = self.running.get(task)
+        if run is not None and run.number == number and task not in self._stopping:
+            run.notes.append(f"order to stop {now - run.began:+.3f} s after its start")
+            self._stopping.add(task)
+            run.due = min(run.due, now + self._rng.uniform(0.0, self._stop))
+
+    def _hold(self, now: float, exchange: Exchange, asked: dict[str, Any]) -> None:
+        if int(asked["fencing_token"]) < self._fence:
+            self._answer(exchange, 409, {"reason": "fence"})
+            return
+        self._fence = int(asked["fencing_token"])
+        if "deadline_ms" in asked:
+            self._prolong(now, int(asked["deadline_ms"]))
+        seen = int(asked["last_seen"])
+        self._finished = [row for row in self._finished if row[0] > seen]
+        wait = int(asked.get("wait_ms", 0)) / 1000
+        if self._finished or not wait:
+            if not self.faults.loses_answers:
+                self._answer(exchange, 200, self._lists())
+        elif not self.faults.loses_answers:
+            self._waiting.append((now + wait, exchange))
+
+    def _prolong(self, now: float, deadline_ms: int) -> None:
+        longest = self.clock_ms(now) + int(self._hold_max * 1000)
+        self._deadline_ms = max(self._deadline_ms, min(deadline_ms, longest))
+        end = now + (self._deadline_ms - self.clock_ms(now)) / 1000 / self._rate
+        for run in self.running.values():
+            run.lease_end = max(run.lease_end, end)
+
+    def _way_of(self, run: RunSeen) -> str:
+        if run.task in self._stopping:
+            return "stopped"
+        return "failed" if self.faults.fails else "done"
+
+    def _end(self, run: RunSeen, how: str, at: float) -> None:
+        run.end, run.how = at, how
+        del self.running[run.task]
+        del self._needs[run.task]
+        self._stopping.discard(run.task)
+        self._highest[run.task] = max(self._highest.get(run.task, 0), run.number)
+        self._count += 1
+        self._finished.append([self._count, run.task, run.number, how, ""])
+
+    def _lists(self) -> dict[str, Any]:
+        now = monotonic()
+        rows = [
+            [run.task, run.number, "", self._percent(run, now), 0] for run in self.running.values()
+        ]
+        return {"running": rows, "finished": self._finished[:LISTED]}
+
+    def _percent(self, run: RunSeen, now: float) -> int:
+        length = self._lengths[run.task.partition(".")[0]]
+        return min(99, int(100 * (now - run.began) / length))
+
+    def _answer(self, exchange: Exchange, status: int, body: dict[str, Any]) -> None:
+        raw = json.dumps({"clock_ms": self.clock_ms(monotonic()), **body}).encode()
+        exchange.respond(Response(status, raw, "application/json"))
--- /dev/null
+++ b/testing/soak/deployment.py
@@ -0,0 +1,237 @@
+"""A deployment of the real programs as processes on loopback, among stand-ins of the platform.
+
+Each entry and target has an address of its own in 127/8, as hosts have, and a log file. A process
+is signalled by the id under which it was started here, and by nothing else.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from paddleshunt_council.__main__ import SETTINGS_VARIABLE
+from paddleshunt_council.store import CONFIG_KEY
+from paddleshunt_node.aio.httpclient import Answer, CallError, HttpClient
+from paddleshunt_platform.standins.ports import free_port
+from record import Record
+from soakconfig import configuration
+from soakrunner import SoakRunner
+from soakstore import SoakStore
+
+ADAPTER = Path(__file__).parents[2] / "platform"
+
+
+@dataclass(frozen=True)
+class SoakBounds:
+    """Bounds of the deployment, in milliseconds but for `grace_s`."""
+
+    resend_ms: int = 1300
+    hold_max_ms: int = 1000
+    stop_ms: int = 50
+    grace_s: float = 6.0
+
+
+@dataclass
+class Process:
+    """One process of the deployment, and how to start it again."""
+
+    name: str
+    role: str
+    address: str
+    log: Path
+    settings: Path
+    popen: subprocess.Popen[bytes] | None = None
+    paused: bool = False
+    moves: int = 0
+    """How often it has been given another address."""
+
+    @property
+    def up(self) -> bool:
+        """Whether it runs, paused or not."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def start(self) -> None:
+        """Start the program."""
+        variables = {**os.environ, SETTINGS_VARIABLE: str(self.settings)}
+        variables["PYTHONPATH"] = str(ADAPTER)
+        command = [sys.executable, "-m", "paddleshunt_council", self.role]
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(command, env=variables, stdout=log, stderr=log)
+        self.paused = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if it runs."""
+        if self.popen is not None and self.up:
+            self.popen.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.paused = number is signal.SIGSTOP
+
+    def end(self) -> None:
+        """Kill it and wait for its end."""
+        if self.popen is not None:
+            self.popen.kill()
+            self.popen.wait()
+
+
+@dataclass
+class Deployment:
+    """All processes and stand-ins of one soak."""
+
+    folder: Path
+    record: Record
+    rng: Random
+    bounds: SoakBounds = SoakBounds()
+    lengths: dict[str, float] = field(default_factory=dict)
+    store: SoakStore = field(default_factory=SoakStore)
+    processes: dict[str, Process] = field(default_factory=dict)
+    runners: dict[str, SoakRunner] = field(default_factory=dict)
+    version: int = 0
+
+    def __post_init__(self) -> None:
+        self.net = f"127.{self.rng.randrange(1, 250)}.{os.getpid() % 250}"
+        names = ("callers", "ready", "peers", "metrics", "registration", "runner", "store")
+        self.ports = {name: free_port() for name in names}
+
+    @property
+    def entries(self) -> list[Process]:
+        """The entries."""
+        return [p for p in self.processes.values() if p.role == "entry"]
+
+    @property
+    def targets(self) -> list[Process]:
+        """The targets."""
+        return [p for p in self.processes.values() if p.role == "target"]
+
+    async def open(self, entries: int, targets: int, *, guards: bool = True) -> None:
+        """Start all and wait until each entry is ready and each target in session."""
+        self._loop_tasks = [asyncio.ensure_future(self.store.run())]
+        self.configure()
+        for number in range(entries):
+            await self._add(f"e{number}", "entry", number + 1)
+        for number in range(targets):
+            name = f"t{number}"
+            await self._add(name, "target", 100 + number)
+            runner = self.runners[name] = SoakRunner(
+                name,
+                (self.processes[name].address, self.ports["runner"]),
+                f"{self.processes[name].address}:{self.ports['registration']}",
+                self.record,
+                self.lengths,
+                self.rng,
+                hold_max=self.bounds.hold_max_ms / 1000,
+                stop=self.bounds.stop_ms / 1000,
+                guards=guards,
+            )
+            await runner.start()
+            self._loop_tasks.append(asyncio.ensure_future(runner.run()))
+        for process in self.processes.values():
+            process.start()
+        await self.until_steady()
+
+    async def until_steady(self, seconds: float = 40.0) -> None:
+        """Wait until all that runs is at work together; raises `TimeoutError`."""
+        async with asyncio.timeout(seconds):
+            for entry in self.entries:
+                while not await self._has_targets(entry):
+                    await asyncio.sleep(0.1)
+
+    def configure(self) -> int:
+        """Put the next version of the configuration into the store, and return it."""
+        self.version += 1 + self.rng.randrange(3)
+        self.store.put(CONFIG_KEY, configuration(self.version, self.net))
+        return self.version
+
+    async def close(self) -> None:
+        """End all processes and stand-ins."""
+        for process in self.processes.values():
+            process.end()
+        for task in self._loop_tasks:
+            task.cancel()
+        await asyncio.gather(*self._loop_tasks, return_exceptions=True)
+
+    async def dump(self, process: Process) -> dict[str, object] | None:
+        """Return a process's dump of its state, or None."""
+        try:
+            answer = await self.get(process, "metrics", "/dump")
+        except CallError:
+            return None
+        dump: dict[str, object] = json.loads(answer.body)
+        return dump
+
+    async def get(self, process: Process, port: str, path: str) -> Answer:
+        """Ask a process's page; raises `CallError`."""
+        client = HttpClient(f"{process.address}:{self.ports[port]}")
+        return await client.call("GET", path, 1.0)
+
+    def write_settings(self, process: Process, *, extra: str = "") -> None:
+        """Write a process's settings file; `extra` is put at its end."""
+        at = process.address
+        ports = self.ports
+        seeds = [f"{p.address}:{ports['peers']}" for p in self.entries[:3]]
+        lines = [
+            "[process]",
+            f'name = "{process.name}"',
+            'hall = "hall"',
+            f'role = "{process.role}"',
+            "[listen]",
+            f'peers = "{at}:{ports["peers"]}"',
+            f'metrics = "{at}:{ports["metrics"]}"',
+        ]
+        if process.role == "entry":
+            lines.append(f'callers = "{at}:{ports["callers"]}"')
+            lines.append(f'ready = "{at}:{ports["ready"]}"')
+        else:
+            lines.append(f'runner = "{at}:{ports["registration"]}"')
+            lines += ["[runner]", f'address = "{at}:{ports["runner"]}"']
+        lines += [
+            "[peers]",
+            f"seeds = {json.dumps(seeds)}",
+            f"port = {ports['peers']}",
+            "[store]",
+            f'address = "{at}:{ports["store"]}"',
+            "[bounds]",
+            f"resend_ms = {self.bounds.resend_ms}",
+            f"hold_max_ms = {self.bounds.hold_max_ms}",
+            f"stop_ms = {self.bounds.stop_ms}",
+            f"grace_s = {self.bounds.grace_s}",
+            extra,
+        ]
+        process.settings.write_text("\n".join(lines) + "\n")
+
+    async def _add(self, name: str, role: str, number: int) -> None:
+        process = Process(
+            name,
+            role,
+            f"{self.net}.{number}",
+            self.folder / f"{name}.log",
+            self.folder / f"{name}.toml",
+        )
+        self.processes[name] = process
+        self.write_settings(process)
+        await self.store.listen(name, (process.address, self.ports["store"]))
+
+    async def _has_targets(self, entry: Process) -> bool:
+        dump = await self.dump(entry)
+        if dump is None or not dump["catalog_version"]:
+            return False
+        targets = dump["targets"]
+        assert isinstance(targets, dict)
+        met = [t for t in targets.values() if t["session"] and t["report"]]
+        return len(met) >= len(self.targets)
+
+
+@contextlib.asynccontextmanager
+async def deployed(deployment: Deployment, entries: int, targets: int) -> AsyncIterator[Deployment]:
+    """Run a deployment for a while."""
+    try:
+        await deployment.open(entries, targets)
+        yield deployment
+    finally:
+        await deployment.close()
--- /dev/null
+++ b/testing/soak/record.py
@@ -0,0 +1,127 @@
+"""What callers and runners of a soak saw, and the rules that it must have kept.
+
+All times are seconds of this process's steady clock. A run's end is the moment from which nothing
+of it can be at work, also if it is noted later: a busy machine must not make two runs overlap on
+paper.
+"""
+
+from dataclasses import dataclass, field
+
+
+@dataclass
+class RunSeen:
+    """One run at a runner."""
+
+    task: str
+    number: int
+    runner: str
+    began: float
+    lease_end: float
+    """When the runner's lease ends, as far as it has been prolonged."""
+    due: float
+    """When its work is done."""
+    end: float | None = None
+    how: str = ""
+    notes: list[str] = field(default_factory=list)
+
+    def at_work(self, now: float) -> bool:
+        """Whether it is at work."""
+        return self.end is None and now < min(self.lease_end, self.due)
+
+    def describe(self, origin: float) -> str:
+        """Return its life in one line, with times from `origin`."""
+        end = "at work" if self.end is None else f"{self.how} {self.end - origin:+.3f}"
+        notes = f" ({'; '.join(self.notes)})" if self.notes else ""
+        return f"run {self.number} at {self.runner} {self.began - origin:+.3f}, {end}{notes}"
+
+
+@dataclass
+class TrySeen:
+    """One try of a caller to hand a job in."""
+
+    job: str
+    entry: str
+    sent: float
+    outcome: str = ""
+    ended: float = 0.0
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A broken rule."""
+
+    rule: str
+    at: float
+    text: str
+
+
+class Record:
+    """All that was seen in one soak."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, list[RunSeen]] = {}
+        self.tries: dict[str, list[TrySeen]] = {}
+        self.tasks: dict[str, int] = {}
+        """How many tasks each job that was sent has."""
+        self.violations: list[Violation] = []
+        self.faults: list[tuple[float, str]] = []
+
+    def sent(self, job: str, tasks: int, entry: str, now: float) -> TrySeen:
+        """Note that a caller hands a job in."""
+        self.tasks[job] = tasks
+        seen = TrySeen(job, entry, now)
+        self.tries.setdefault(job, []).append(seen)
+        return seen
+
+    def started(self, run: RunSeen) -> None:
+        """Note a start, and what is wrong with it."""
+        job, *_, index = run.task.split(".")
+        if int(index) >= self.tasks.get(job, 0):
+            self._broken("UNASKED", run.began, f"{run.task}: no caller sent it")
+        earlier = self.runs.setdefault(run.task, [])
+        for other in earlier:
+            if other.at_work(run.began):
+                text = f"{run.task}: {run.describe(run.began)}; {other.describe(run.began)}"
+                self._broken("TWICE", run.began, text)
+        earlier.append(run)
+
+    def over_capacity(self, runner: str, now: float, used: int, capacity: int) -> None:
+        """Note that a start brought a runner over its capacity."""
+        self._broken("LIMIT", now, f"{runner}: {used} of {capacity}")
+
+    def finish(self) -> list[Violation]:
+        """Check what only the end shows, and return all that is wrong."""
+        for job, tries in self.tries.items():
+            ran = any(task.startswith(f"{job}.") for task in self.runs)
+            if ran and all(seen.outcome == "refused" for seen in tries):
+                self._broken("REFUSED", tries[0].sent, f"{job}: every try was refused, and it ran")
+            if any(seen.outcome == "completed" for seen in tries):
+                self._check_complete(job, tries)
+        return self.violations
+
+    def fault(self, now: float, text: str) -> None:
+        """Note a fault that was injected."""
+        self.faults.append((now, text))
+
+    @property
+    def starts(self) -> int:
+        """Runs that were started."""
+        return sum(len(runs) for runs in self.runs.values())
+
+    def outcomes(self) -> dict[str, int]:
+        """Return how many tries had each outcome."""
+        counts: dict[str, int] = {}
+        for tries in self.tries.values():
+            for seen in tries:
+                counts[seen.outcome] = counts.get(seen.outcome, 0) + 1
+        return dict(sorted(counts.items()))
+
+    def _check_complete(self, job: str, tries: list[TrySeen]) -> None:
+        done = {t for t, runs in self.runs.items() if any(r.how == "done" for r in runs)}
+        count = sum(task.startswith(f"{job}.") for task in done)
+        if count < self.tasks[job]:
+            text = f"{job}: answered as complete, {count} of {self.tasks[job]} tasks were done"
+            self._broken("PARTIAL", tries[-1].ended, text)
+
+    def _broken(self, rule: str, at: float, text: str) -> None:
+        self.violations.append(Violation(rule, at, text))
