Let a lease count from the decision, never prolong what is unwanted, and show no room that can't be had

Cause: an order to start carried the length of its lease, and the adapter made a deadline of it when the call left. A process that stood still in between sent it after its session was over at both ends, with a whole new lease; the target itself took such runs for lost by the time of the decision, so a new session opened at once. Class: a right that is checked at one moment and used at a later one. Change: orders and looks carry the end of their lease by the own steady clock (until); the adapter turns it into the runner's clock, taken to have run 2% slow since it was read, keeps the better of two readings, and sends nothing that is over. A run is taken for lost only when the longest lease of any order, answered or not, is over. A target with foreign runs shows no room: it showed all of it, and assignments came back once a millisecond. A task with a run here gets no second one. An entry that is linked again is not passed over for 2 s: a target that had stood still itself opened and ended sessions in turn. A caller that leaves as the first event after a stand-still no longer places tasks.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -70,10 +70,15 @@
         """Seconds between two looks of an entry at what time has decided."""
         return self.session / CHECKS_A_SESSION
 
+    @property
+    def overrun(self) -> float:
+        """Seconds from the end of a runner's lease until nothing can run there any more."""
+        return self.hold * CLOCK_DRIFT + self.stop
+
     @property
     def run_end(self) -> float:
         """Seconds from a runner's last renewal until nothing can run there any more."""
-        return self.hold * (1 + CLOCK_DRIFT) + self.stop
+        return self.hold + self.overrun
 
     @property
     def session_end(self) -> float:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -146,12 +146,13 @@
 
     def caller_left(self, now: float, caller: int) -> list[Effect]:
         """Stop the job of a caller that doesn't wait any more."""
+        effects = self._notice_pause(now)
         job = self._jobs.of_caller(caller)
         if job is None:
-            return []
+            return effects
         self._drop(job)
         age = round((now - job.arrived) * 1000)
-        return [note("caller_left", job.request.key, after_ms=age), *self._place(now)]
+        return [*effects, note("caller_left", job.request.key, after_ms=age), *self._place(now)]
 
     def _is_settling(self, now: float) -> bool:
         return self._met is None or now < self._met + SETTLE_SECONDS
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
@@ -44,7 +44,10 @@
                 self._suspected.pop(entry.name, None)
 
     def suspect(self, now: float, name: str) -> None:
-        """Pass an entry over for a while: it can't be reached, or its session ended."""
+        """Pass an entry over for a while: it can't be reached, or its session ended.
+
+        One that is linked again is not passed over: the silence may have been this process's own.
+        """
         self._suspected[name] = now + SUSPECT_SECONDS
 
     def wanted(self, now: float, linked: set[str]) -> list[EntryAddress]:
@@ -56,7 +59,11 @@
         tellers = linked & self._told.keys() or self._told.keys()
         for teller in tellers:
             known.update((entry.name, entry) for entry in self._told[teller])
-        reachable = [e for e in known.values() if now >= self._suspected.get(e.name, 0.0)]
+        reachable = [
+            entry
+            for entry in known.values()
+            if entry.name in linked or now >= self._suspected.get(entry.name, 0.0)
+        ]
         ranked = sorted(reachable, key=self._rank)
         return ranked[: self._sessions]
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -27,14 +27,16 @@
 @final
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Order the runner to start a run of an entry, whose lease is `lease` seconds from now.
+    """Order the runner to start a run of an entry.
 
-    `decided` is the steady time, in seconds, at which it was decided.
+    `decided` and `until` are steady seconds of this process: when it was decided, and when its
+    lease ends. The lease counts from the decision, whenever the order leaves: what gave the right
+    to it may be over by then.
     """
 
     run: RunId
     spec: str
-    lease: float
+    until: float
     entry: str
     decided: float
 
@@ -54,6 +56,7 @@
     """What became of an order to start.
 
     UNKNOWN: no answer; it may have been done, or may be done yet. NOT_SENT: it never left.
+    EXPIRED: it never left, as its lease was over.
     """
 
     STARTED = "started"
@@ -66,6 +69,7 @@
     OTHER_LIFE = "other_life"
     UNKNOWN = "unknown"
     NOT_SENT = "not_sent"
+    EXPIRED = "expired"
 
 
 class RunEnd(Enum):
@@ -99,10 +103,14 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Look:
-    """A renewal to send: acknowledge ends up to `last_seen`, and wait for one up to `wait` s."""
+    """A look to send: acknowledge ends up to `last_seen`, and wait for one up to `wait` s.
+
+    `until` is when the lease that it renews ends, in steady seconds of this process; None to leave
+    the lease as it is.
+    """
 
     last_seen: int
-    lease: float | None
+    until: float | None
     wait: float
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -3,7 +3,7 @@
 from typing import final
 
 from paddleshunt_core.events import Log, note
-from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.bounds import MIN_LEASE, LeaseTimes
 from paddleshunt_core.leased.health import SLOW, RunnerHealth
 from paddleshunt_core.leased.orders import (
     FinishedRun,
@@ -70,7 +70,8 @@
         """Whether this life of the runner was seen with nothing foreign at work."""
         self._ends: list[tuple[Run, End]] = []
         self._last_seen = 0
-        self._renewed = float("-inf")
+        self._covered = float("-inf")
+        """End of the longest lease that any order has brought, answered or not."""
         self._failed_looks = 0
         self._met = float("-inf")
         self._foreign: set[RunId] = set()
@@ -79,7 +80,7 @@
         """Start what fits, and give back the rest at once: other targets may have room."""
         effects: list[Effect] = []
         for run in runs:
-            if not self._may_start():
+            if not self._may_start(now):
                 effects.append(self._tell(run, End.NO_ROOM, self._why_not_started()))
             elif run.need.fits(self.free()):
                 effects.append(self._order(now, run))
@@ -133,18 +134,30 @@
         return effects
 
     def next_look(self, now: float, *, renew: bool) -> Look:
-        """Return the renewal to send now; it counts as sent.
+        """Return the look to send now; it counts as sent, and renews if an entry's session lives.
 
         After one without an answer, the next only looks, at once: a runner that doesn't answer
         must not have its lease renewed for ever, or its runs could never be given up.
         """
         if self._failed_looks:
             return Look(self._last_seen, None, 0.0)
-        lease = None
-        if renew:
-            lease = self._times.hold
-            self._renewed = now
-        return Look(self._last_seen, lease, self._look_wait())
+        until = self._lease_end(now) if renew else now
+        if until <= now:
+            return Look(self._last_seen, None, self._look_wait())
+        self._covered = max(self._covered, until)
+        return Look(self._last_seen, until, self._look_wait())
+
+    def _lease_end(self, now: float) -> float:
+        """Return when a lease that is granted now must end.
+
+        It covers all runs, also those that are unwanted: none of them may outlive what remained to
+        it when it became so, as its entry counts on that. A confirmed stop needs no lease.
+        """
+        end = now + self._times.hold
+        for run in self.table:
+            if run.phase is Phase.STOPPING and run.settled is None:
+                end = min(end, run.unwanted + self._times.hold)
+        return end
 
     def _look_wait(self) -> float:
         # The runner's account changes whom a look is meant for: a long one under way is wasted.
@@ -181,10 +194,9 @@
         self._failed_looks += 1
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self.table)))
-        for run in self.table:
-            renewed = max(self._renewed, run.ordered)
-            if now > renewed + self._times.run_end:
-                effects.append(_lapsed_note(now, run, renewed))
+        if now > self._covered + self._times.overrun:
+            for run in self.table:
+                effects.append(_lapsed_note(now, run, self._covered))
                 effects += self._ended(run, End.LOST, "lease_lapsed")
         return effects
 
@@ -235,14 +247,22 @@
             return NOTHING
         return self.account.capacity - self.table.used
 
+    def offered(self, now: float) -> Resources:
+        """Return the room that is given to entries now: none while nothing may start."""
+        return self.free() if self._may_start(now) else NOTHING
+
     def _order(self, now: float, run: Run) -> StartRun:
+        until = self._lease_end(now)
+        self._covered = max(self._covered, until)
         self.table.add(run)
         run.ordered = run.moved = run.seen = now
-        return StartRun(run.id, run.spec, self._times.hold, run.entry, now)
+        return StartRun(run.id, run.spec, until, run.entry, now)
 
-    def _may_start(self) -> bool:
+    def _may_start(self, now: float) -> bool:
         if not self.clean or self._foreign or self.state() is not RunnerState.READY:
             return False
+        if self._lease_end(now) < now + MIN_LEASE:
+            return False
         if self.level is Health.GOOD:
             return True
         return self.level is Health.PROBATION and self.table.used == NOTHING
@@ -256,7 +276,6 @@
         return "runner_not_ready"
 
     def _started(self, now: float, run: Run) -> list[Effect]:
-        self._renewed = max(self._renewed, run.ordered)
         if run.phase is Phase.STARTING:
             run.phase = Phase.RUNNING
         if run.phase is Phase.RUNNING:
@@ -275,13 +294,18 @@
         log = note("start_rejected", str(run.id.task), **fields)
         return [log, *self._ended(run, End.NO_ROOM, "rejected")]
 
-    def cancel(self, now: float, run: Run, reason: str) -> list[Effect]:
-        """End a run that nobody wants any more."""
+    def cancel(self, now: float, run: Run, reason: str, since: float | None = None) -> list[Effect]:
+        """End a run to which nobody has had a right `since`, or from now on."""
+        unwanted = now if since is None else since
         if run.phase is Phase.STOPPING:
+            run.unwanted = min(run.unwanted, unwanted)
             return []
-        return self._stop(now, run, End.STOPPED, reason)
+        return self._stop(now, run, End.STOPPED, reason, unwanted)
 
-    def _stop(self, now: float, run: Run, ending: End, reason: str) -> list[Effect]:
+    def _stop(
+        self, now: float, run: Run, ending: End, reason: str, unwanted: float | None = None
+    ) -> list[Effect]:
+        run.unwanted = now if unwanted is None else unwanted
         starting = run.phase is Phase.STARTING and run.settled is None and run.doubted is None
         run.phase = Phase.STOPPING
         run.doubted = None
@@ -359,7 +383,6 @@
 
     def _progressed(self, now: float, run: Run, percent: int) -> list[Effect]:
         if run.phase is Phase.STARTING:
-            self._renewed = max(self._renewed, run.ordered)
             run.phase = Phase.RUNNING
         run.doubted = None
         run.settled = now if run.phase is Phase.RUNNING else run.settled
@@ -421,12 +444,12 @@
         return note("run_ended", str(run.id.task), **fields)
 
 
-def _lapsed_note(now: float, run: Run, renewed: float) -> Log:
+def _lapsed_note(now: float, run: Run, covered: float) -> Log:
     """Return the line that says on what grounds a run is taken for lost."""
     fields: dict[str, str | int | float] = {
         "run": run.id.number,
         "phase": run.phase.name.lower(),
-        "renewed_ago_ms": round((now - renewed) * 1000),
+        "lease_over_ms": round((now - covered) * 1000),
         "answered": run.settled is not None,
     }
     return note("run_lapsed", str(run.id.task), **fields)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -1,12 +1,13 @@
 """The runs that a target knows of, and the room that they take on its runner."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import final
 
 from paddleshunt_core.leased.resources import NOTHING, Resources
-from paddleshunt_core.leased.wire import End, RunId
+from paddleshunt_core.leased.wire import End, RunId, TaskId
 
 
 class Phase(Enum):
@@ -44,6 +45,8 @@
     """When `percent` was last read."""
     ending: End = End.STOPPED
     """What to tell the entry once a stop is done."""
+    unwanted: float = 0.0
+    """Since when nobody has a right to it, if it is being stopped."""
 
 
 @final
@@ -52,6 +55,7 @@
 
     def __init__(self) -> None:
         self._runs: dict[RunId, Run] = {}
+        self._tasks: Counter[TaskId] = Counter()
         self.used = NOTHING
 
     def __len__(self) -> int:
@@ -67,13 +71,21 @@
     def add(self, run: Run) -> None:
         """Add a run and count its need as used from now on."""
         self._runs[run.id] = run
+        self._tasks[run.id.task] += 1
         self.used += run.need
 
     def drop(self, run: Run) -> None:
         """Forget a run and free what it used."""
         del self._runs[run.id]
+        self._tasks[run.id.task] -= 1
+        if not self._tasks[run.id.task]:
+            del self._tasks[run.id.task]
         self.used -= run.need
 
+    def has_task(self, task: TaskId) -> bool:
+        """Whether any run of a task is known."""
+        return task in self._tasks
+
     def of_entry(self, entry: str) -> list[Run]:
         """Return the runs of one entry's session."""
         return [run for run in self._runs.values() if run.entry == entry]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -220,7 +220,7 @@
         self._collect()
         next_due: float | None = None
         plenty = self._has_plenty()
-        free = self._control.free()
+        free = self._control.offered(now)
         holder = self._holder(now, free, plenty)
         if holder is not None:
             next_due = self._offers.lapses()
@@ -274,6 +274,7 @@
 
     def _end_session(self, now: float, entry: str, reason: str) -> list[Effect]:
         link = self._links[entry]
+        over = now + min(0.0, self.session_left(now, entry))
         self._collect()
         link.session = None
         link.ends = []
@@ -281,7 +282,7 @@
         effects: list[Effect] = []
         runs = self._control.table.of_entry(entry)
         for run in runs:
-            effects += self._control.cancel(now, run, "session_ended")
+            effects += self._control.cancel(now, run, "session_ended", over)
         fields: dict[str, str | int | float] = {"entry": entry, "reason": reason, "runs": len(runs)}
         return [note("session_ended", **fields), *effects]
 
@@ -308,8 +309,8 @@
         runs = [_run(now, entry, body, index, number) for index, number in body.runs]
         self._links[entry].report_due = True
         takes = control.state() is RunnerState.READY and control.level is not Health.SICK
-        # A run that is known belongs to an earlier try of the job, which is being stopped.
-        new = [run for run in runs if takes and control.table.get(run.id) is None]
+        # A known run of the task belongs to an earlier try of the job, which is being stopped.
+        new = [run for run in runs if takes and not control.table.has_task(run.id.task)]
         self._links[entry].ends += [(run.id, End.NOT_STARTED) for run in runs if run not in new]
         return control.add(now, new)
 
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -118,6 +118,17 @@
     assert fleet.answers[again] == Completed()
 
 
+def test_a_caller_that_left_during_a_freeze_ends_the_other_jobs_too(fleet: Fleet) -> None:
+    leaving = fleet.submit("e0", "one", length=6.0, deadline=20.0)
+    other = fleet.submit("e0", "two", length=6.0, deadline=20.0)
+    fleet.run(0.3)
+    fleet.freeze("e0")
+    fleet.run(fleet.times.session_end + 0.2)
+    fleet.thaw("e0")
+    fleet.leave("e0", leaving)
+    assert fleet.answers[other] == GivenUp("stood_still")
+
+
 def test_a_request_read_right_after_a_freeze_is_refused(fleet: Fleet) -> None:
     fleet.freeze("e0")
     fleet.run(3.0)
--- a/testing/core/leased/test_entrychoice.py
+++ b/testing/core/leased/test_entrychoice.py
@@ -61,6 +61,13 @@
     assert names(choice, 1.0 + SUSPECT_SECONDS)[0] == first
 
 
+def test_an_entry_that_is_linked_again_is_not_passed_over() -> None:
+    choice = choice_of("t1")
+    first = names(choice)[0]
+    choice.suspect(1.0, first)
+    assert first in names(choice, 1.1, frozenset({"e0", first}))
+
+
 def test_what_an_entry_told_that_is_not_linked_any_more_does_not_count() -> None:
     choice = choice_of("t1")
     choice.told("e1", ENTRIES[1:3])
--- /dev/null
+++ b/testing/core/leased/test_leases.py
@@ -0,0 +1,155 @@
+"""No run outlives the lease under which it was ordered, whoever's lease is renewed beside it."""
+
+import pytest
+from leasedfleet import Fleet
+from paddleshunt_core.events import Log
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.orders import (
+    LookAnswer,
+    RunnerAccount,
+    RunningRun,
+    StartAnswer,
+    StartRun,
+    StopRun,
+)
+from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.wire import (
+    Assign,
+    End,
+    Ended,
+    Frame,
+    Hello,
+    RunId,
+    RunnerReport,
+    TaskId,
+)
+from paddleshunt_core.leased.worker import Worker
+
+TIMES = lease_times(Bounds())
+NEED = Resources(1000, 10)
+
+
+def assign(job: str, number: int = 1) -> Assign:
+    return Assign(job, 0, "spec", NEED, 400, 4000, [(0, number)])
+
+
+def run(job: str, number: int = 1) -> RunId:
+    return RunId(TaskId(job, 0, 0), number)
+
+
+def say(worker: Worker, entry: str, at: float, number: int, *bodies: Assign) -> list[object]:
+    """Let an entry that is in touch say something."""
+    stamp = round(at * 1000)
+    return list(worker.heard(at, entry, Frame(number, 0, stamp, stamp, list(bodies))))
+
+
+def bodies(worker: Worker, entry: str, at: float) -> list[object]:
+    """Return what an entry is sent now."""
+    worker.prepare_frames(at)
+    session = worker.session(entry)
+    assert session is not None
+    return list(session.frame(round(at * 1000)).bodies)
+
+
+@pytest.fixture
+def worker() -> Worker:
+    """A worker in session with two entries since 1.0, whose runner has room for eight tasks."""
+    worker = Worker(TIMES)
+    account = RunnerAccount("i-1", "svc", "hall", Resources(8000, 8000), False, None)
+    worker.runner_spoke(0.9, account)
+    worker.looked(0.95, LookAnswer(0.92, [], []))
+    for entry in ("a", "b"):
+        worker.opened(1.0, Hello(entry, "life", True, "hall", "", 1, 0), 1.0)
+    return worker
+
+
+def test_a_lease_counts_from_the_decision(worker: Worker) -> None:
+    effects = say(worker, "a", 1.1, 1, assign("job"))
+    assert [e.until for e in effects if isinstance(e, StartRun)] == [1.1 + TIMES.hold]
+    assert worker.next_look(1.2).until == pytest.approx(1.2 + TIMES.hold)
+
+
+def test_a_start_without_an_answer_prolongs_what_runs_beside_it(worker: Worker) -> None:
+    say(worker, "a", 1.0, 1, assign("one"))
+    worker.start_answered(1.01, run("one"), StartAnswer.STARTED)
+    say(worker, "a", 1.4, 2, assign("two"))
+    worker.start_answered(1.45, run("two"), StartAnswer.UNKNOWN)
+    lost = worker.look_failed(1.02 + TIMES.run_end)
+    assert "run_lapsed" not in [e.event for e in lost if isinstance(e, Log)]
+    lost = worker.look_failed(1.42 + TIMES.run_end)
+    assert [e.event for e in lost if isinstance(e, Log)].count("run_lapsed") == 2
+
+
+def silence(worker: Worker, until: float) -> list[object]:
+    """Let entry a be silent, b in touch; nothing that is asked of the runner is confirmed."""
+    effects: list[object] = []
+    at, number = 1.05, 1
+    while at < until:
+        effects += say(worker, "b", at, number)
+        effects += worker.tick(at)
+        row = RunningRun(run("job"), min(99, round((at - 1.0) * 250)))
+        worker.looked(at, LookAnswer(at - 0.01, [row], []))
+        at += 0.05
+    return effects
+
+
+def test_what_a_session_left_is_renewed_no_further_while_its_stop_is_not_confirmed(
+    worker: Worker,
+) -> None:
+    say(worker, "a", 1.0, 1, assign("job"))
+    worker.start_answered(1.01, run("job"), StartAnswer.STARTED)
+    over = 1.0 + TIMES.session
+    effects = silence(worker, over + 0.3)
+    assert StopRun(run("job")) in effects
+    assert worker.next_look(over + 0.3).until == pytest.approx(over + TIMES.hold)
+    silence(worker, over + TIMES.hold + 0.05)
+    assert worker.next_look(over + TIMES.hold + 0.05).until is None
+
+
+def test_nothing_starts_where_it_would_prolong_what_is_unwanted(worker: Worker) -> None:
+    say(worker, "a", 1.0, 1, assign("job"))
+    worker.start_answered(1.01, run("job"), StartAnswer.STARTED)
+    late = 1.0 + TIMES.session + TIMES.hold
+    silence(worker, late)
+    effects = say(worker, "b", late, 1, assign("other"))
+    assert not [e for e in effects if isinstance(e, StartRun)]
+
+
+def test_a_confirmed_stop_leaves_the_lease_alone(worker: Worker) -> None:
+    say(worker, "a", 1.0, 1, assign("job"))
+    worker.start_answered(1.01, run("job"), StartAnswer.STARTED)
+    at = 1.0 + TIMES.session + 0.3
+    silence(worker, at)
+    worker.stop_answered(at, run("job"), done=True)
+    assert worker.next_look(at).until == pytest.approx(at + TIMES.hold)
+
+
+def test_room_is_not_shown_while_nothing_may_start(worker: Worker) -> None:
+    bodies(worker, "a", 1.0)
+    foreign = run("foreign")
+    worker.looked(1.1, LookAnswer(1.09, [RunningRun(foreign, 5)], []))
+    say(worker, "a", 1.12, 1, assign("job"))
+    sent = bodies(worker, "a", 1.2)
+    assert [body.free for body in sent if isinstance(body, RunnerReport)] == [NOTHING]
+
+
+def test_a_task_with_a_run_here_gets_no_second_one(worker: Worker) -> None:
+    say(worker, "a", 1.0, 1, assign("job", 1))
+    effects = say(worker, "b", 1.01, 1, assign("job", 2))
+    assert not [e for e in effects if isinstance(e, StartRun)]
+    ended = [body for body in bodies(worker, "b", 1.02) if isinstance(body, Ended)]
+    assert ended == [Ended([(run("job", 2), End.NOT_STARTED)])]
+
+
+def test_stops_that_get_lost_do_not_let_a_task_run_twice() -> None:
+    fleet = Fleet(entries=2, targets=2)
+    fleet.settle()
+    fleet.submit("e0", "job", count=1, length=6.0, deadline=9.0)
+    fleet.run(0.1)
+    (holder,) = [name for name, runner in fleet.runners.items() if runner.running]
+    fleet.runners[holder].loses_stops = True
+    fleet.cut("e0", holder)
+    fleet.cut(holder, "e0")
+    fleet.run(4.0)
+    started = sum(sum(runner.starts.values()) for runner in fleet.runners.values())
+    assert started >= 2
--- a/testing/core/leased/test_sight.py
+++ b/testing/core/leased/test_sight.py
@@ -55,7 +55,12 @@
     worker.heard(1.0, "e", Frame(1, 0, 1000, 1000, [assign("job")]))
     effects = worker.look_failed(2.5)
     assert lines(effects, "run_lapsed") == [
-        {"run": 1, "phase": "starting", "renewed_ago_ms": 1500, "answered": False}
+        {
+            "run": 1,
+            "phase": "starting",
+            "lease_over_ms": round((1.5 - TIMES.hold) * 1000),
+            "answered": False,
+        }
     ]
 
 
--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -1,9 +1,11 @@
 """Calls to the runner, against its stand-in."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
+from paddleshunt_core.leased.bounds import CLOCK_DRIFT
 from paddleshunt_core.leased.orders import (
     FinishedRun,
     Look,
@@ -22,7 +24,12 @@
 RUN = RunId(TaskId("5c0e7a21d94b36f8", 0, 7), 2)
 NAME = "5c0e7a21d94b36f8.0.0.7"
 FIRST_LOOK = Look(0, None, 0.0)
-START = StartRun(RUN, "spec", 0.5, "e", 0.0)
+
+
+def order(seconds: float = 0.5) -> StartRun:
+    """Return an order whose lease ends so many seconds from now."""
+    now = time.monotonic()
+    return StartRun(RUN, "spec", now + seconds, "e", now)
 
 
 def play(scene: Callable[[Runner, RunnerStandIn], Awaitable[None]]) -> None:
@@ -36,7 +43,7 @@
 
 def test_nothing_is_started_before_the_clock_is_known() -> None:
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
-        assert await runner.start(START) is StartAnswer.NOT_SENT
+        assert await runner.start(order()) is StartAnswer.NOT_SENT
         assert standin.calls == []
 
     play(scene)
@@ -44,13 +51,19 @@
 
 def test_a_start_carries_name_token_and_a_deadline_on_the_runners_clock() -> None:
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        asked_at = time.monotonic()
         await runner.look(FIRST_LOOK)
-        assert await runner.start(START) is StartAnswer.STARTED
+        given = order(0.5)
+        assert await runner.start(given) is StartAnswer.STARTED
         path, asked = standin.calls[-1]
         assert path == "/paddleshunt/run-start"
         assert (asked["task"], asked["run"], asked["spec"]) == (NAME, 2, "spec")
         assert asked["fencing_token"] == 5000
-        assert 5500 <= int(str(asked["deadline_ms"])) < 6500
+        # The runner's clock was 5000 at some moment between the look and the order.
+        left = (given.until - asked_at) * 1000
+        elapsed = (time.monotonic() - asked_at) * 1000
+        deadline = int(str(asked["deadline_ms"]))
+        assert 5000 + left - elapsed - 1 <= deadline <= 5000 + left
 
     play(scene)
 
@@ -71,7 +84,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         standin.status, standin.reason = status, reason
-        assert await runner.start(START) is answer
+        assert await runner.start(order()) is answer
 
     play(scene)
 
@@ -80,7 +93,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         standin.silent = True
-        assert await runner.start(START) is StartAnswer.UNKNOWN
+        assert await runner.start(order()) is StartAnswer.UNKNOWN
         assert not await runner.stop(StopRun(RUN))
         assert await runner.look(FIRST_LOOK) is None
 
@@ -110,7 +123,7 @@
         assert isinstance(await runner.look(FIRST_LOOK), LookAnswer)
         standin.life = "i-2"
         assert isinstance(await runner.look(FIRST_LOOK), OtherLife)
-        assert await runner.start(START) is StartAnswer.OTHER_LIFE
+        assert await runner.start(order()) is StartAnswer.OTHER_LIFE
 
     play(scene)
 
@@ -119,7 +132,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         runner.expect("i-2")
-        assert await runner.start(START) is StartAnswer.NOT_SENT
+        assert await runner.start(order()) is StartAnswer.NOT_SENT
 
     play(scene)
 
@@ -134,3 +147,61 @@
         assert await look == Superseded()
 
     play(scene)
+
+
+def test_an_order_whose_lease_is_over_is_not_sent() -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        await runner.look(FIRST_LOOK)
+        assert await runner.start(order(-0.01)) is StartAnswer.EXPIRED
+        assert [path for path, _ in standin.calls] == ["/paddleshunt/hold"]
+
+    play(scene)
+
+
+def test_a_look_whose_lease_is_over_renews_nothing() -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        await runner.look(FIRST_LOOK)
+        await runner.look(Look(0, time.monotonic() - 0.2, 0.0))
+        assert int(str(standin.calls[-1][1]["deadline_ms"])) < standin.clock
+
+    play(scene)
+
+
+def deadline_after(runner: Runner, standin: RunnerStandIn) -> int:
+    """Return the deadline of the last order to start."""
+    starts = [asked for path, asked in standin.calls if path.endswith("/run-start")]
+    return int(str(starts[-1]["deadline_ms"]))
+
+
+def test_the_runners_clock_is_taken_to_have_run_slow_since_it_was_read() -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        await runner.look(FIRST_LOOK)
+        read_at = time.monotonic()
+        await asyncio.sleep(0.5)
+        given = order(0.3)
+        await runner.start(given)
+        slow = 5000 + (given.decided - read_at) * 1000 * (1 - CLOCK_DRIFT)
+        assert deadline_after(runner, standin) <= slow + 300 + 1
+
+    play(scene)
+
+
+def test_a_clock_that_was_read_late_does_not_set_the_estimate_back() -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        await runner.look(FIRST_LOOK)
+        await asyncio.sleep(0.2)
+        standin.clock = 4000
+        await runner.look(FIRST_LOOK)
+        await runner.start(order(0.3))
+        assert deadline_after(runner, standin) >= 5400
+
+    play(scene)
+
+
+def test_an_answer_that_the_pages_do_not_name_leaves_the_start_in_doubt() -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        await runner.look(FIRST_LOOK)
+        standin.status = 500
+        assert await runner.start(order()) is StartAnswer.UNKNOWN
+
+    play(scene)
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -81,7 +81,7 @@
         self.answers: dict[int, JobOutcome] = {}
         self.answered_at: dict[int, float] = {}
         self.events: list[tuple[float, str, str]] = []
-        self._late_orders: list[tuple[float, str, StartRun, float]] = []
+        self._late_orders: list[tuple[float, str, StartRun]] = []
         self._requests: dict[str, JobRequest] = {}
         self._next_dial: dict[tuple[str, str], float] = {}
         self._beats: dict[str, float] = {}
@@ -303,7 +303,7 @@
         elif account_life not in ("", f"{name}-{runner.life}"):
             self._act_target(name, worker.look_failed(self.now, other_life=True))
         else:
-            answer = runner.look(self.now, look.last_seen, look.lease)
+            answer = runner.look(self.now, look.last_seen, look.until)
             self._act_target(name, worker.looked(self.now + STEP / 2, answer))
 
     def _act_target(self, name: str, effects: list[object]) -> None:
@@ -314,17 +314,17 @@
                 runner.needs[effect.run] = self._requests[effect.run.task.job].need
                 if runner.late is not None:
                     due = self.now + runner.late
-                    self._late_orders.append((due, name, effect, self.now))
+                    self._late_orders.append((due, name, effect))
                     answer = StartAnswer.UNKNOWN
                 elif not runner.up or runner.mute:
                     answer = StartAnswer.UNKNOWN
                 else:
-                    answer = runner.start(self.now, effect, self.now)
+                    answer = runner.start(self.now, effect)
                     if runner.loses_answers:
                         answer = StartAnswer.UNKNOWN
                 self._act_target(name, worker.start_answered(self.now, effect.run, answer))
             elif isinstance(effect, StopRun):
-                done = runner.up and not runner.mute
+                done = runner.up and not runner.mute and not runner.loses_stops
                 if done:
                     runner.stop(effect.run)
                 self._act_target(name, worker.stop_answered(self.now, effect.run, done=done))
@@ -346,6 +346,6 @@
         due = [order for order in self._late_orders if order[0] <= self.now]
         for order in due:
             self._late_orders.remove(order)
-            _, name, start, ordered = order
+            _, name, start = order
             if self.runners[name].up:
-                self.runners[name].start(self.now, start, ordered)
+                self.runners[name].start(self.now, start)
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -38,6 +38,7 @@
         self.mute = False
         self.refuses = False
         self.loses_answers = False
+        self.loses_stops = False
         self.late: float | None = None
         self.starts: Counter[TaskId] = Counter()
         self.rejected = 0
@@ -75,12 +76,12 @@
             if task.done >= task.length:
                 self._end(run, RunEnd.FAILED if self.fails else RunEnd.DONE)
 
-    def start(self, now: float, order: StartRun, ordered: float) -> StartAnswer:
+    def start(self, now: float, order: StartRun) -> StartAnswer:
         if self.refuses:
             return StartAnswer.NOT_SENT
-        if now > ordered + order.lease:
+        if now > order.until:
             return StartAnswer.LATE
-        self.lease_until = max(self.lease_until, ordered + order.lease)
+        self.lease_until = max(self.lease_until, order.until)
         run = order.run
         if run in self.running:
             return StartAnswer.STARTED
@@ -99,9 +100,9 @@
             self._end(run, RunEnd.STOPPED)
         self.ended.add(run)
 
-    def look(self, sent: float, last_seen: int, lease: float | None) -> LookAnswer:
-        if lease is not None:
-            self.lease_until = max(self.lease_until, sent + lease)
+    def look(self, sent: float, last_seen: int, until: float | None) -> LookAnswer:
+        if until is not None:
+            self.lease_until = max(self.lease_until, until)
         self.finished = [row for row in self.finished if row.number > last_seen]
         running = [
             RunningRun(run, min(99, int(100 * task.done / task.length)))
