--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -252,10 +252,12 @@
 
 
 @contextlib.asynccontextmanager
-async def deployed(deployment: Deployment, entries: int, targets: int) -> AsyncIterator[Deployment]:
+async def deployed(
+    deployment: Deployment, entries: int, targets: int, *, guards: bool = True
+) -> AsyncIterator[Deployment]:
     """Run a deployment for a while."""
     try:
-        await deployment.open(entries, targets)
+        await deployment.open(entries, targets, guards=guards)
         yield deployment
     finally:
         await deployment.close()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -65,7 +65,8 @@
     record = Record()
     deployment = Deployment(folder, record, Random(f"deployment {seed}"))
     injector = Injector(deployment)
-    async with deployed(deployment, size.entries, size.targets):
+    # Every other seed has runners that start whatever they are told.
+    async with deployed(deployment, size.entries, size.targets, guards=seed % 2 == 0):
         callers = Callers(deployment, record, Random(f"callers {seed}"))
         callers.rate = size.rate
         handing_in = asyncio.ensure_future(callers.run())
