--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -205,3 +205,31 @@
         assert await runner.start(order()) is StartAnswer.UNKNOWN
 
     play(scene)
+
+
+class FencedRunner(RunnerStandIn):
+    """A runner that keeps the highest token, which is far ahead of its clock."""
+
+    highest = 700_000
+
+    def answer(
+        self, path: str, asked: dict[str, object], headers: dict[str, str]
+    ) -> tuple[int, object] | None:
+        token = int(str(asked["fencing_token"]))
+        if token < self.highest:
+            return 409, {"clock_ms": self.clock, "reason": "fence"}
+        self.highest = token
+        return super().answer(path, asked, headers)
+
+
+def test_a_token_ahead_of_the_runners_clock_is_passed_in_a_few_looks() -> None:
+    async def scene() -> None:
+        standin = FencedRunner()
+        await standin.start()
+        runner = Runner(standin.address)
+        answers = [await runner.look(FIRST_LOOK) for _ in range(12)]
+        assert isinstance(answers[-1], LookAnswer)
+        assert await runner.start(order()) is StartAnswer.STARTED
+        assert standin.highest < 2 * 700_000
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -25,7 +25,9 @@
 from soakrunner import SoakRunner
 from soakstore import SoakStore
 
-ADAPTER = Path(__file__).parents[2] / "platform"
+ROOT = Path(__file__).parents[2]
+SOURCES = [ROOT / "platform", *sorted(ROOT.glob("packages/*/src"))]
+"""Where the programs are taken from: this checkout, whatever is installed."""
 
 
 MOVE_STEP = 4
@@ -64,7 +66,7 @@
     def start(self) -> None:
         """Start the program."""
         variables = {**os.environ, SETTINGS_VARIABLE: str(self.settings)}
-        variables["PYTHONPATH"] = str(ADAPTER)
+        variables["PYTHONPATH"] = os.pathsep.join(map(str, SOURCES))
         command = [sys.executable, "-m", "paddleshunt_council", self.role]
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(command, env=variables, stdout=log, stderr=log)
