Start processes of the soak again as the platform does; take them along when the soak is ended

No program can take a signal before its first line runs; the next start takes the settings as they are. Change: the deployment starts what has ended by itself again after 0.3 s, and counts each end as a broken rule but for this one and for settings that are broken. SIGTERM to the soak ends its processes. Comment reworded in runnotes.py.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
@@ -18,7 +18,7 @@
 
 
 def lapsed_note(run: Run, over: float) -> Log:
-    """Return the line that says on what grounds a run is lost: its lease is `over` seconds ago."""
+    """Return the line that says why a run counts as lost: its lease ended `over` seconds ago."""
     fields: dict[str, str | int | float] = {
         "run": run.id.number,
         "phase": run.phase.name.lower(),
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -30,6 +30,12 @@
 """Where the programs are taken from: this checkout, whatever is installed."""
 
 
+RESTART_SECONDS = 0.3
+"""Seconds after which the platform starts a process again that has ended by itself."""
+
+EXPECTED_ENDS = (-signal.SIGHUP, 2)
+"""SIGHUP before the interpreter runs the program's first line, and settings that are broken."""
+
 MOVE_STEP = 4
 """By how much the last number of an entry's address rises as it moves."""
 
@@ -57,6 +63,8 @@
     paused: bool = False
     moves: int = 0
     """How often it has been given another address."""
+    awaited: int = 0
+    """How many faults wait for its end, and start it again."""
 
     @property
     def up(self) -> bool:
@@ -146,6 +154,7 @@
             self._loop_tasks.append(asyncio.ensure_future(runner.run()))
         for process in self.processes.values():
             process.start()
+        self._loop_tasks.append(asyncio.ensure_future(self._supervise()))
         await self.until_steady()
 
     async def until_steady(self, seconds: float = 40.0) -> None:
@@ -229,6 +238,18 @@
         ]
         process.settings.write_text("\n".join(lines) + "\n")
 
+    async def _supervise(self) -> None:
+        """Start what has ended by itself again, as the platform does, until cancelled."""
+        while True:
+            await asyncio.sleep(RESTART_SECONDS)
+            for process in self.processes.values():
+                if process.popen is None or process.awaited or process.up:
+                    continue
+                code = process.popen.returncode
+                if code not in EXPECTED_ENDS:
+                    self.record.ended(process.name, code)
+                process.start()
+
     async def add(self, name: str, role: str, number: int) -> Process:
         """Prepare a process, not started yet."""
         process = Process(
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import signal
+import subprocess
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -106,15 +107,13 @@
             case "pause_at_order":
                 await self._pause_at_order(process, fault.seconds)
             case "kill":
-                process.send(signal.SIGKILL)
-                await self._start_after(process, fault.seconds)
+                await self._end(process, signal.SIGKILL, fault.seconds)
             case "stop":
-                process.send(signal.SIGTERM)
-                await self._start_after(process, 0.0)
+                await self._end(process, signal.SIGTERM, 0.0)
             case "move_entry":
-                process.send(signal.SIGKILL)
+                ending = asyncio.ensure_future(self._end(process, signal.SIGKILL, fault.seconds))
                 await self._deployment.move(process)
-                await self._start_after(process, fault.seconds)
+                await ending
             case "reload":
                 self._deployment.write_settings(process)
                 process.send(signal.SIGHUP)
@@ -147,21 +146,30 @@
         await asyncio.sleep(seconds)
         process.send(signal.SIGCONT)
 
-    async def _start_after(self, process: Process, seconds: float) -> None:
-        """Start a process again once it has ended; one that is paused is woken to end."""
+    async def _end(self, process: Process, number: signal.Signals, seconds: float) -> None:
+        """Tell a process to end, and start it again so many seconds after it has."""
+        process.send(number)
         popen = process.popen
         if popen is None:
             return
+        process.awaited += 1
+        try:
+            await self._ended(process, popen)
+            await asyncio.sleep(seconds)
+            # Another fault may have started it meanwhile.
+            if process.popen is popen:
+                process.start()
+        finally:
+            process.awaited -= 1
+
+    async def _ended(self, process: Process, popen: subprocess.Popen[bytes]) -> None:
+        """Wait for a process's end, and kill it after the time that it has for it."""
         end = monotonic() + self._deployment.bounds.grace_s
         while popen.poll() is None and monotonic() < end:
             await asyncio.sleep(0.02)
         if popen.poll() is None:
             process.send(signal.SIGKILL)
             await asyncio.to_thread(popen.wait)
-        await asyncio.sleep(seconds)
-        # Another fault may have started it meanwhile.
-        if process.popen is popen:
-            process.start()
 
     # Runners.
 
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, field
+from time import monotonic
 
 
 @dataclass
@@ -99,6 +100,10 @@
                 self._check_complete(job, tries)
         return self.violations
 
+    def ended(self, process: str, code: int) -> None:
+        """Note that a process ended by itself."""
+        self._broken("ENDED", monotonic(), f"{process} ended by itself with {code}")
+
     def fault(self, now: float, text: str) -> None:
         """Note a fault that was injected."""
         self.faults.append((now, text))
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -116,6 +117,8 @@
     logs: Path | None,
 ) -> None:
     """Play soaks, print a line for each, and fail if any broke a rule."""
+    # An end from outside must take the processes of the deployment with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     first, _, end = seeds.partition(":")
     numbers = list(range(int(first), int(end)))
     folder = logs or Path(tempfile.mkdtemp(prefix="soak-"))
--- a/testing/soak/test_planned.py
+++ b/testing/soak/test_planned.py
@@ -48,11 +48,13 @@
 
 
 async def start_again(process: Process) -> None:
+    process.awaited += 1
     popen = process.popen
     assert popen is not None
     while popen.poll() is None:
         await asyncio.sleep(0.02)
     process.start()
+    process.awaited -= 1
 
 
 async def plan(folder: Path) -> Record:
--- a/testing/soak/test_record.py
+++ b/testing/soak/test_record.py
@@ -62,3 +62,8 @@
 def test_a_runner_over_its_capacity_is_found(record: Record) -> None:
     record.over_capacity("r1", 1.0, 9000, 8000)
     assert rules(record) == ["LIMIT"]
+
+
+def test_a_process_that_ends_by_itself_is_found(record: Record) -> None:
+    record.ended("t0", 1)
+    assert rules(record) == ["ENDED"]
