--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -29,6 +29,8 @@
     silent: bool = False
     """Takes calls and says nothing; does nothing."""
     loses_answers: bool = False
+    loses_stops: bool = False
+    """Orders to stop get lost on their way."""
     late: float = 0.0
     """Carries orders out so many seconds later, and says nothing."""
     fails: bool = False
@@ -120,6 +122,8 @@
         if kind == "run-start" and self.on_start is not None:
             hook, self.on_start = self.on_start, None
             hook()
+        if self.faults.loses_stops and kind == "run-stop":
+            return
         if self.faults.late and kind != "hold":
             loop = asyncio.get_running_loop()
             loop.call_later(self.faults.late, self._carry_out, self.life, kind, asked)
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -36,6 +36,11 @@
 RUNNER_KINDS = ("crash", "silent", "loses_answers", "late", "fails", "stands_still", "slow")
 STORE_KINDS = ("store_down", "store_slow", "store_loses", "store_forgets", "turned_away")
 CONFIGURE = "configure"
+LOSES_STOPS = "loses_stops"
+"""Orders to stop get lost, all else goes on: drawn apart, so that older seeds keep their faults."""
+
+LOST_STOPS_GAP = 4.0
+"""Mean seconds between two such faults."""
 
 WEIGHTS = {
     **dict.fromkeys(PROCESS_KINDS, 1.0),
@@ -59,6 +64,17 @@
         (kind,) = rng.choices(kinds, weights)
         faults.append(Fault(at, kind, rng.random(), rng.uniform(0.1, LONGEST)))
         at += rng.expovariate(1 / MEAN_GAP)
+    faults += _lost_stops(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _lost_stops(seed: int, seconds: float) -> list[Fault]:
+    rng = Random(f"lost stops {seed}")
+    faults: list[Fault] = []
+    at = rng.expovariate(1 / LOST_STOPS_GAP)
+    while at < seconds:
+        faults.append(Fault(at, LOSES_STOPS, rng.random(), rng.uniform(0.5, LONGEST)))
+        at += rng.expovariate(1 / LOST_STOPS_GAP)
     return faults
 
 
@@ -83,7 +99,7 @@
         await asyncio.gather(*self._tasks)
 
     async def _inject(self, fault: Fault) -> None:
-        if fault.kind in RUNNER_KINDS:
+        if fault.kind in (*RUNNER_KINDS, LOSES_STOPS):
             await self._trouble_runner(fault)
         elif fault.kind in STORE_KINDS:
             await self._trouble_store(fault)
@@ -189,6 +205,7 @@
             "fails": ("fails", True, False),
             "stands_still": ("stands_still", True, False),
             "slow": ("speed", 0.3, 1.0),
+            LOSES_STOPS: ("loses_stops", True, False),
         }[fault.kind]
         await self._set(lambda v: setattr(runner.faults, field, v), value, normal, fault.seconds)
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import pytest
-from faults import WEIGHTS, schedule
+from faults import LOSES_STOPS, WEIGHTS, schedule
 from soak import Size, play
 
 SEEDS = (2, 7)
@@ -28,4 +28,4 @@
 
 def test_all_kinds_of_faults_come() -> None:
     kinds = {fault.kind for seed in range(20) for fault in schedule(seed, 15.0)}
-    assert kinds == set(WEIGHTS)
+    assert kinds == {*WEIGHTS, LOSES_STOPS}
