--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -30,6 +30,9 @@
 """Where the programs are taken from: this checkout, whatever is installed."""
 
 
+ASK_SECONDS = 0.3
+"""Seconds between two questions to an entry's page."""
+
 RESTART_SECONDS = 0.3
 """Seconds after which the platform starts a process again that has ended by itself."""
 
@@ -238,6 +241,26 @@
         ]
         process.settings.write_text("\n".join(lines) + "\n")
 
+    async def watch_versions(self) -> None:
+        """Note the configuration in force at each entry again and again, until cancelled."""
+        while True:
+            for entry in self.entries:
+                dump = await self.dump(entry) if entry.up and not entry.paused else None
+                if dump is not None:
+                    life, version = str(dump["life"]), int(str(dump["catalog_version"]))
+                    self.record.version_seen(entry.name, life, version)
+            await asyncio.sleep(ASK_SECONDS)
+
+    async def until_configured(self, seconds: float) -> None:
+        """Wait until all entries follow the newest configuration; raises `TimeoutError`."""
+        async with asyncio.timeout(seconds):
+            for entry in self.entries:
+                while True:
+                    dump = await self.dump(entry)
+                    if dump is not None and dump["catalog_version"] == self.version:
+                        break
+                    await asyncio.sleep(ASK_SECONDS)
+
     async def _supervise(self) -> None:
         """Start what has ended by itself again, as the platform does, until cancelled."""
         while True:
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -66,6 +66,7 @@
         """How many tasks each job that was sent has."""
         self.violations: list[Violation] = []
         self.faults: list[tuple[float, str]] = []
+        self._versions: dict[tuple[str, str], int] = {}
 
     def sent(self, job: str, tasks: int, entry: str, now: float) -> TrySeen:
         """Note that a caller hands a job in."""
@@ -100,6 +101,13 @@
                 self._check_complete(job, tries)
         return self.violations
 
+    def version_seen(self, entry: str, life: str, version: int) -> None:
+        """Note which configuration is in force in one life of an entry; it never goes back."""
+        before = self._versions.get((entry, life), 0)
+        if version < before:
+            self._broken("CONFIG", monotonic(), f"{entry} went back from {before} to {version}")
+        self._versions[entry, life] = max(before, version)
+
     def ended(self, process: str, code: int) -> None:
         """Note that a process ended by itself."""
         self._broken("ENDED", monotonic(), f"{process} ended by itself with {code}")
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -28,6 +28,9 @@
 AFTER_SECONDS = 15.0
 """Seconds in which all is at work together after the last fault."""
 
+APPLY_SECONDS = 2.0
+"""Seconds after that in which the newest configuration is in force at every entry."""
+
 LAST_JOBS = 6
 """Jobs handed in after the faults: each must be served."""
 
@@ -80,9 +83,11 @@
         callers = Callers(deployment, record, Random(f"callers {seed}"))
         callers.rate = size.rate
         handing_in = asyncio.ensure_future(callers.run())
+        watching = asyncio.ensure_future(deployment.watch_versions())
         await injector.run(schedule(seed, size.seconds))
         handing_in.cancel()
         await _recover(deployment, callers, record)
+        watching.cancel()
         await callers.leave()
     violations = record.finish()
     return Result(seed, violations, record.outcomes(), record.starts, injector.counts)
@@ -96,6 +101,11 @@
         text = f"not at work together {AFTER_SECONDS} s after the last fault"
         record.violations.append(Violation("RECOVER", time.monotonic(), text))
         return
+    try:
+        await deployment.until_configured(APPLY_SECONDS)
+    except TimeoutError:
+        text = f"version {deployment.version} is not in force everywhere after {APPLY_SECONDS} s"
+        record.violations.append(Violation("CONFIG", time.monotonic(), text))
     await callers.finish()
     keys = [callers.submit(2, 0.2, leaves=False) for _ in range(LAST_JOBS)]
     await callers.finish()
--- a/testing/soak/test_record.py
+++ b/testing/soak/test_record.py
@@ -67,3 +67,10 @@
 def test_a_process_that_ends_by_itself_is_found(record: Record) -> None:
     record.ended("t0", 1)
     assert rules(record) == ["ENDED"]
+
+
+def test_a_configuration_that_goes_back_within_a_life_is_found(record: Record) -> None:
+    record.version_seen("e0", "first", 4)
+    record.version_seen("e0", "second", 3)
+    record.version_seen("e0", "first", 3)
+    assert rules(record) == ["CONFIG"]
