--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -61,7 +61,6 @@
         self.up = True
         self.on_start: Callable[[], None] | None = None
         """Called once, when the next order to start arrives."""
-        self.starts_late = 0
         self._address = address
         self._registration = HttpClient(registration)
         self._record = record
@@ -212,7 +211,6 @@
         task, number = str(asked["task"]), int(asked["run"])
         deadline = int(asked["deadline_ms"])
         if deadline <= self.clock_ms(now):
-            self.starts_late += 1
             return 409, {"reason": "late"}
         self._prolong(now, deadline)
         known = self.running.get(task)
--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -167,7 +167,7 @@
     play(scene)
 
 
-def deadline_after(runner: Runner, standin: RunnerStandIn) -> int:
+def deadline_after(standin: RunnerStandIn) -> int:
     """Return the deadline of the last order to start."""
     starts = [asked for path, asked in standin.calls if path.endswith("/run-start")]
     return int(str(starts[-1]["deadline_ms"]))
@@ -181,7 +181,7 @@
         given = order(0.3)
         await runner.start(given)
         slow = 5000 + (given.decided - read_at) * 1000 * (1 - CLOCK_DRIFT)
-        assert deadline_after(runner, standin) <= slow + 300 + 1
+        assert deadline_after(standin) <= slow + 300 + 1
 
     play(scene)
 
@@ -193,7 +193,7 @@
         standin.clock = 4000
         await runner.look(FIRST_LOOK)
         await runner.start(order(0.3))
-        assert deadline_after(runner, standin) >= 5400
+        assert deadline_after(standin) >= 5400
 
     play(scene)
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -93,7 +93,6 @@
         for fault in faults:
             await asyncio.sleep(began + fault.at - monotonic())
             self.counts[fault.kind] = self.counts.get(fault.kind, 0) + 1
-            self._deployment.record.fault(monotonic(), f"{fault.kind} {fault.whom:.2f}")
             task = asyncio.ensure_future(self._inject(fault))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -65,7 +65,6 @@
         self.tasks: dict[str, int] = {}
         """How many tasks each job that was sent has."""
         self.violations: list[Violation] = []
-        self.faults: list[tuple[float, str]] = []
         self._versions: dict[tuple[str, str], int] = {}
 
     def sent(self, job: str, tasks: int, entry: str, now: float) -> TrySeen:
@@ -112,10 +111,6 @@
         """Note that a process ended by itself."""
         self._broken("ENDED", monotonic(), f"{process} ended by itself with {code}")
 
-    def fault(self, now: float, text: str) -> None:
-        """Note a fault that was injected."""
-        self.faults.append((now, text))
-
     @property
     def starts(self) -> int:
         """Runs that were started."""
