Evacuate data halls; ask once more right before an order to start leaves

Change: core `evacuation.py`: all evacuated halls as of one revision of the store; a later revision wins, a word taken back is known by its absence. Entries follow one watch over all that the operator writes, tell one another with the gossip and at once when halls change, and tell targets in their sessions; a target tells an entry that knows less. Room, waits and refusals reckon without such halls; targets report EVACUATED and give assignments back unstarted. A watch that heard nothing does not move on, as its history may have been lost meanwhile. `Worker.may_send` is asked when the connection is there and nothing is awaited until the order is written.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -13,6 +13,7 @@
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations, evacuation_note
 from paddleshunt_core.leased.jobbook import JobBook
 from paddleshunt_core.leased.jobs import (
     STALE_STEP,
@@ -41,11 +42,13 @@
     Body,
     End,
     Ended,
+    EvacuationNews,
     Frame,
     Health,
     Hello,
     RunId,
     RunnerReport,
+    RunnerState,
     Stop,
 )
 
@@ -79,6 +82,7 @@
         self._targets: dict[str, TargetRecord] = {}
         self._lengths = Lengths()
         self._wants = Wants()
+        self._evacuations = Evacuations()
         self._unplaced = False
         """Whether something was heard that may let a task be placed."""
         self._sessions = 0
@@ -100,6 +104,8 @@
         return {
             "jobs": len(self._jobs),
             "waiting_tasks": sum(len(job.waiting()) for job in self._jobs.all()),
+            "evacuated_halls": self._evacuations.known.halls,
+            "evacuations_revision": self._evacuations.known.revision,
             "targets": {
                 target.name: {
                     "session": target.session.number if target.session else 0,
@@ -163,6 +169,22 @@
         outcome = GivenUp("came_again")
         return AnswerJob(earlier, job.request.key, outcome, now - job.arrived)
 
+    # Evacuations.
+
+    @property
+    def evacuations(self) -> Evacuations:
+        """What is known of evacuated halls."""
+        return self._evacuations
+
+    def told_evacuations(self, now: float, told: EvacuatedHalls, source: str) -> list[Effect]:
+        """Follow a word of evacuated halls, and tell the targets; an older one changes nothing."""
+        if not self._evacuations.learn(told):
+            return []
+        for target in self._targets.values():
+            if target.session is not None:
+                target.session.send(EvacuationNews(self._evacuations.known))
+        return [evacuation_note(self._evacuations, source), *self._place(now)]
+
     # Targets.
 
     def greeted(self, now: float, hello: Hello) -> tuple[Session | None, list[Effect]]:
@@ -303,6 +325,8 @@
         target.hall = hello.hall
         session = target.session = Session(self._sessions, int(now * 1000))
         target.reset()
+        if self._evacuations.known.revision:
+            session.send(EvacuationNews(self._evacuations.known))
         lost = [*target.placed, *target.held]
         target.placed.clear()
         target.held.clear()
@@ -349,6 +373,9 @@
                 target.covered(frame)
                 target.take_report(now, body)
                 self._wants.reported(target)
+                self._check_evacuation(target, body)
+            case EvacuationNews():
+                return self.told_evacuations(now, body.evacuated, target.name)
             case Ended():
                 effects: list[Effect] = []
                 for run, end in body.ends:
@@ -356,6 +383,16 @@
                 return effects
         return []
 
+    def _check_evacuation(self, target: TargetRecord, report: RunnerReport) -> None:
+        """Tell a target what is known here of its hall if its report says otherwise.
+
+        Whoever of both knows the later revision puts the other right.
+        """
+        covered = self._evacuations.covers(target.hall)
+        differs = report.state is (RunnerState.READY if covered else RunnerState.EVACUATED)
+        if differs and target.session is not None:
+            target.session.send(EvacuationNews(self._evacuations.known))
+
     def _ended(self, now: float, target: TargetRecord, run: RunId, end: End) -> list[Effect]:
         target.placed.discard(run)
         task = self._jobs.task(run, target.name)
@@ -410,7 +447,11 @@
     # Inside: placement.
 
     def _room(self, now: float) -> RoomNow:
-        return RoomNow(now, self._targets.values(), self._times)
+        return RoomNow(now, self._open_targets(), self._times)
+
+    def _open_targets(self) -> list[TargetRecord]:
+        """Return the targets in halls that are not evacuated."""
+        return [t for t in self._targets.values() if not self._evacuations.covers(t.hall)]
 
     def _wait(self, job: JobRecord, room: RoomNow) -> float:
         return expected_wait(job, room.usable(job.queue.service), self._jobs.all())
@@ -419,5 +460,5 @@
         logs = self._assigner.place(now, self._jobs.all(), room or self._room(now))
         self._unplaced = False
         heads = self._assigner.heads
-        self._wants.tell(now, heads, self._targets.values(), self._assigner.assigned)
+        self._wants.tell(now, heads, self._open_targets(), self._assigner.assigned)
         return list(logs)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -56,7 +56,8 @@
     """What became of an order to start.
 
     UNKNOWN: no answer; it may have been done, or may be done yet. NOT_SENT: it never left.
-    EXPIRED: it never left, as its lease was over.
+    EXPIRED: it never left, as its lease was over. WITHDRAWN: it never left, as it was not wanted
+    or not allowed any more.
     """
 
     STARTED = "started"
@@ -70,6 +71,7 @@
     UNKNOWN = "unknown"
     NOT_SENT = "not_sent"
     EXPIRED = "expired"
+    WITHDRAWN = "withdrawn"
 
 
 class RunEnd(Enum):
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -4,6 +4,7 @@
 
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.evacuation import Evacuations
 from paddleshunt_core.leased.health import SLOW, RunnerHealth
 from paddleshunt_core.leased.orders import (
     FinishedRun,
@@ -59,8 +60,10 @@
 class RunnerControl:
     """State of one runner. `take_ends` tells which runs have ended since it was asked last."""
 
-    def __init__(self, times: LeaseTimes) -> None:
+    def __init__(self, times: LeaseTimes, hall: str = "") -> None:
         self._times = times
+        self._hall = hall
+        self.evacuations = Evacuations()
         self.table = RunTable()
         self.account: RunnerAccount | None = None
         self.health = RunnerHealth()
@@ -227,8 +230,16 @@
             return RunnerState.DOWN
         if self.leaving or self.account.leaving:
             return RunnerState.LEAVING
+        if self.evacuations.covers(self.account.hall or self._hall):
+            return RunnerState.EVACUATED
         return RunnerState.READY
 
+    def may_send(self, id_: RunId) -> bool:
+        """Whether an order to start that is about to leave is still wanted and allowed."""
+        run = self.table.get(id_)
+        wanted = run is not None and run.phase is Phase.STARTING
+        return wanted and self.state() is RunnerState.READY
+
     def free(self) -> Resources:
         """Return the room on the runner."""
         if self.account is None:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from paddleshunt_core.leased.catalog import Catalog
+from paddleshunt_core.leased.evacuation import EvacuatedHalls
 from paddleshunt_core.leased.resources import Resources
 
 
@@ -54,11 +55,12 @@
 
 
 class RunnerState(IntEnum):
-    """What a target may be given: READY; LEAVING or DOWN: nothing."""
+    """What a target may be given: READY; otherwise nothing. EVACUATED: its data hall is."""
 
     READY = 0
     LEAVING = 1
     DOWN = 2
+    EVACUATED = 3
 
 
 class Health(IntEnum):
@@ -168,8 +170,24 @@
     version: int
 
 
+@final
+class EvacuationNews(_Body, frozen=True, tag=11):
+    """The data halls that the sender knows to be evacuated."""
+
+    evacuated: EvacuatedHalls
+
+
 Body = (
-    Assign | Stop | Want | Decline | Ended | RunnerReport | Entries | CatalogNews | CatalogVersion
+    Assign
+    | Stop
+    | Want
+    | Decline
+    | Ended
+    | RunnerReport
+    | Entries
+    | CatalogNews
+    | CatalogVersion
+    | EvacuationNews
 )
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -10,6 +10,7 @@
 
 from paddleshunt_core.events import note
 from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.evacuation import evacuation_note
 from paddleshunt_core.leased.offers import Offers
 from paddleshunt_core.leased.orders import Look, LookAnswer, RunnerAccount, StartAnswer
 from paddleshunt_core.leased.resources import NOTHING, Resources
@@ -23,6 +24,7 @@
     Decline,
     End,
     Ended,
+    EvacuationNews,
     Frame,
     Health,
     Hello,
@@ -70,9 +72,9 @@
 class Worker:
     """State of one target."""
 
-    def __init__(self, times: LeaseTimes) -> None:
+    def __init__(self, times: LeaseTimes, hall: str = "") -> None:
         self._times = times
-        self._control = RunnerControl(times)
+        self._control = RunnerControl(times, hall)
         self._links: dict[str, _EntryLink] = {}
         self._offers = Offers()
         self._pauses = StandStill(STILL_HEARTBEATS * times.heartbeat)
@@ -104,6 +106,9 @@
             "health": control.health.level(now).name,
             "speed": round(control.health.speed(now), 2),
             "leaving": control.leaving,
+            "state": control.state().name,
+            "evacuated_halls": control.evacuations.known.halls,
+            "evacuations_revision": control.evacuations.known.revision,
             "sessions": {
                 name: link.session.number for name, link in self._links.items() if link.session
             },
@@ -180,6 +185,17 @@
         """Take a renewal that got no answer, or the answer that another life runs there."""
         return self._control.look_failed(now, other_life=other_life)
 
+    def may_send(self, now: float, id_: RunId, entry: str) -> bool:
+        """Whether an order to start may leave now; ask right before it is sent.
+
+        What it was decided on may have changed since: its caller may have left, its entry's session
+        may be over, or its data hall evacuated.
+        """
+        session = self.session(entry)
+        if session is None or self._is_over(now, session):
+            return False
+        return self._control.may_send(id_)
+
     def start_answered(self, now: float, id_: RunId, answer: StartAnswer) -> list[Effect]:
         """Take what became of an order to start."""
         return self._control.start_answered(now, id_, answer)
@@ -293,6 +309,8 @@
                 return self._assign(now, entry, body)
             case Decline():
                 self._offers.drop(entry)
+            case EvacuationNews():
+                return self._learn(entry, body)
             case Want():
                 self._offers.want(entry, body.need, now + body.within_ms / 1000)
             case Stop():
@@ -304,6 +322,18 @@
                 ]
         return []
 
+    def _learn(self, entry: str, news: EvacuationNews) -> list[Effect]:
+        """Follow an entry's word of evacuated halls, or tell it a later one."""
+        evacuations = self._control.evacuations
+        if evacuations.outdates(news.evacuated):
+            session = self.session(entry)
+            if session is not None:
+                session.send(EvacuationNews(evacuations.known))
+            return []
+        if not evacuations.learn(news.evacuated):
+            return []
+        return [evacuation_note(evacuations, entry)]
+
     def _assign(self, now: float, entry: str, body: Assign) -> list[Effect]:
         control = self._control
         runs = [_run(now, entry, body, index, number) for index, number in body.runs]
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -1,16 +1,18 @@
-"""What an entry knows of the other entries, and says to them: who lives, and the configuration."""
+"""What an entry knows of the other entries, and says to them: who lives, the operator's word."""
 
 import asyncio
 from time import monotonic
 from typing import Protocol, final
 
 from paddleshunt_core.leased.catalog import Catalog
+from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
 from paddleshunt_core.leased.wire import (
     Body,
     CatalogNews,
     CatalogVersion,
     Entries,
     EntryAddress,
+    EvacuationNews,
     Frame,
     Hello,
 )
@@ -35,9 +37,16 @@
     def catalog(self) -> Catalog:
         """The configuration in force."""
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuated halls that are known."""
+
     def adopt(self, catalog: Catalog, source: str) -> None:
         """Take a configuration that another entry has."""
 
+    def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
+        """Take the evacuated halls that another entry knows."""
+
     def found(self, entry: EntryAddress) -> None:
         """Take note of an entry that is new, or has moved."""
 
@@ -91,6 +100,12 @@
         for link in self._dialer.links():
             link.send(news)
 
+    def tell_evacuations(self, evacuated: EvacuatedHalls) -> None:
+        """Tell all which halls are evacuated."""
+        news = _loose(EvacuationNews(evacuated))
+        for link in self._dialer.links():
+            link.send(news)
+
     async def dial_for_ever(self) -> None:
         """Keep a connection to each entry until cancelled."""
         await self._dialer.run()
@@ -127,6 +142,10 @@
                 case Entries():
                     for entry in body.entries:
                         self.met(entry)
+                case EvacuationNews():
+                    if self._owner.evacuations.outdates(body.evacuated):
+                        link.send(_loose(EvacuationNews(self._owner.evacuations.known)))
+                    self._owner.learn(body.evacuated, link.peer)
                 case CatalogNews():
                     self._owner.adopt(body.catalog, link.peer)
                 case CatalogVersion():
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -11,6 +11,7 @@
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
+from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
 from paddleshunt_core.leased.outcomes import AnswerJob, Completed
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import Entries, EntryAddress, Frame, Hello
@@ -280,7 +281,19 @@
         """Dial an entry that was heard of."""
         self._peers.met(entry)
 
-    # The configuration.
+    # The operator's word.
+
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuated halls that are known."""
+        return self._dispatcher.evacuations
+
+    def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
+        """Follow a word of evacuated halls if it is newer, and hand it on."""
+        before = self.evacuations.known
+        self._act(self._dispatcher.told_evacuations(self._now(), evacuated, source))
+        if set(self.evacuations.known.halls) != set(before.halls):
+            self._peers.tell_evacuations(self.evacuations.known)
 
     def adopt(self, catalog: Catalog, source: str) -> None:
         """Follow `catalog` if it is newer than the one in force."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/httpclient.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/httpclient.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import final
 
@@ -32,6 +33,11 @@
     """The request never left: no connection could be made."""
 
 
+@final
+class WithdrawnError(CallError):
+    """The request never left: it was not to be sent any more."""
+
+
 @final
 class NoAnswerError(CallError):
     """The request may have been carried out, or may be yet."""
@@ -64,9 +70,17 @@
         timeout: float,
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
+        may_send: Callable[[], bool] | None = None,
     ) -> Answer:
-        """Send a request and return the answer; raises `CallError`."""
+        """Send a request and return the answer; raises `CallError`.
+
+        `may_send` is asked once a connection is there, with nothing awaited until the request is
+        written.
+        """
         connection = await self._connection()
+        if may_send is not None and not may_send():
+            self._idle.append(connection)
+            raise WithdrawnError("not to be sent any more")
         head = request_head(
             method,
             target,
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -1,9 +1,11 @@
 """What the processes ask of the surroundings; an adapter implements these for a platform."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, final
 
 from paddleshunt_core.leased.catalog import Catalog, Queue
+from paddleshunt_core.leased.evacuation import EvacuatedHalls
 from paddleshunt_core.leased.jobs import JobRequest
 from paddleshunt_core.leased.orders import (
     Look,
@@ -41,8 +43,8 @@
     def expect(self, runner: str) -> None:
         """Mean this life of the runner with what follows; empty for any."""
 
-    async def start(self, order: StartRun) -> StartAnswer:
-        """Order a start."""
+    async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
+        """Order a start, unless `may_send` says no right before the order leaves."""
 
     async def stop(self, order: StopRun) -> bool:
         """Order a stop; return whether the runner confirmed it."""
@@ -51,11 +53,20 @@
         """Renew the lease and look at what runs; None: no answer."""
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class OperatorWord:
+    """What the operator has written: a newer configuration, evacuated halls; None: no news."""
+
+    catalog: Catalog | None = None
+    evacuated: EvacuatedHalls | None = None
+
+
 class StorePort(Protocol):
     """The platform's store, as far as an entry or a target needs it."""
 
-    async def next_catalog(self) -> Catalog | None:
-        """Wait for a change and return the newest configuration; raises `StoreUnavailableError`."""
+    async def next_word(self) -> OperatorWord:
+        """Wait for what the operator writes, for a while; raises `StoreUnavailableError`."""
 
     async def announce(self, entry: EntryAddress, seconds: float) -> None:
         """Tell others of this entry, for `seconds` or until told again."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/storefollower.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/storefollower.py
@@ -1,10 +1,11 @@
-"""What an entry does with the store: follows the configuration, and announces its address."""
+"""What an entry does with the store: follows the operator's word, and announces its address."""
 
 import asyncio
 import contextlib
 from typing import Protocol, final
 
 from paddleshunt_core.leased.catalog import Catalog
+from paddleshunt_core.leased.evacuation import EvacuatedHalls
 from paddleshunt_core.leased.wire import EntryAddress
 
 from paddleshunt_node.aio.ports import StorePort, StoreUnavailableError
@@ -23,6 +24,9 @@
     def adopt(self, catalog: Catalog, source: str) -> None:
         """Take a configuration."""
 
+    def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
+        """Take the halls that are evacuated."""
+
     def lacks_entries(self) -> bool:
         """Whether other entries are looked for."""
 
@@ -44,11 +48,11 @@
         self._regained = asyncio.Event()
 
     async def follow(self) -> None:
-        """Hand on each new configuration until cancelled."""
+        """Hand on each new configuration and evacuation until cancelled."""
         reachable = True
         while True:
             try:
-                catalog = await self._store.next_catalog()
+                word = await self._store.next_word()
             except StoreUnavailableError as problem:
                 if reachable:
                     self._around.event("store_lost", reason=str(problem))
@@ -59,8 +63,11 @@
                 self._around.event("store_regained")
                 self._regained.set()
             reachable = True
-            if catalog is not None:
-                self._owner.adopt(catalog, "store")
+            # Evacuations first: with a configuration the first job may be placed.
+            if word.evacuated is not None:
+                self._owner.learn(word.evacuated, "store")
+            if word.catalog is not None:
+                self._owner.adopt(word.catalog, "store")
 
     async def announce(self) -> None:
         """Keep this entry's address in the store; look for others there if none was met.
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -78,7 +78,7 @@
         self._around = surroundings
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
-        self._worker = Worker(self._times)
+        self._worker = Worker(self._times, config.hall)
         self._links: dict[str, PeerLink] = {}
         self._names: dict[str, str] = {}
         """Entries by the address at which they were met."""
@@ -203,7 +203,7 @@
     async def _start_run(self, order: StartRun) -> None:
         began = self._now()
         session_left = self._worker.session_left(began, order.entry)
-        answer = await self._runner.start(order)
+        answer = await self._runner.start(order, lambda: self._may_send(order))
         now = self._now()
         self._around.measures.stage("ordered", began - order.decided)
         self._around.measures.stage("started", now - began)
@@ -219,6 +219,9 @@
         )
         self._act(self._worker.start_answered(now, order.run, answer))
 
+    def _may_send(self, order: StartRun) -> bool:
+        return self._worker.may_send(self._now(), order.run, order.entry)
+
     async def _stop_run(self, order: StopRun) -> None:
         done = await self._runner.stop(order)
         self._act(self._worker.stop_answered(self._now(), order.run, done=done))
--- a/testing/council/standins.py
+++ b/testing/council/standins.py
@@ -72,6 +72,12 @@
     def __init__(self) -> None:
         super().__init__()
         self.items: dict[str, bytes] = {}
+        self.removed: dict[str, int] = {}
+        """Revision at which a key went."""
+        self.deaf = False
+        """Whether watches hear nothing, as before a history is forgotten."""
+        self.page = 500
+        """Items on a page."""
         self.revision = 1
         self.history_gone = False
         self.status = 200
@@ -81,6 +87,11 @@
         self.items[key] = value
         self.revision += 1
 
+    def remove(self, key: str) -> None:
+        del self.items[key]
+        self.revision += 1
+        self.removed[key] = self.revision
+
     def answer(
         self, path: str, asked: dict[str, object], headers: dict[str, str]
     ) -> tuple[int, object] | None:
@@ -100,17 +111,25 @@
 
     def _kv_range(self, asked: dict[str, object], path: str) -> tuple[int, object]:
         prefix = str(asked["path_prefix"])
-        items = [self._item(key) for key in self.items if key.startswith(prefix)]
-        return 200, {"items": items, "more": False, "at": self.revision}
+        after = str(asked.get("depends_on", ""))
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        items = [self._item(key) for key in keys[: self.page]]
+        return 200, {"items": items, "more": len(keys) > self.page, "at": self.revision}
 
     def _kv_watch(self, asked: dict[str, object], path: str) -> tuple[int, object]:
         if self.history_gone:
             self.history_gone = False
             return 410, {}
-        if int(str(asked["depends_on"])) >= self.revision:
+        since = int(str(asked["depends_on"]))
+        if since >= self.revision or self.deaf:
             return 200, {"events": [], "at": self.revision}
         prefix = str(asked["path_prefix"])
         events = [self._item(key) for key in self.items if key.startswith(prefix)]
+        events += [
+            {"key": key, "revision": revision, "gone": True}
+            for key, revision in self.removed.items()
+            if key.startswith(prefix) and revision > since
+        ]
         return 200, {"events": events, "at": self.revision}
 
     def _kv_lease(self, asked: dict[str, object], path: str) -> tuple[int, object]:
--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -26,6 +26,10 @@
 FIRST_LOOK = Look(0, None, 0.0)
 
 
+def always() -> bool:
+    return True
+
+
 def order(seconds: float = 0.5) -> StartRun:
     """Return an order whose lease ends so many seconds from now."""
     now = time.monotonic()
@@ -43,7 +47,7 @@
 
 def test_nothing_is_started_before_the_clock_is_known() -> None:
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
-        assert await runner.start(order()) is StartAnswer.NOT_SENT
+        assert await runner.start(order(), always) is StartAnswer.NOT_SENT
         assert standin.calls == []
 
     play(scene)
@@ -54,7 +58,7 @@
         asked_at = time.monotonic()
         await runner.look(FIRST_LOOK)
         given = order(0.5)
-        assert await runner.start(given) is StartAnswer.STARTED
+        assert await runner.start(given, always) is StartAnswer.STARTED
         path, asked = standin.calls[-1]
         assert path == "/paddleshunt/run-start"
         assert (asked["task"], asked["run"], asked["spec"]) == (NAME, 2, "spec")
@@ -84,7 +88,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         standin.status, standin.reason = status, reason
-        assert await runner.start(order()) is answer
+        assert await runner.start(order(), always) is answer
 
     play(scene)
 
@@ -93,7 +97,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         standin.silent = True
-        assert await runner.start(order()) is StartAnswer.UNKNOWN
+        assert await runner.start(order(), always) is StartAnswer.UNKNOWN
         assert not await runner.stop(StopRun(RUN))
         assert await runner.look(FIRST_LOOK) is None
 
@@ -123,7 +127,7 @@
         assert isinstance(await runner.look(FIRST_LOOK), LookAnswer)
         standin.life = "i-2"
         assert isinstance(await runner.look(FIRST_LOOK), OtherLife)
-        assert await runner.start(order()) is StartAnswer.OTHER_LIFE
+        assert await runner.start(order(), always) is StartAnswer.OTHER_LIFE
 
     play(scene)
 
@@ -132,7 +136,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         runner.expect("i-2")
-        assert await runner.start(order()) is StartAnswer.NOT_SENT
+        assert await runner.start(order(), always) is StartAnswer.NOT_SENT
 
     play(scene)
 
@@ -152,7 +156,7 @@
 def test_an_order_whose_lease_is_over_is_not_sent() -> None:
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
-        assert await runner.start(order(-0.01)) is StartAnswer.EXPIRED
+        assert await runner.start(order(-0.01), always) is StartAnswer.EXPIRED
         assert [path for path, _ in standin.calls] == ["/paddleshunt/hold"]
 
     play(scene)
@@ -179,7 +183,7 @@
         read_at = time.monotonic()
         await asyncio.sleep(0.5)
         given = order(0.3)
-        await runner.start(given)
+        await runner.start(given, always)
         slow = 5000 + (given.decided - read_at) * 1000 * (1 - CLOCK_DRIFT)
         assert deadline_after(standin) <= slow + 300 + 1
 
@@ -192,7 +196,7 @@
         await asyncio.sleep(0.2)
         standin.clock = 4000
         await runner.look(FIRST_LOOK)
-        await runner.start(order(0.3))
+        await runner.start(order(0.3), always)
         assert deadline_after(standin) >= 5400
 
     play(scene)
@@ -202,7 +206,7 @@
     async def scene(runner: Runner, standin: RunnerStandIn) -> None:
         await runner.look(FIRST_LOOK)
         standin.status = 500
-        assert await runner.start(order()) is StartAnswer.UNKNOWN
+        assert await runner.start(order(), always) is StartAnswer.UNKNOWN
 
     play(scene)
 
@@ -229,7 +233,18 @@
         runner = Runner(standin.address)
         answers = [await runner.look(FIRST_LOOK) for _ in range(12)]
         assert isinstance(answers[-1], LookAnswer)
-        assert await runner.start(order()) is StartAnswer.STARTED
+        assert await runner.start(order(), always) is StartAnswer.STARTED
         assert standin.highest < 2 * 700_000
 
     asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+def test_an_order_that_is_withdrawn_before_it_leaves_is_not_sent() -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        await runner.look(FIRST_LOOK)
+        calls = len(standin.calls)
+        assert await runner.start(order(), lambda: False) is StartAnswer.WITHDRAWN
+        assert len(standin.calls) == calls
+        assert await runner.start(order(), always) is StartAnswer.STARTED
+
+    play(scene)
--- a/testing/council/test_standstill.py
+++ b/testing/council/test_standstill.py
@@ -1,6 +1,7 @@
 """Issue 23: a target stands still after it has decided on a start, before the call leaves."""
 
 import time
+from collections.abc import Callable
 
 from councilsystem import System, play, until_true
 from paddleshunt_core.leased.bounds import Bounds, lease_times
@@ -27,11 +28,11 @@
     def expect(self, runner: str) -> None:
         self._port.expect(runner)
 
-    async def start(self, order: StartRun) -> StartAnswer:
+    async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         self.orders.append(order)
         seconds, self._seconds = self._seconds, 0.0
         time.sleep(seconds)
-        answer = await self._port.start(order)
+        answer = await self._port.start(order, may_send)
         self.answers.append(answer)
         return answer
 
--- a/testing/council/test_store.py
+++ b/testing/council/test_store.py
@@ -5,10 +5,11 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from paddleshunt_core.leased.evacuation import EvacuatedHalls
 from paddleshunt_core.leased.wire import EntryAddress
 from paddleshunt_council.catalog import CatalogError, read_catalog
 from paddleshunt_council.store import Store
-from paddleshunt_node.aio.ports import StoreUnavailableError
+from paddleshunt_node.aio.ports import OperatorWord, StoreUnavailableError
 from standins import StoreStandIn
 
 ENTRY = EntryAddress("e1", "10.0.0.1:7720")
@@ -32,15 +33,15 @@
 
 def test_the_configuration_is_read_and_followed() -> None:
     async def scene(store: Store, standin: StoreStandIn) -> None:
-        assert await store.next_catalog() is None
+        assert (await store.next_word()).catalog is None
         standin.put("op/config", config(3))
-        first = await store.next_catalog()
+        first = (await store.next_word()).catalog
         assert first is not None and first.version == 3
         assert first.queues[0].prefix == "/q/"
         standin.put("op/config", config(8))
-        second = await store.next_catalog()
+        second = (await store.next_word()).catalog
         assert second is not None and second.version == 8
-        assert await store.next_catalog() is None
+        assert (await store.next_word()).catalog is None
 
     play(scene)
 
@@ -48,19 +49,77 @@
 def test_a_forgotten_history_is_read_anew() -> None:
     async def scene(store: Store, standin: StoreStandIn) -> None:
         standin.put("op/config", config(3))
-        await store.next_catalog()
+        await store.next_word()
         standin.put("op/config", config(4))
         standin.history_gone = True
-        fresh = await store.next_catalog()
+        fresh = (await store.next_word()).catalog
         assert fresh is not None and fresh.version == 4
 
     play(scene)
 
 
+def test_evacuations_come_with_the_configuration_and_are_followed() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.put("op/evacuate/depot", b"{}")
+        standin.put("op/config", config(3))
+        first = await store.next_word()
+        assert first.catalog is not None
+        assert first.evacuated == EvacuatedHalls(standin.revision, ("depot",))
+        standin.put("op/evacuate/hall", b"{}")
+        second = await store.next_word()
+        assert second.evacuated == EvacuatedHalls(standin.revision, ("depot", "hall"))
+        standin.remove("op/evacuate/depot")
+        third = await store.next_word()
+        assert third.evacuated == EvacuatedHalls(standin.revision, ("hall",))
+
+    play(scene)
+
+
+def test_an_evacuation_taken_back_behind_a_forgotten_history_is_known_by_its_absence() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.put("op/config", config(3))
+        standin.put("op/evacuate/hall", b"{}")
+        await store.next_word()
+        standin.remove("op/evacuate/hall")
+        standin.history_gone = True
+        word = await store.next_word()
+        assert word.evacuated == EvacuatedHalls(standin.revision, ())
+
+    play(scene)
+
+
+def test_a_watch_that_heard_nothing_does_not_move_on() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.put("op/config", config(3))
+        await store.next_word()
+        before = standin.revision
+        standin.deaf = True
+        standin.put("op/evacuate/hall", b"{}")
+        assert await store.next_word() == OperatorWord()
+        standin.deaf = False
+        await store.next_word()
+        asked = [asked for path, asked in standin.calls if path.endswith("kv-watch")]
+        assert [int(str(row["depends_on"])) for row in asked] == [before, before]
+
+    play(scene)
+
+
+def test_a_long_list_is_read_to_its_end() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.page = 1
+        standin.put("op/config", config(3))
+        standin.put("op/evacuate/depot", b"{}")
+        standin.put("op/evacuate/hall", b"{}")
+        word = await store.next_word()
+        assert word.evacuated is not None and word.evacuated.halls == ("depot", "hall")
+
+    play(scene)
+
+
 def test_an_unreadable_configuration_is_passed_over() -> None:
     async def scene(store: Store, standin: StoreStandIn) -> None:
         standin.put("op/config", b"{}")
-        assert await store.next_catalog() is None
+        assert (await store.next_word()).catalog is None
         assert "routes" in store.unreadable or "version" in store.unreadable
 
     play(scene)
@@ -71,7 +130,7 @@
     async def scene(store: Store, standin: StoreStandIn) -> None:
         standin.status = status
         with pytest.raises(StoreUnavailableError, match=str(status)):
-            await store.next_catalog()
+            await store.next_word()
 
     play(scene)
 
@@ -99,7 +158,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + 0.5
         while loop.time() < end:
-            await store.next_catalog()
+            await store.next_word()
         assert len(standin.calls) <= 5
 
     play(scene)
--- /dev/null
+++ b/testing/council/test_withdrawn.py
@@ -0,0 +1,83 @@
+"""An order to start that is still on its way out when its right ends is not sent."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from councilsystem import System, play, until_true
+from paddleshunt_core.leased.orders import Look, LookAnswer, StartAnswer, StartRun, StopRun
+from paddleshunt_node.aio.httpclient import NoAnswerError
+from paddleshunt_node.aio.ports import OtherLife, RunnerPort, Superseded
+
+KEY = "5c0e7a21d94b36f8"
+
+
+class Gate:
+    """A runner's port that holds orders to start until it is opened."""
+
+    def __init__(self, port: RunnerPort) -> None:
+        self._port = port
+        self.waiting = 0
+        self.opened = asyncio.Event()
+
+    def expect(self, runner: str) -> None:
+        self._port.expect(runner)
+
+    async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
+        self.waiting += 1
+        await self.opened.wait()
+        return await self._port.start(order, may_send)
+
+    async def stop(self, order: StopRun) -> bool:
+        return await self._port.stop(order)
+
+    async def look(self, look: Look) -> LookAnswer | OtherLife | Superseded | None:
+        return await self._port.look(look)
+
+
+async def caller_leaves(system: System) -> None:
+    with pytest.raises(NoAnswerError):
+        await system.submit(KEY, 500, wait=0.2)
+
+
+async def hall_is_evacuated(system: System) -> None:
+    job = asyncio.ensure_future(system.submit(KEY, 500))
+    await asyncio.sleep(0.1)
+    system.store.put("op/evacuate/hall", b"{}")
+    await until_true(lambda: bool(system.target.describe()["evacuated_halls"]))
+    job.cancel()
+
+
+@pytest.mark.parametrize("ends", [caller_leaves, hall_is_evacuated])
+def test_an_order_whose_right_ends_before_it_is_sent_starts_nothing(
+    ends: Callable[[System], Awaitable[None]],
+) -> None:
+    gates: list[Gate] = []
+
+    def gated(port: RunnerPort) -> RunnerPort:
+        gates.append(Gate(port))
+        return gates[0]
+
+    async def scene(system: System) -> None:
+        await system.open()
+        await ends(system)
+        await asyncio.sleep(0.1)
+        assert gates[0].waiting == 3
+        gates[0].opened.set()
+        await asyncio.sleep(0.3)
+        assert system.runner.started == []
+
+    play(scene, System(port=gated))
+
+
+def test_an_evacuation_holds_until_it_is_taken_back() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        system.store.put("op/evacuate/hall", b"{}")
+        await until_true(lambda: system.target.describe()["state"] == "EVACUATED")
+        assert (await system.submit(KEY, 100)).status == 503
+        system.store.remove("op/evacuate/hall")
+        await until_true(lambda: system.target.describe()["state"] == "READY")
+        assert (await system.submit(KEY, 100)).status == 200
+
+    play(scene)
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -312,7 +312,9 @@
         for effect in effects:
             if isinstance(effect, StartRun):
                 runner.needs[effect.run] = self._requests[effect.run.task.job].need
-                if runner.late is not None:
+                if not worker.may_send(self.now, effect.run, effect.entry):
+                    answer = StartAnswer.WITHDRAWN
+                elif runner.late is not None:
                     due = self.now + runner.late
                     self._late_orders.append((due, name, effect))
                     answer = StartAnswer.UNKNOWN
--- a/testing/node/aio/test_storefollower.py
+++ b/testing/node/aio/test_storefollower.py
@@ -4,10 +4,11 @@
 import time
 
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
+from paddleshunt_core.leased.evacuation import EvacuatedHalls
 from paddleshunt_core.leased.wire import EntryAddress
 from paddleshunt_node.aio.logline import LogLines
 from paddleshunt_node.aio.measures import Measures
-from paddleshunt_node.aio.ports import StoreUnavailableError
+from paddleshunt_node.aio.ports import OperatorWord, StoreUnavailableError
 from paddleshunt_node.aio.process import Surroundings
 from paddleshunt_node.aio.storefollower import StoreFollower
 
@@ -22,12 +23,13 @@
     def __init__(self) -> None:
         self.up = True
         self.announced: list[float] = []
+        self.word = OperatorWord()
 
-    async def next_catalog(self) -> Catalog | None:
+    async def next_word(self) -> OperatorWord:
         await asyncio.sleep(0.05)
         if not self.up:
             raise StoreUnavailableError("down")
-        return None
+        return self.word
 
     async def announce(self, entry: EntryAddress, seconds: float) -> None:
         if not self.up:
@@ -44,8 +46,15 @@
 class Owner:
     catalog = EMPTY
 
+    def __init__(self) -> None:
+        self.took: list[str] = []
+
     def adopt(self, catalog: Catalog, source: str) -> None:
         self.catalog = catalog
+        self.took.append("catalog")
+
+    def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
+        self.took.append("evacuated")
 
     def lacks_entries(self) -> bool:
         return False
