Follow no heartbeat that is late or of a life that has ended

Cause: any heartbeat with another id made the target take its sender for the runner: one that a cut had held back until the next life had registered ended all runs there, and an earlier `draining` or room of the same life held until the next heartbeat. `sequence` was not decoded.

Change: core `incarnations.py` judges each account: late (lower number, or a life known to have ended), of the known life, or doubtful. A doubtful one is followed only once the runner itself answers for that life; a target's next look at a life that is gone brings back claims that could not be asked about. A life that said it ends, was replaced or was denied is never followed again.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -22,6 +22,8 @@
     """Seconds until it leaves at the earliest; None if it didn't say."""
     labels: tuple[str, ...] = ()
     """Kind and rack of its host."""
+    sequence: int = 0
+    """Rises with each account of one life; 0 if it is not told."""
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -6,6 +6,7 @@
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.evacuation import Evacuations
 from paddleshunt_core.leased.health import SLOW, RunnerHealth
+from paddleshunt_core.leased.incarnations import Claim, Incarnations
 from paddleshunt_core.leased.orders import (
     FinishedRun,
     Look,
@@ -64,6 +65,7 @@
         self._times = times
         self._hall = hall
         self.evacuations = Evacuations()
+        self.lives = Incarnations()
         self.table = RunTable()
         self.account: RunnerAccount | None = None
         self.health = RunnerHealth()
@@ -115,7 +117,9 @@
         self.leaving = True
 
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
-        """Take the runner's account of itself."""
+        """Follow the runner's account of itself, unless it is late; it may be of another life."""
+        if self.lives.judge(account) is Claim.LATE:
+            return [note("heartbeat_late", runner=account.runner, sequence=account.sequence)]
         known = self.account
         effects: list[Effect] = []
         if known is not None and known.runner != account.runner:
@@ -124,12 +128,14 @@
             self.clean = False
             self._met = now
         self.account = account
+        self.lives.follow(account)
         if account.leaving and not (known and known.leaving):
             effects.append(note("runner_leaving", runner=account.runner))
         return effects
 
     def runner_left(self, now: float, runner: str) -> list[Effect]:
         """Take the runner's word that it ends now."""
+        self.lives.has_ended(runner)
         if self.account is None or self.account.runner != runner:
             return []
         effects = self._runner_replaced(now, "")
@@ -395,6 +401,7 @@
         self._last_seen = 0
         self.clean = False
         self._foreign = set()
+        self.lives.end()
         if not runner:
             self.account = None
         return effects
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -11,6 +11,7 @@
 from paddleshunt_core.events import note
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.evacuation import evacuation_note
+from paddleshunt_core.leased.incarnations import Claim
 from paddleshunt_core.leased.offers import Offers
 from paddleshunt_core.leased.orders import Look, LookAnswer, RunnerAccount, StartAnswer
 from paddleshunt_core.leased.resources import NOTHING, Resources
@@ -165,6 +166,14 @@
 
     # The runner.
 
+    def judge(self, account: RunnerAccount) -> Claim:
+        """Return what an account of the runner is worth."""
+        return self._control.lives.judge(account)
+
+    def life_ended(self, runner: str) -> None:
+        """Note that a life of the runner has ended, whatever still comes from it."""
+        self._control.lives.has_ended(runner)
+
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
         """Take the runner's account of itself."""
         return self._control.runner_spoke(now, account)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -49,6 +49,9 @@
     async def stop(self, order: StopRun) -> bool:
         """Order a stop; return whether the runner confirmed it."""
 
+    async def lives(self, runner: str) -> bool | None:
+        """Ask whether this life of the runner is the one there; None: no answer."""
+
     async def look(self, look: Look) -> LookAnswer | OtherLife | Superseded | None:
         """Renew the lease and look at what runs; None: no answer."""
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -9,6 +9,7 @@
 from paddleshunt_core.events import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.entrychoice import EntryChoice
+from paddleshunt_core.leased.incarnations import Claim
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
 from paddleshunt_core.leased.runnercontrol import Effect
 from paddleshunt_core.leased.wire import Entries, EntryAddress, Frame, Hello
@@ -85,6 +86,8 @@
         self._said: dict[PeerLink, float] = {}
         self._heard: dict[str, float] = {}
         self._sent: dict[str, float] = {}
+        self._claims: dict[str, RunnerAccount] = {}
+        """Accounts of other lives than the known one that the runner has not confirmed."""
         self._choice = EntryChoice(config.name)
         self._dialer = Dialer(
             self, config.address, self._times.session, self._may_dial, self._dial_failed
@@ -157,17 +160,44 @@
         if isinstance(read, Response):
             exchange.respond(read)
             return
-        now = self._now()
-        if isinstance(read, RunnerAccount):
-            known = self._worker.account
-            if known is None or known.runner != read.runner:
-                self._runner.expect(read.runner)
-                self._around.event("runner_found", runner=read.runner, service=read.service)
-            self._act(self._worker.runner_spoke(now, read))
+        if isinstance(read, RunnerEnds):
+            self._runner_ends(self._now(), read)
+        elif self._worker.judge(read) is Claim.DOUBTFUL:
+            self._claims[read.runner] = read
+            self._around.spawn(self._confirm(read))
         else:
-            self._runner_ends(now, read)
+            self._follow(read)
         exchange.respond(self._codec.acknowledge())
 
+    def _follow(self, account: RunnerAccount) -> None:
+        """Follow the runner's account of itself."""
+        if self._worker.judge(account) in (Claim.NEW, Claim.DOUBTFUL):
+            self._claims.clear()
+            self._runner.expect(account.runner)
+            self._around.event("runner_found", runner=account.runner, service=account.service)
+        self._act(self._worker.runner_spoke(self._now(), account))
+
+    async def _confirm(self, account: RunnerAccount) -> None:
+        """Follow another life than the known one if the runner says that it is this one.
+
+        Without an answer the claim stays, until the known life is found to have ended.
+        """
+        answer = await self._runner.lives(account.runner)
+        claim = self._worker.judge(account)
+        event = {True: "life_confirmed", False: "life_denied", None: "life_unanswered"}[answer]
+        self._around.event(event, runner=account.runner)
+        if answer is False:
+            self._worker.life_ended(account.runner)
+            self._claims.pop(account.runner, None)
+        elif claim is Claim.NEW or (answer and claim is Claim.DOUBTFUL):
+            self._follow(account)
+
+    def _life_ended(self) -> None:
+        """Expect any life; ask again for one that had no answer while the last one was known."""
+        self._runner.expect("")
+        for account in list(self._claims.values()):
+            self._around.spawn(self._confirm(account))
+
     def _runner_ends(self, now: float, ends: RunnerEnds) -> None:
         self._around.event("runner_left", runner=ends.runner)
         self._act(self._worker.runner_left(now, ends.runner))
@@ -189,7 +219,7 @@
                 continue
             self._act(self._worker.look_failed(now, other_life=isinstance(answer, OtherLife)))
             if isinstance(answer, OtherLife):
-                self._runner.expect("")
+                self._life_ended()
             # The first failure may be one lost answer, and the lease is running: look at once.
             failures += 1
             if failures > 1:
--- /dev/null
+++ b/testing/core/leased/test_incarnations.py
@@ -0,0 +1,79 @@
+"""Which life of a runner a heartbeat speaks for."""
+
+from dataclasses import replace
+
+import pytest
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.incarnations import Claim, Incarnations
+from paddleshunt_core.leased.orders import RunnerAccount
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnercontrol import RunnerControl
+from paddleshunt_core.leased.wire import RunnerState
+
+ROOM = Resources(8000, 8000)
+FIRST = RunnerAccount("i-1", "svc", "hall", ROOM, False, None, sequence=5)
+NEXT = replace(FIRST, runner="i-2", sequence=1)
+
+
+@pytest.mark.parametrize(
+    ("account", "expected"),
+    [
+        (replace(FIRST, sequence=6), Claim.CURRENT),
+        (replace(FIRST, sequence=0), Claim.CURRENT),
+        (replace(FIRST, sequence=5), Claim.LATE),
+        (replace(FIRST, sequence=4), Claim.LATE),
+        (NEXT, Claim.DOUBTFUL),
+    ],
+    ids=["later", "not_numbered", "same", "earlier", "other_life"],
+)
+def test_what_an_account_is_worth_while_a_life_is_known(
+    account: RunnerAccount, expected: Claim
+) -> None:
+    lives = Incarnations()
+    assert lives.judge(FIRST) is Claim.NEW
+    lives.follow(FIRST)
+    assert lives.judge(account) is expected
+
+
+@pytest.mark.parametrize("how", ["replaced", "left", "denied"])
+def test_a_life_that_has_ended_is_never_followed_again(how: str) -> None:
+    lives = Incarnations()
+    lives.follow(FIRST)
+    if how == "replaced":
+        lives.follow(NEXT)
+    elif how == "left":
+        lives.end()
+    else:
+        lives.has_ended(FIRST.runner)
+    assert lives.judge(replace(FIRST, sequence=9)) is Claim.LATE
+
+
+def control() -> RunnerControl:
+    """Return the control of a runner that is in its second life."""
+    found = RunnerControl(lease_times(Bounds()))
+    found.runner_spoke(1.0, FIRST)
+    found.runner_spoke(2.0, NEXT)
+    return found
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        FIRST,
+        replace(FIRST, leaving=True, sequence=6),
+        replace(NEXT, leaving=True, sequence=1),
+        replace(NEXT, capacity=Resources(1, 1), sequence=1),
+    ],
+    ids=["earlier_life", "earlier_life_leaving", "earlier_leaving", "earlier_room"],
+)
+def test_a_late_account_changes_nothing(late: RunnerAccount) -> None:
+    found = control()
+    found.runner_spoke(3.0, late)
+    assert found.account == NEXT
+    assert found.state() is RunnerState.READY
+
+
+def test_a_late_word_of_an_earlier_lifes_end_changes_nothing() -> None:
+    found = control()
+    assert found.runner_left(3.0, FIRST.runner) == []
+    assert found.account == NEXT
--- a/testing/council/test_registration.py
+++ b/testing/council/test_registration.py
@@ -19,7 +19,14 @@
 
 def test_a_heartbeat_is_an_account() -> None:
     assert read("/paddleshunt/Instances.Heartbeat/i-7", BEAT) == RunnerAccount(
-        "i-7", "s", "hall", Resources(16000, 32768, 1), leaving=True, remaining=1.5, labels=("a",)
+        "i-7",
+        "s",
+        "hall",
+        Resources(16000, 32768, 1),
+        leaving=True,
+        remaining=1.5,
+        labels=("a",),
+        sequence=4,
     )
 
 
