Place nothing before a caller can have said that it left; evacuations in the soak

Ruled out: an entry that still held a first try (the age that its deadline shows is 0 in both admissions); a second placement by the same entry (both are runs number 1 of different job records).

Change: an entry places a job once its caller's longest way has passed, 4 ms (callers are 1 to 3 ms away on the deployments' sheets; setting `caller_delay_ms`). What is reset behind a request arrives by then, also with a request that was read late. Weighed: an entry that remembers by the id's hash who took a job (two messages a job, and the second try comes within one round trip of the first); the age of unread bytes (tells a late request, not a reset one).

Before: both cases of the new test in test_withdrawn.py fail on (a job whose caller has left starts); after: pass.

--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -24,6 +24,9 @@
         "leaving",
         "started",
         "catalog_adopted",
+        "evacuation_learned",
+        "heartbeat_late",
+        "life_confirmed",
     }
 )
 """Events of a process that may decide a request which they don't name."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -41,7 +41,8 @@
     `hold_max`: the longest lease that a runner grants. `stop`: how long a stop takes at most.
     `drain`: after it, a target that leaves may start nothing. `grace`: time from SIGTERM to
     SIGKILL. `config_apply`: in it, an accepted configuration is in force. `remote_factor`: how many
-    times as long a task takes away from the rack where its data lies.
+    times as long a task takes away from the rack where its data lies. `caller_delay`: the longest
+    way of a packet from a caller to an entry.
     """
 
     resend: float = 1.3
@@ -51,6 +52,7 @@
     grace: float = 6.0
     config_apply: float = 2.0
     remote_factor: float = 1.5
+    caller_delay: float = 0.004
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -79,9 +79,15 @@
     """State of one entry's jobs and targets."""
 
     def __init__(
-        self, times: LeaseTimes, hall: str, rng: Random, remote_factor: float = 1.0
+        self,
+        times: LeaseTimes,
+        hall: str,
+        rng: Random,
+        remote_factor: float = 1.0,
+        caller_delay: float = 0.0,
     ) -> None:
         self._times = times
+        self._caller_delay = caller_delay
         self._placement = Placement(hall, rng, remote_factor)
         self._assigner = Assigner(self._placement)
         self._jobs = JobBook()
@@ -138,6 +144,7 @@
             return [*effects, self._hand_over(now, caller, held)]
         expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
         job = new_job(caller, request, queue, now, expected)
+        job.place_from = now + self._caller_delay
         room = self._room(now)
         wait = self._wait(job, room)
         if self._is_settling(now):
@@ -241,6 +248,10 @@
         self._unplaced = self._unplaced or bool(bodies)
         return effects
 
+    def place_arrived(self, now: float) -> list[Effect]:
+        """Place jobs whose callers have had the time to say that they left."""
+        return self._place(now)
+
     def place_waiting(self, now: float) -> list[Effect]:
         """Place what waits, once for all that was heard since the last call."""
         return self._place(now) if self._unplaced else []
@@ -474,7 +485,8 @@
         return expected_wait(job, room.usable(job.queue.service), self._jobs.all())
 
     def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
-        logs = self._assigner.place(now, self._jobs.all(), room or self._room(now))
+        jobs = [job for job in self._jobs.all() if now >= job.place_from]
+        logs = self._assigner.place(now, jobs, room or self._room(now))
         self._unplaced = False
         heads = self._assigner.heads
         self._wants.tell(now, heads, self._open_targets(), self._assigner.assigned)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -94,6 +94,8 @@
     arrived: float
     tasks: list[TaskRecord]
     expected: Expectation
+    place_from: float = 0.0
+    """Before it nothing of the job is placed: its caller may have left already."""
 
     @property
     def length(self) -> float:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -33,6 +33,9 @@
 END_MARGIN = 0.8
 """Seconds before SIGKILL at which all that is left is answered."""
 
+TIMER_MARGIN = 0.0005
+"""Seconds that a timer may be early by the clock that it is checked with, and some."""
+
 RETRY_AFTER = "Retry-After"
 
 
@@ -67,8 +70,9 @@
         self._around = surroundings
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
+        bounds = config.bounds
         self._dispatcher = Dispatcher(
-            self._times, config.hall, Random(), config.bounds.remote_factor
+            self._times, config.hall, Random(), bounds.remote_factor, bounds.caller_delay
         )
         self.catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
@@ -185,6 +189,14 @@
         self._waiting[exchange.number] = exchange
         now = self._now()
         self._act(self._dispatcher.submit(now, exchange.number, read.job, read.queue))
+        self._loop.call_later(self._config.bounds.caller_delay + TIMER_MARGIN, self._place_soon)
+
+    def _place_soon(self) -> None:
+        """Place what has just come, once the connections that have ended are known.
+
+        The loop tells of an ended connection after the timers that were due in the same round.
+        """
+        self._loop.call_soon(lambda: self._act(self._dispatcher.place_arrived(self._now())))
 
     def abandoned(self, exchange: Exchange) -> None:
         """Stop the work of a caller that left."""
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -73,6 +73,7 @@
     config_apply_ms: Milliseconds = 2000
     grace_s: SecondsBound = 6.0
     remote_factor: Annotated[float, Meta(ge=1, le=100)] = 1.5
+    caller_delay_ms: Annotated[float, Meta(ge=0, le=1000)] = 4.0
 
 
 @final
@@ -117,6 +118,7 @@
         grace=given.grace_s,
         config_apply=given.config_apply_ms / 1000,
         remote_factor=given.remote_factor,
+        caller_delay=given.caller_delay_ms / 1000,
     )
 
 
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -1,11 +1,16 @@
 """Jobs under failures, in the small fleet of `leasedfleet`, under two sets of bounds."""
 
+from random import Random
+
 import leasedfleet
 import pytest
 from leasedfleet import QUEUE, Fleet
-from paddleshunt_core.leased.bounds import Bounds
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.dispatcher import Dispatcher
+from paddleshunt_core.leased.jobs import JobRequest
 from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, Refused
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.wire import Assign, Frame, Health, Hello, RunnerReport, RunnerState
 
 COUNCIL = Bounds()
 WIDE = Bounds(resend=4.0, hold_max=2.0, stop=0.2, drain=5.0, grace=20.0, config_apply=6.0)
@@ -333,3 +338,24 @@
     placed, returned = len(fleet.ends("job_placed")), len(fleet.ends("task_returned"))
     assert placed > 50
     assert returned < placed / 6
+
+
+@pytest.mark.parametrize(("leaves_after", "placed"), [(0.003, False), (0.005, True)])
+def test_nothing_is_placed_before_a_caller_can_have_said_that_it_left(
+    leaves_after: float, *, placed: bool
+) -> None:
+    times = lease_times(Bounds())
+    dispatcher = Dispatcher(times, "hall", Random(7), caller_delay=0.004)
+    session, _ = dispatcher.greeted(1.0, Hello("t", "life", False, "hall", "", 0, 0))
+    assert session is not None
+    room = Resources(8000, 8000)
+    report = RunnerReport("svc", "i-1", RunnerState.READY, Health.GOOD, room, room)
+    dispatcher.heard(1.0, "t", Frame(1, 0, 1000, 0, [report]))
+    session.frame(1000)
+    request = JobRequest("job", "spec", 2, Resources(1000, 64), 0.4, 4.0)
+    dispatcher.submit(1.01, 1, request, QUEUE)
+    dispatcher.place_arrived(1.01 + leaves_after)
+    dispatcher.caller_left(1.01 + leaves_after, 1)
+    dispatcher.place_arrived(1.02)
+    bodies = session.frame(1020).bodies
+    assert any(isinstance(body, Assign) for body in bodies) == placed
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -55,6 +55,7 @@
         hold_max: float = 1.0,
         stop: float = 0.05,
         guards: bool = True,
+        hall: str = "hall",
     ) -> None:
         self.name = name
         self.faults = Faults()
@@ -70,6 +71,7 @@
         self._hold_max = hold_max
         self._stop = stop
         self._guards = guards
+        self._hall = hall
         self._lives = 0
         self._rate = 1.0
         self.life = ""
@@ -181,7 +183,7 @@
     async def _beat(self) -> bool:
         body = {
             "service": "svc",
-            "zone": "hall",
+            "zone": self._hall,
             "state": "ready",
             "capacity": {"cpu": self._capacity, "mem_mb": 64000, "gpu": 0},
         }
--- a/testing/council/soakstore.py
+++ b/testing/council/soakstore.py
@@ -70,6 +70,12 @@
         self._revision += 1
         self._items[key] = _Item(value, self._revision, lease)
 
+    def remove(self, key: str) -> None:
+        """Take an item away, as the operator does."""
+        if self._items.pop(key, None) is not None:
+            self._revision += 1
+            self._gone.append((self._revision, key))
+
     def forget_history(self) -> None:
         """Answer watches from before now with 410."""
         self._oldest = self._revision + 1
--- a/testing/council/test_withdrawn.py
+++ b/testing/council/test_withdrawn.py
@@ -1,6 +1,7 @@
 """An order to start that is still on its way out when its right ends is not sent."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -80,3 +81,26 @@
         assert (await system.submit(KEY, 100)).status == 200
 
     play(scene)
+
+
+@pytest.mark.parametrize("gone_ms", [0, 2], ids=["at_once", "on_its_way"])
+def test_a_job_whose_caller_leaves_as_it_arrives_starts_nothing(gone_ms: int) -> None:
+    """A caller whose connection breaks under its request may send it again at once."""
+
+    async def scene(system: System) -> None:
+        await system.open()
+        await system.submit("f" * 16, 10)
+        started = len(system.runner.started)
+        step = {"count": 3, "cpu": 1000, "mem_mb": 10, "estimated_ms": 300}
+        body = json.dumps({"spec": "300", "steps": [step], "best_effort": True}).encode()
+        head = f"POST /q/{KEY} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: {len(body)}\r\n\r\n"
+        host, _, port = system.callers.rpartition(":")
+        for _ in range(5):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head.encode() + body)
+            await asyncio.sleep(gone_ms / 1000)
+            writer.transport.abort()
+            await asyncio.sleep(0.1)
+        assert len(system.runner.started) == started
+
+    play(scene)
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -11,13 +11,14 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
 from paddleshunt_council.__main__ import SETTINGS_VARIABLE
-from paddleshunt_council.store import CONFIG_KEY
+from paddleshunt_council.store import CONFIG_KEY, EVACUATE_PREFIX
 from paddleshunt_node.aio.httpclient import Answer, CallError, HttpClient
 from paddleshunt_platform.standins.ports import free_port
 from record import Record
@@ -30,6 +31,9 @@
 """Where the programs are taken from: this checkout, whatever is installed."""
 
 
+HALLS = ("hall", "annex")
+"""Where targets stand, in turn; entries stand in the first."""
+
 ASK_SECONDS = 0.3
 """Seconds between two questions to an entry's page."""
 
@@ -117,6 +121,7 @@
     processes: dict[str, Process] = field(default_factory=dict)
     runners: dict[str, SoakRunner] = field(default_factory=dict)
     version: int = 0
+    evacuated: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.net = f"127.{self.rng.randrange(1, 250)}.{os.getpid() % 250}"
@@ -141,6 +146,7 @@
             await self.add(f"e{number}", "entry", number + 1)
         for number in range(targets):
             name = f"t{number}"
+            self.record.halls[name] = HALLS[number % len(HALLS)]
             await self.add(name, "target", 100 + number)
             runner = self.runners[name] = SoakRunner(
                 name,
@@ -152,6 +158,7 @@
                 hold_max=self.bounds.hold_max_ms / 1000,
                 stop=self.bounds.stop_ms / 1000,
                 guards=guards,
+                hall=HALLS[number % len(HALLS)],
             )
             await runner.start()
             self._loop_tasks.append(asyncio.ensure_future(runner.run()))
@@ -173,6 +180,21 @@
         self.store.put(CONFIG_KEY, configuration(self.version, self.net))
         return self.version
 
+    def evacuate(self, hall: str) -> bool:
+        """Evacuate a hall, unless it is; return whether it was not."""
+        if hall in self.evacuated:
+            return False
+        self.evacuated.add(hall)
+        self.store.put(EVACUATE_PREFIX + hall, b"{}")
+        self.record.evacuated(hall, time.monotonic())
+        return True
+
+    def take_back(self, hall: str) -> None:
+        """End the evacuation of a hall."""
+        self.evacuated.discard(hall)
+        self.record.taken_back(hall)
+        self.store.remove(EVACUATE_PREFIX + hall)
+
     async def close(self) -> None:
         """End all processes and stand-ins."""
         for process in self.processes.values():
@@ -214,7 +236,7 @@
         lines = [
             "[process]",
             f'name = "{process.name}"',
-            'hall = "hall"',
+            f'hall = "{self._hall(process)}"',
             f'role = "{process.role}"',
             "[listen]",
             f'peers = "{at}:{ports["peers"]}"',
@@ -241,6 +263,9 @@
         ]
         process.settings.write_text("\n".join(lines) + "\n")
 
+    def _hall(self, process: Process) -> str:
+        return self.record.halls.get(process.name, HALLS[0])
+
     async def watch_versions(self) -> None:
         """Note the configuration in force at each entry again and again, until cancelled."""
         while True:
@@ -252,15 +277,17 @@
             await asyncio.sleep(ASK_SECONDS)
 
     async def until_configured(self, seconds: float) -> None:
-        """Wait until all entries follow the newest configuration; raises `TimeoutError`."""
+        """Wait until all follow the operator's last word; raises `TimeoutError`."""
         async with asyncio.timeout(seconds):
-            for entry in self.entries:
-                while True:
-                    dump = await self.dump(entry)
-                    if dump is not None and dump["catalog_version"] == self.version:
-                        break
+            for process in self.processes.values():
+                while not self._is_up_to_date(process, await self.dump(process)):
                     await asyncio.sleep(ASK_SECONDS)
 
+    def _is_up_to_date(self, process: Process, dump: dict[str, object] | None) -> bool:
+        if dump is None or dump["evacuated_halls"] != sorted(self.evacuated):
+            return False
+        return process.role == "target" or dump["catalog_version"] == self.version
+
     async def _supervise(self) -> None:
         """Start what has ended by itself again, as the platform does, until cancelled."""
         while True:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -12,7 +12,7 @@
 from random import Random
 from time import monotonic
 
-from deployment import Deployment, Process
+from deployment import HALLS, Deployment, Process
 
 MEAN_GAP = 0.35
 """Mean seconds between two faults."""
@@ -40,6 +40,15 @@
 LOSES_STOPS = "loses_stops"
 """Orders to stop get lost, all else goes on: drawn apart, so that older seeds keep their faults."""
 
+EVACUATE = "evacuate"
+"""The operator evacuates a hall and takes it back: drawn apart as well."""
+
+EVACUATION_GAP = 5.0
+"""Mean seconds between two evacuations."""
+
+EVACUATION_LONGEST = 8.0
+"""Seconds that one lasts at most: longer than the bound after which nothing may start."""
+
 LOST_STOPS_GAP = 4.0
 """Mean seconds between two such faults."""
 
@@ -66,6 +75,7 @@
         faults.append(Fault(at, kind, rng.random(), rng.uniform(0.1, LONGEST)))
         at += rng.expovariate(1 / MEAN_GAP)
     faults += _lost_stops(seed, seconds)
+    faults += _evacuations(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -79,6 +89,16 @@
     return faults
 
 
+def _evacuations(seed: int, seconds: float) -> list[Fault]:
+    rng = Random(f"evacuations {seed}")
+    faults: list[Fault] = []
+    at = rng.expovariate(1 / EVACUATION_GAP)
+    while at < seconds:
+        faults.append(Fault(at, EVACUATE, rng.random(), rng.uniform(0.1, EVACUATION_LONGEST)))
+        at += rng.expovariate(1 / EVACUATION_GAP)
+    return faults
+
+
 class Injector:
     """Carries out a schedule on a deployment."""
 
@@ -105,9 +125,17 @@
             await self._trouble_store(fault)
         elif fault.kind == CONFIGURE:
             self._deployment.configure()
+        elif fault.kind == EVACUATE:
+            await self._evacuate(fault)
         else:
             await self._trouble_process(fault)
 
+    async def _evacuate(self, fault: Fault) -> None:
+        hall = HALLS[int(fault.whom * len(HALLS))]
+        if self._deployment.evacuate(hall):
+            await asyncio.sleep(fault.seconds)
+            self._deployment.take_back(hall)
+
     # Processes.
 
     async def _trouble_process(self, fault: Fault) -> None:
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass, field
 from time import monotonic
 
+EVACUATION_SECONDS = 5.0
+"""Seconds from the operator's word after which nothing may start in an evacuated hall."""
+
 
 @dataclass
 class RunSeen:
@@ -65,6 +68,10 @@
         self.tasks: dict[str, int] = {}
         """How many tasks each job that was sent has."""
         self.violations: list[Violation] = []
+        self.halls: dict[str, str] = {}
+        """Where each runner stands."""
+        self._evacuated: dict[str, float] = {}
+        """Since when a hall is evacuated."""
         self._versions: dict[tuple[str, str], int] = {}
 
     def sent(self, job: str, tasks: int, entry: str, now: float) -> TrySeen:
@@ -79,6 +86,10 @@
         job, *_, index = run.task.split(".")
         if int(index) >= self.tasks.get(job, 0):
             self._broken("UNASKED", run.began, f"{run.task}: no caller sent it")
+        since = self._evacuated.get(self.halls.get(run.runner, ""))
+        if since is not None and run.began > since + EVACUATION_SECONDS:
+            text = f"{run.task}: started at {run.runner} {run.began - since:.3f} s after the word"
+            self._broken("EVAC", run.began, text)
         earlier = self.runs.setdefault(run.task, [])
         for other in earlier:
             if other.at_work(run.began):
@@ -86,6 +97,14 @@
                 self._broken("TWICE", run.began, text)
         earlier.append(run)
 
+    def evacuated(self, hall: str, now: float) -> None:
+        """Note the operator's word that a hall is to get nothing more."""
+        self._evacuated[hall] = now
+
+    def taken_back(self, hall: str) -> None:
+        """Note that a hall may get work again."""
+        self._evacuated.pop(hall, None)
+
     def over_capacity(self, runner: str, now: float, used: int, capacity: int) -> None:
         """Note that a start brought a runner over its capacity."""
         self._broken("LIMIT", now, f"{runner}: {used} of {capacity}")
--- a/testing/soak/test_record.py
+++ b/testing/soak/test_record.py
@@ -74,3 +74,25 @@
     record.version_seen("e0", "second", 3)
     record.version_seen("e0", "first", 3)
     assert rules(record) == ["CONFIG"]
+
+
+@pytest.mark.parametrize(
+    ("hall", "began", "broken"),
+    [("hall", 6.1, ["EVAC"]), ("hall", 5.9, []), ("annex", 6.1, [])],
+    ids=["after the bound", "within it", "elsewhere"],
+)
+def test_a_start_in_an_evacuated_hall_is_found(
+    record: Record, hall: str, began: float, broken: list[str]
+) -> None:
+    record.halls["r1"] = hall
+    record.evacuated("hall", 1.0)
+    record.started(run(1, began))
+    assert rules(record) == broken
+
+
+def test_a_start_after_an_evacuation_was_taken_back_breaks_nothing(record: Record) -> None:
+    record.halls["r1"] = "hall"
+    record.evacuated("hall", 1.0)
+    record.taken_back("hall")
+    record.started(run(1, 9.0))
+    assert rules(record) == []
