--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""Works out docs/CAPACITY.md's tables from docs/measurements/slopes.json.
+"""Works out docs/CAPACITY.md's tables from docs/measurements/slopes.json and sweeps.json.
 
 `python benchmarks/capacity.py` writes them into the page between its marks; a test compares.
 """
@@ -7,11 +7,15 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import sweeps
+
 ROOT = Path(__file__).parent.parent
 SLOPES = ROOT / "docs" / "measurements" / "slopes.json"
 PAGE = ROOT / "docs" / "CAPACITY.md"
 BEGIN = "<!-- tables: begin -->"
 END = "<!-- tables: end -->"
+SWEEPS_BEGIN = "<!-- sweeps: begin -->"
+SWEEPS_END = "<!-- sweeps: end -->"
 
 DAY = 86_400
 
@@ -237,17 +241,23 @@
     return "\n".join(out)
 
 
-def page_tables(page: str) -> str:
-    """Return the part of the page between its marks."""
-    return page.split(BEGIN)[1].split(END)[0].strip()
+def page_part(page: str, begin: str = BEGIN, end: str = END) -> str:
+    """Return the part of the page between two marks."""
+    return page.split(begin)[1].split(end)[0].strip()
+
+
+def with_part(page: str, made: str, begin: str, end: str) -> str:
+    """Return the page with another part between two marks."""
+    head, tail = page.split(begin)[0], page.split(end)[1]
+    return f"{head}{begin}\n{made}\n{end}{tail}"
 
 
 def main() -> None:
     """Write the tables into the page."""
     page = PAGE.read_text()
-    head, tail = page.split(BEGIN)[0], page.split(END)[1]
-    made = tables(json.loads(SLOPES.read_text()))
-    PAGE.write_text(f"{head}{BEGIN}\n{made}\n{END}{tail}")
+    page = with_part(page, tables(json.loads(SLOPES.read_text())), BEGIN, END)
+    swept = sweeps.tables(json.loads(sweeps.SWEEPS.read_text()))
+    PAGE.write_text(with_part(page, swept, SWEEPS_BEGIN, SWEEPS_END))
 
 
 if __name__ == "__main__":
--- a/testing/test_capacity.py
+++ b/testing/test_capacity.py
@@ -4,6 +4,7 @@
 
 import capacity
 import pytest
+import sweeps
 from paddleshunt_core import entry, home, target, views
 from paddleshunt_node import platformthreads
 from paddleshunt_platform import etcd
@@ -11,7 +12,13 @@
 
 def test_page_has_the_tables_of_the_recorded_slopes() -> None:
     made = capacity.tables(json.loads(capacity.SLOPES.read_text()))
-    assert capacity.page_tables(capacity.PAGE.read_text()) == made
+    assert capacity.page_part(capacity.PAGE.read_text()) == made
+
+
+def test_page_has_the_tables_of_the_recorded_sweeps() -> None:
+    made = sweeps.tables(json.loads(sweeps.SWEEPS.read_text()))
+    page = capacity.PAGE.read_text()
+    assert capacity.page_part(page, capacity.SWEEPS_BEGIN, capacity.SWEEPS_END) == made
 
 
 @pytest.mark.parametrize(
