--- a/benchmarks/sweeps.py
+++ b/benchmarks/sweeps.py
@@ -3,7 +3,7 @@
     python benchmarks/sweeps.py SITE CODE FILE
 
 adds the sweep of a deployment in FILE, played on commit CODE, to `docs/measurements/sweeps.json`,
-in place of an earlier one of the same deployment and code. `benchmarks/capacity.py` makes the tables.
+in place of an earlier one of the same deployment and code. `benchmarks/capacity.py` makes tables.
 """
 
 import json
