Show by a test, known to fail, how a short stand-still is taken for the runner's under wide bounds

A look's answer counts as made at the end of the look's wait. Under bounds with a lease of 2 s that is 0.14 s, longer than HUNG_SECONDS (0.12 s), so a target that stands still for 0.13 s before it reads an answer stops all runs. Likely what test_silence.py met once beside four busy loops. The council's bounds have 0.048 s and are not concerned.

--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -305,3 +305,25 @@
     fresh = LookAnswer(1.6, [RunningRun(RUN, 50), RunningRun(second, 50)], [])
     effects = worker.looked(1.601, fresh)
     assert len([effect for effect in effects if isinstance(effect, StopRun)]) == 2
+
+
+def test_a_short_stand_still_before_a_long_look_is_read_is_not_the_runners() -> None:
+    """Under wide bounds a look may wait longer than a runner takes to count as hung."""
+    worker = Worker(lease_times(Bounds(resend=4.0, hold_max=2.0, stop=0.2)))
+    account = RunnerAccount("i-1", "svc", "hall", Resources(8000, 8000), False, None)
+    worker.runner_spoke(0.9, account)
+    worker.looked(0.95, LookAnswer(0.92, [], []))
+    worker.opened(1.0, Hello("e", "life", True, "hall", "", 1, 0), 1.0)
+    assign = Assign("job", 0, "spec", Resources(1000, 10), 3200, 9000, [(0, 1), (1, 1)])
+    worker.heard(1.0, "e", Frame(1, 0, 1000, 1000, [assign]))
+    runs = [RunId(TaskId("job", 0, index), 1) for index in (0, 1)]
+    for run in runs:
+        worker.start_answered(1.001, run, StartAnswer.STARTED)
+    for at in (1.2, 1.202, 1.204, 1.206):
+        worker.next_look(at)
+        worker.looked(at, LookAnswer(at, [RunningRun(run, 50) for run in runs], []))
+    worker.next_look(1.208)
+    # The runner answered at once; this process stood still for 0.13 s before it read that.
+    old = LookAnswer(1.208, [RunningRun(run, 50) for run in runs], [])
+    effects = worker.looked(1.338, old)
+    assert not [effect for effect in effects if isinstance(effect, StopRun)]
