--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -74,28 +74,23 @@
         (kind,) = rng.choices(kinds, weights)
         faults.append(Fault(at, kind, rng.random(), rng.uniform(0.1, LONGEST)))
         at += rng.expovariate(1 / MEAN_GAP)
-    faults += _lost_stops(seed, seconds)
-    faults += _evacuations(seed, seconds)
+    stops = (LOSES_STOPS, LOST_STOPS_GAP, (0.5, LONGEST))
+    faults += _drawn_apart(f"lost stops {seed}", seconds, *stops)
+    evacuations = (EVACUATE, EVACUATION_GAP, (0.1, EVACUATION_LONGEST))
+    faults += _drawn_apart(f"evacuations {seed}", seconds, *evacuations)
     return sorted(faults, key=lambda fault: fault.at)
 
 
-def _lost_stops(seed: int, seconds: float) -> list[Fault]:
-    rng = Random(f"lost stops {seed}")
+def _drawn_apart(
+    seed: str, seconds: float, kind: str, mean_gap: float, lengths: tuple[float, float]
+) -> list[Fault]:
+    """Return the faults of one kind, drawn so that the other kinds' faults stay as they are."""
+    rng = Random(seed)
     faults: list[Fault] = []
-    at = rng.expovariate(1 / LOST_STOPS_GAP)
+    at = rng.expovariate(1 / mean_gap)
     while at < seconds:
-        faults.append(Fault(at, LOSES_STOPS, rng.random(), rng.uniform(0.5, LONGEST)))
-        at += rng.expovariate(1 / LOST_STOPS_GAP)
-    return faults
-
-
-def _evacuations(seed: int, seconds: float) -> list[Fault]:
-    rng = Random(f"evacuations {seed}")
-    faults: list[Fault] = []
-    at = rng.expovariate(1 / EVACUATION_GAP)
-    while at < seconds:
-        faults.append(Fault(at, EVACUATE, rng.random(), rng.uniform(0.1, EVACUATION_LONGEST)))
-        at += rng.expovariate(1 / EVACUATION_GAP)
+        faults.append(Fault(at, kind, rng.random(), rng.uniform(*lengths)))
+        at += rng.expovariate(1 / mean_gap)
     return faults
 
 
