--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -38,6 +38,13 @@
 What only a look can tell, a hang or an order that was lost, is known so much sooner.
 """
 
+LOOK_SECONDS = 0.05
+"""Longest wait of a look while a run is at work, however long the lease.
+
+Its answer shows some moment of the wait, which is not known closer: it must be short beside the
+time after which a runner counts as hung (`HUNG_SECONDS`).
+"""
+
 IDLE_LOOK_SHARE = 0.45
 """The same while no run is at work."""
 
@@ -165,7 +172,9 @@
             return 0.0
         if any(run.doubted is not None or run.phase is Phase.STOPPING for run in self.table):
             return 0.0
-        return self._times.hold * (LOOK_SHARE if len(self.table) else IDLE_LOOK_SHARE)
+        if not len(self.table):
+            return self._times.hold * IDLE_LOOK_SHARE
+        return min(LOOK_SECONDS, self._times.hold * LOOK_SHARE)
 
     def looked(self, now: float, answer: LookAnswer) -> list[Effect]:
         """Take the runner's lists of what runs and what has ended."""
--- a/testing/council/councilsystem.py
+++ b/testing/council/councilsystem.py
@@ -50,6 +50,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.tasks: dict[tuple[str, int], tuple[float, float]] = {}
+        self.ends = 0
+        """Ends listed so far; numbers only rise, also past those that were taken note of."""
         self.started: list[str] = []
         self.stopped: list[str] = []
 
@@ -78,8 +80,8 @@
 
     def _end(self, key: tuple[str, int], how: str) -> None:
         if self.tasks.pop(key, None) is not None:
-            number = int(str(self.finished[-1][0])) + 1 if self.finished else self.clock
-            self.finished.append([number, key[0], key[1], how, ""])
+            self.ends += 1
+            self.finished.append([self.ends, key[0], key[1], how, ""])
 
 
 class System:
