--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -18,6 +18,7 @@
         "session_ended",
         "runner_health",
         "runner_unreachable",
+        "runner_lost",
         "runner_replaced",
         "stood_still",
         "stopped",
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -435,10 +435,12 @@
             return []
         task.phase = TaskPhase.WAITING
         task.ran = task.ran or end not in (End.NOT_STARTED, End.NO_ROOM, End.STALE)
+        task.losses += end is End.LOST
         fields: dict[str, str | int | float] = {
             "target": target.name,
             "run": run.number,
             "end": end.name.lower(),
+            "losses": task.losses,
         }
         log = note("task_returned", run.task.job, **{"index": run.task.index, **fields})
         if end is End.FAILED:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
@@ -76,10 +76,12 @@
                 continue
             task.phase = TaskPhase.WAITING
             task.ran = True
+            task.losses += 1
             fields: dict[str, str | int | float] = {
                 "index": run.task.index,
                 "target": target,
                 "end": reason,
+                "losses": task.losses,
             }
             logs.append(note("task_returned", run.task.job, **fields))
         return logs
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -72,6 +72,8 @@
     placed_at: float = 0.0
     """When its newest run was sent to its target."""
     failures: int = 0
+    losses: int = 0
+    """Runs of it that were lost with their runner or target, as far as this entry saw."""
     ran: bool = False
     """Whether an earlier run of it may have started."""
     avoid: set[str] = field(default_factory=set)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -27,7 +27,12 @@
 )
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.runnerlease import RunnerLease
-from paddleshunt_core.leased.runnotes import ended_note, lapsed_note, rejected_note
+from paddleshunt_core.leased.runnotes import (
+    ended_note,
+    lapsed_note,
+    rejected_note,
+    runner_lost_note,
+)
 from paddleshunt_core.leased.runtable import Phase, Run, RunTable
 from paddleshunt_core.leased.stopping import stop, stop_again
 from paddleshunt_core.leased.wire import End, Health, RunId, RunnerState
@@ -84,6 +89,8 @@
         self._last_seen = 0
         self._lease = RunnerLease(times)
         self._failed_looks = 0
+        self._silent_since: float | None = None
+        """When a look had no answer for the first time since one had; None if the last one had."""
         self._waited = 0.0
         """Seconds that the last look may have waited at the runner."""
         self._met = float("-inf")
@@ -182,6 +189,7 @@
         if self._failed_looks >= UNREACHABLE_LOOKS:
             effects.append(note("runner_reachable"))
         self._failed_looks = 0
+        self._silent_since = None
         for finished in answer.finished:
             effects += self._listed(now, finished)
         running = {row.run: row.percent for row in answer.running}
@@ -202,10 +210,13 @@
         if other_life:
             return self._runner_replaced(now, "")
         effects: list[Effect] = []
+        if self._silent_since is None:
+            self._silent_since = now
         self._failed_looks += 1
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self.table)))
-        if self._lease.has_killed(now):
+        if self._lease.has_killed(now) and len(self.table):
+            effects.append(self._runner_lost(now, "silent"))
             for run in self.table:
                 effects.append(lapsed_note(run, self._lease.over_for(now)))
                 effects += self._ended(run, End.LOST, "lease_lapsed")
@@ -274,7 +285,7 @@
     def _order(self, now: float, run: Run, until: float) -> StartRun:
         self._lease.grant(until)
         self.table.add(run)
-        run.ordered = run.moved = run.seen = now
+        run.began = run.ordered = run.moved = run.seen = now
         return StartRun(run.id, run.spec, until, run.entry, now)
 
     def _may_start(self, now: float, until: float) -> bool:
@@ -409,6 +420,9 @@
         """End all that an earlier life of the runner had: it died with it."""
         was = self.account.runner if self.account else ""
         effects: list[Effect] = [note("runner_replaced", was=was, now=runner)]
+        if len(self.table):
+            effects.append(self._runner_lost(now, "replaced"))
+        self._silent_since = None
         for run in self.table:
             effects += self._ended(run, End.LOST, "runner_replaced")
         self.health = RunnerHealth()
@@ -420,6 +434,12 @@
             self.account = None
         return effects
 
+    def _runner_lost(self, now: float, how: str) -> Log:
+        """Return the line on all that was at work on the runner, which is lost."""
+        runner = self.account.runner if self.account else ""
+        silent_since = now if self._silent_since is None else self._silent_since
+        return runner_lost_note(runner, how, silent_since, self.table)
+
     def _ended(self, run: Run, end: End, reason: str) -> list[Effect]:
         self.table.drop(run)
         return [self._tell(run, end, reason)]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
@@ -1,9 +1,25 @@
 """Log lines about single runs at a target."""
 
+from collections.abc import Iterable
+
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.runtable import Run
 from paddleshunt_core.leased.wire import End
 
+MOST_NAMED = 16
+"""Runs that one line names; a runner seldom has more at work."""
+
+
+def runner_lost_note(runner: str, how: str, silent_since: float, runs: Iterable[Run]) -> Log:
+    """Return the line that says what was at work on a runner that is lost, and for how long.
+
+    `how`: silent (no answer until its lease was over) or replaced (another life answers). Times are
+    milliseconds from a run's start until the runner fell silent.
+    """
+    worked = {str(run.id): max(0, round((silent_since - run.began) * 1000)) for run in runs}
+    named = ",".join(f"{run}:{worked_ms}" for run, worked_ms in list(worked.items())[:MOST_NAMED])
+    return note("runner_lost", runner=runner, how=how, runs=len(worked), worked_ms=named)
+
 
 def ended_note(run: Run, end: End, reason: str) -> Log:
     """Return the line that says how a run ended, or why it did not begin."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -29,6 +29,8 @@
     need: Resources
     estimate: float
     expires: float
+    began: float = 0.0
+    """When its start was decided."""
     phase: Phase = Phase.STARTING
     ordered: float = 0.0
     """When the last order about it was sent."""
--- a/testing/core/leased/test_sight.py
+++ b/testing/core/leased/test_sight.py
@@ -3,7 +3,13 @@
 import pytest
 from paddleshunt_core.events import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
-from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, RunningRun, StartRun
+from paddleshunt_core.leased.orders import (
+    LookAnswer,
+    RunnerAccount,
+    RunningRun,
+    StartAnswer,
+    StartRun,
+)
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import Assign, Frame, Hello, RunId, TaskId
 from paddleshunt_core.leased.worker import Worker
@@ -69,3 +75,13 @@
     worker.looked(1.05, LookAnswer(1.04, [RunningRun(foreign, 5)], []))
     effects = worker.heard(1.1, "e", Frame(1, 0, 1100, 1050, [assign("job")]))
     assert [line["reason"] for line in lines(effects, "run_ended")] == ["foreign_runs"]
+
+
+def test_a_lost_runner_names_what_was_at_work_on_it_and_for_how_long(worker: Worker) -> None:
+    worker.heard(1.1, "e", Frame(1, 0, 1100, 1000, [assign("job")]))
+    worker.start_answered(1.102, RUN, StartAnswer.STARTED)
+    worker.next_look(1.12)
+    worker.look_failed(1.13)
+    over = 1.12 + TIMES.run_end + 0.01
+    (line,) = lines(worker.look_failed(over), "runner_lost")
+    assert line == {"runner": "i-1", "how": "silent", "runs": 1, "worked_ms": "job.0.0#1:30"}
