--- a/testing/council/soakcallers.py
+++ b/testing/council/soakcallers.py
@@ -78,11 +78,17 @@
         need: int = 1000,
         *,
         leaves: bool | None = None,
+        crashes_after: float | None = None,
     ) -> str:
-        """Hand a job in, and return its key; by chance its caller leaves early."""
+        """Hand a job in, and return its key; by chance its caller leaves early.
+
+        `crashes_after`: seconds of work after which its first task takes each runner down.
+        """
         if leaves is None:
             leaves = self._rng.random() < self._leaving
         key = f"{self._rng.getrandbits(64):016x}"
+        if crashes_after is not None:
+            self._deployment.crashing[f"{key}.0.0.0"] = crashes_after
         self._deployment.lengths[key] = length
         task = asyncio.ensure_future(self._call(key, _Job(count, length, deadline, need, leaves)))
         self._jobs.add(task)
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -14,12 +14,14 @@
 
 from paddleshunt_node.aio.httpclient import CallError, HttpClient
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
-from record import Record, RunSeen
+from record import CRASHED, Record, RunSeen
 
 BEAT_SECONDS = 1.0
 BEAT_RETRY_SECONDS = 0.15
 STEP_SECONDS = 0.005
 LISTED = 500
+AWAY_SECONDS = 3.4
+"""Seconds after which a runner that a task has crashed is back, as another life."""
 
 
 @dataclass
@@ -40,7 +42,10 @@
 
 
 class SoakRunner:
-    """One runner. `lengths` tells how long a job's tasks take."""
+    """One runner. `lengths` tells how long a job's tasks take.
+
+    `crashing` names the tasks that take their runner down, and after how many seconds of work.
+    """
 
     def __init__(
         self,
@@ -56,6 +61,7 @@
         stop: float = 0.05,
         guards: bool = True,
         hall: str = "hall",
+        crashing: dict[str, float] | None = None,
     ) -> None:
         self.name = name
         self.faults = Faults()
@@ -72,11 +78,14 @@
         self._stop = stop
         self._guards = guards
         self._hall = hall
+        self._crashing = {} if crashing is None else crashing
         self._lives = 0
         self._rate = 1.0
         self.life = ""
         self._server = HttpServer(self)
         self._waiting: list[tuple[float, Exchange]] = []
+        self._back_at: float | None = None
+        """When it comes back after a task took it down."""
         self._live_anew()
 
     async def start(self) -> None:
@@ -89,6 +98,8 @@
         while True:
             now = monotonic()
             self.step(now)
+            if self._back_at is not None and now >= self._back_at:
+                self.restart()
             if self.up and now >= next_beat:
                 next_beat = now + (BEAT_SECONDS if await self._beat() else BEAT_RETRY_SECONDS)
             await asyncio.sleep(STEP_SECONDS)
@@ -97,12 +108,21 @@
         """Die with all that runs."""
         now = monotonic()
         self.step(now)
+        self._die(now)
+
+    def _crash_at(self, now: float) -> None:
+        """Die by what runs here, and come back after a while."""
+        self._die(now)
+        self._back_at = now + AWAY_SECONDS
+
+    def _die(self, now: float) -> None:
         for run in list(self.running.values()):
             self._end(run, "died", now)
         self.up = False
 
     def restart(self) -> None:
         """Come back as another life."""
+        self._back_at = None
         self._live_anew()
         self.up = True
 
@@ -150,6 +170,11 @@
         """Let what is due end."""
         moved = False
         for run in list(self.running.values()):
+            after = self._crashing.get(run.task)
+            if after is not None and run.began + after <= min(now, run.lease_end):
+                self._end(run, CRASHED, run.began + after)
+                self._crash_at(now)
+                return
             end = min(run.lease_end, run.due)
             still = self.faults.stands_still and run.task not in self._stopping
             if still and run.due <= now < run.lease_end:
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -1,14 +1,16 @@
 """A small deterministic fleet for leased jobs: dispatchers, workers and fake runners, in steps.
 
 Time is simulated in steps of `STEP` seconds. `Fleet.check` runs after each step: no task runs
-twice at once on runners that are up, and no runner is over its capacity.
+twice at once on runners that are up, no runner is over its capacity, and no task that crashes its
+runners is started a third time after it has crashed three.
 """
 
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
-from leasedrunner import Runner
+from leasedrunner import Crashes, Runner
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import Queue
 from paddleshunt_core.leased.dispatcher import AnswerJob, Dispatcher
@@ -28,6 +30,9 @@
 LINK_DELAY = 0.002
 CONNECT_SECONDS = 0.25
 
+AWAY_SECONDS = 3.4
+"""Seconds after which a runner that a task has crashed is back, as another life."""
+
 CAPACITY = Resources(8000, 8000, 0)
 QUEUE = Queue("q", "host", "/q/", "svc", max_attempts=2, stretch=1.6, latency=0.06)
 
@@ -75,7 +80,8 @@
         self.targets = {f"t{n}": Node(f"t{n}") for n in range(targets)}
         self.dispatchers = {name: self._dispatcher() for name in self.entries}
         self.workers = {name: Worker(self.times) for name in self.targets}
-        self.runners = {name: Runner(capacity, self.lengths) for name in self.targets}
+        self.crashes = Crashes()
+        self.runners = {name: Runner(capacity, self.lengths, self.crashes) for name in self.targets}
         self.links: dict[tuple[str, str], Link] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.answers: dict[int, JobOutcome] = {}
@@ -115,6 +121,11 @@
         self._act_entry(entry, effects)
         return self._callers
 
+    def submit_crashing(self, entry: str, key: str, after: float = 0.01, **job: Any) -> int:
+        """Hand in a job of which the first task crashes each runner, `after` so many seconds."""
+        self.crashes.after[TaskId(key, 0, 0)] = after
+        return self.submit(entry, key, **job)
+
     def leave(self, entry: str, caller: int) -> None:
         """Let a caller go."""
         self._act_entry(entry, self.dispatchers[entry].caller_left(self.now, caller))
@@ -168,6 +179,8 @@
         for runner in self.runners.values():
             if runner.up:
                 runner.step(self.now, STEP)
+            elif runner.crashed_at is not None and self.now > runner.crashed_at + AWAY_SECONDS:
+                runner.restart()
         self._carry_out_late()
         self._dial()
         for pair in list(self.links):
@@ -191,6 +204,8 @@
                 assert runner.used.fits(runner.capacity), name
         twice = [str(task) for task, count in running.items() if count > 1]
         assert not twice, f"at {self.now:.2f} s twice at once: {twice}"
+        again = self.crashes.broken()
+        assert not again, f"at {self.now:.2f} s started again after three crashes: {again}"
 
     # Inside.
 
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -1,7 +1,7 @@
 """A fake runner of leased runs, in steps: room, leases and ends, with faults that a test sets."""
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from paddleshunt_core.leased.orders import (
     FinishedRun,
@@ -24,12 +24,43 @@
     done: float = 0.0
 
 
+COUNTED_CRASHES = 3
+"""Runners that a task may crash before its further starts are counted."""
+
+FORBIDDEN_START = 3
+"""Which start after those breaks the rule."""
+
+
+@dataclass
+class Crashes:
+    """Tasks that crash the runner that starts them, and what became of them on all runners."""
+
+    after: dict[TaskId, float] = field(default_factory=dict)
+    """Seconds of work after which such a task takes its runner down."""
+    crashed: Counter[TaskId] = field(default_factory=Counter)
+    started_after: Counter[TaskId] = field(default_factory=Counter)
+
+    def started(self, task: TaskId) -> None:
+        """Note a start of any task."""
+        if self.crashed[task] >= COUNTED_CRASHES:
+            self.started_after[task] += 1
+
+    def broken(self) -> list[str]:
+        """Return the tasks that were started too often after they had crashed three runners."""
+        return [str(t) for t, count in self.started_after.items() if count >= FORBIDDEN_START]
+
+
 class Runner:
     """A fake runner: room, leases, ends; it can hang, fail, slow down, die and answer late."""
 
-    def __init__(self, capacity: Resources, lengths: dict[str, float]) -> None:
+    def __init__(
+        self, capacity: Resources, lengths: dict[str, float], crashes: Crashes | None = None
+    ) -> None:
         self.capacity = capacity
         self.lengths = lengths
+        self.crashes = crashes or Crashes()
+        self.crashed_at: float | None = None
+        """When a task took it down; None if none has since it was started last."""
         self.needs: dict[RunId, Resources] = {}
         self.up = True
         self.life = 1
@@ -59,6 +90,7 @@
         self.clear()
         self.up = True
         self.life += 1
+        self.crashed_at = None
 
     @property
     def used(self) -> Resources:
@@ -73,6 +105,11 @@
                 self._end(run, RunEnd.LAPSED)
         for run, task in list(self.running.items()):
             task.done += seconds * self.speed
+            if task.done >= self.crashes.after.get(run.task, float("inf")):
+                self.crashes.crashed[run.task] += 1
+                self.crash()
+                self.crashed_at = now
+                return
             if task.done >= task.length:
                 self._end(run, RunEnd.FAILED if self.fails else RunEnd.DONE)
 
@@ -92,6 +129,7 @@
             self.rejected += 1
             return StartAnswer.NO_ROOM
         self.starts[run.task] += 1
+        self.crashes.started(run.task)
         self.running[run] = RunnerTask(need, self.lengths[run.task.job])
         return StartAnswer.STARTED
 
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -117,6 +117,8 @@
     rng: Random
     bounds: SoakBounds = SoakBounds()
     lengths: dict[str, float] = field(default_factory=dict)
+    crashing: dict[str, float] = field(default_factory=dict)
+    """Tasks that take their runner down, and after how many seconds of work."""
     store: SoakStore = field(default_factory=SoakStore)
     processes: dict[str, Process] = field(default_factory=dict)
     runners: dict[str, SoakRunner] = field(default_factory=dict)
@@ -159,6 +161,7 @@
                 stop=self.bounds.stop_ms / 1000,
                 guards=guards,
                 hall=HALLS[number % len(HALLS)],
+                crashing=self.crashing,
             )
             await runner.start()
             self._loop_tasks.append(asyncio.ensure_future(runner.run()))
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -12,6 +12,16 @@
 """Seconds from the operator's word after which nothing may start in an evacuated hall."""
 
 
+COUNTED_CRASHES = 3
+"""Runners that a task may crash before its further starts are counted."""
+
+FORBIDDEN_START = 3
+"""Which start after those breaks the rule."""
+
+CRASHED = "crashed its runner"
+"""How a run ended that took its runner down."""
+
+
 @dataclass
 class RunSeen:
     """One run at a runner."""
@@ -96,6 +106,7 @@
                 text = f"{run.task}: {run.describe(run.began)}; {other.describe(run.began)}"
                 self._broken("TWICE", run.began, text)
         earlier.append(run)
+        self._check_budget(run, earlier)
 
     def evacuated(self, hall: str, now: float) -> None:
         """Note the operator's word that a hall is to get nothing more."""
@@ -143,6 +154,16 @@
                 counts[seen.outcome] = counts.get(seen.outcome, 0) + 1
         return dict(sorted(counts.items()))
 
+    def _check_budget(self, run: RunSeen, runs: list[RunSeen]) -> None:
+        crashed = [seen for seen in runs if seen.how == CRASHED]
+        if len(crashed) < COUNTED_CRASHES:
+            return
+        counted = crashed[COUNTED_CRASHES - 1]
+        after = [seen for seen in runs if seen.began > (counted.end or counted.began)]
+        if len(after) == FORBIDDEN_START:
+            ways = "; ".join(seen.describe(run.began) for seen in runs)
+            self._broken("BUDGET", run.began, f"{run.task}: {ways}")
+
     def _check_complete(self, job: str, tries: list[TrySeen]) -> None:
         done = {t for t, runs in self.runs.items() if any(r.how == "done" for r in runs)}
         count = sum(task.startswith(f"{job}.") for task in done)
