Give a task up under which two runners were lost, wherever its job is handed in

Cause: a loss had no count. LOST ends, sessions that ended and every other way back to waiting were retries without a budget, and what one entry knew was gone with it. Now a target tells all its entries what was at work on a runner that is lost without having said that it ends, or that it answers again after all; entries hand it on, targets tell entries that they meet later. Two such runners end a job as failed, also when it comes again; each other way back counts against eight.

--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -102,7 +102,7 @@
     if answers and "outcome=refused" in answers[-1].text:
         return "refused: nothing of it has run", [answers[-1]]
     if answers and "outcome=failed" in answers[-1].text:
-        return "failed: its tasks failed as often as the queue allows", [*failures, answers[-1]]
+        return _decide_failed(own, around, answers[-1])
     if not answers and stopped:
         lost = [line for line in around if line.event == "session_ended"]
         return "its entry was lost; the targets stopped what it had started", [*lost, *stopped]
@@ -116,6 +116,23 @@
     return "no end in these lines: ask for the log of the entry that took it", [own[-1]]
 
 
+def _decide_failed(own: list[Line], around: list[Line], answer: Line) -> tuple[str, list[Line]]:
+    """Return why a job was answered as failed, and the lines that show it."""
+    given_up = [line for line in own if line.event == "job_given_up"]
+    if given_up and "reason=crashes" in given_up[-1].text:
+        key = answer.job
+        lost = [line for line in around if line.event == "runner_lost" and key in line.text]
+        return "failed: runners were lost again and again under one of its tasks", [
+            *lost,
+            *given_up,
+            answer,
+        ]
+    if given_up:
+        return "failed: one of its tasks was tried too often in vain", [*given_up, answer]
+    failures = [line for line in own if line.event == "run_ended" and "end=failed" in line.text]
+    return "failed: its tasks failed as often as the queue allows", [*failures, answer]
+
+
 @click.command()
 @click.argument("key")
 @click.argument("files", nargs=-1, type=click.Path(path_type=Path, dir_okay=False, exists=True))
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -29,10 +29,12 @@
     Completed,
     Failed,
     GivenUp,
+    HandOn,
     JobOutcome,
     Refused,
 )
 from paddleshunt_core.leased.placement import Placement
+from paddleshunt_core.leased.retries import Retries
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.standstill import THAW_SECONDS, StandStill
@@ -47,7 +49,9 @@
     Health,
     Hello,
     RunId,
+    RunnerLost,
     RunnerReport,
+    RunnerReturned,
     RunnerState,
     Stop,
 )
@@ -71,7 +75,11 @@
 """Seconds after which a silent target is forgotten."""
 
 
-Effect = AnswerJob | Log
+NOT_BEGUN = (End.NOT_STARTED, End.NO_ROOM, End.STALE)
+"""Ends of runs that never began."""
+
+
+Effect = AnswerJob | HandOn | Log
 
 
 @final
@@ -88,6 +96,7 @@
     ) -> None:
         self._times = times
         self._caller_delay = caller_delay
+        self._retries = Retries()
         self._placement = Placement(hall, rng, remote_factor)
         self._assigner = Assigner(self._placement)
         self._jobs = JobBook()
@@ -145,6 +154,10 @@
         expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
         job = new_job(caller, request, queue, now, expected)
         job.place_from = now + self._caller_delay
+        given_up = self._retries.outcome(job)
+        if given_up is not None:
+            why = self._retries.note_given_up(job, given_up)
+            return [*effects, why, AnswerJob(caller, request.key, given_up, 0.0)]
         room = self._room(now)
         wait = self._wait(job, room)
         if self._is_settling(now):
@@ -203,6 +216,30 @@
                 target.session.send(EvacuationNews(self._evacuations.known))
         return [evacuation_note(self._evacuations, source), *self._place(now)]
 
+    # Lost runners.
+
+    def known_losses(self, now: float) -> list[RunnerLost]:
+        """Return what is remembered of lost runners, for an entry that was just met."""
+        return self._retries.known_losses(now)
+
+    def told_loss(self, now: float, news: RunnerLost | RunnerReturned, source: str) -> list[Effect]:
+        """Follow a word on a lost runner, hand it on, and give up jobs that it decides."""
+        logs = self._retries.learn(now, news, source)
+        if not logs:
+            return []
+        effects: list[Effect] = [*logs, HandOn(news)]
+        for job in self._jobs.all():
+            effects += self._check_retries(now, job)
+        return effects
+
+    def _check_retries(self, now: float, job: JobRecord) -> list[Effect]:
+        """Give a job up if one of its tasks has been tried in vain too often."""
+        outcome = self._retries.outcome(job)
+        if outcome is None:
+            return []
+        why = self._retries.note_given_up(job, outcome)
+        return [why, self._answer(now, job, outcome)]
+
     # Targets.
 
     def greeted(self, now: float, hello: Hello) -> tuple[Session | None, list[Effect]]:
@@ -364,7 +401,7 @@
             "lost": len(lost),
         }
         log = note("session_opened", **fields)
-        return session, [log, *self._jobs.run_again(lost, target.name, "session_replaced")]
+        return session, [log, *self._run_again(now, lost, target.name, "session_replaced")]
 
     def _check_target(self, now: float, target: TargetRecord) -> list[Effect]:
         if target.session is not None:
@@ -374,11 +411,20 @@
         if target.held and now > target.lost_at:
             lost = list(target.held)
             target.held.clear()
-            return [*self._jobs.run_again(lost, target.name, "lease_lapsed")]
+            return self._run_again(now, lost, target.name, "lease_lapsed")
         if now > target.heard + FORGET_SECONDS:
             del self._targets[target.name]
         return []
 
+    def _run_again(self, now: float, runs: list[RunId], target: str, reason: str) -> list[Effect]:
+        """Let tasks wait again whose runs were lost, unless they have been tried too often."""
+        effects: list[Effect] = [*self._jobs.run_again(runs, target, reason)]
+        for key in {run.task.job for run in runs}:
+            job = self._jobs.of_key(key)
+            if job is not None:
+                effects += self._check_retries(now, job)
+        return effects
+
     def _end_session(self, now: float, target: TargetRecord) -> list[Effect]:
         """Give a silent target up; what it has can't be placed again before the leases are over."""
         assert target.session is not None  # noqa: S101
@@ -404,6 +450,8 @@
                 self._check_evacuation(target, body)
             case EvacuationNews():
                 return self.told_evacuations(now, body.evacuated, target.name)
+            case RunnerLost() | RunnerReturned():
+                return self.told_loss(now, body, target.name)
             case Ended():
                 effects: list[Effect] = []
                 for run, end in body.ends:
@@ -434,7 +482,9 @@
                 return [self._answer(now, job, Completed())]
             return []
         task.phase = TaskPhase.WAITING
-        task.ran = task.ran or end not in (End.NOT_STARTED, End.NO_ROOM, End.STALE)
+        begun = end not in NOT_BEGUN
+        task.ran = task.ran or begun
+        task.retries += begun
         task.losses += end is End.LOST
         fields: dict[str, str | int | float] = {
             "target": target.name,
@@ -451,7 +501,7 @@
             target.backoff = now + BACKOFF_SECONDS
         if end in (End.STUCK, End.LOST):
             task.avoid.add(target.name)
-        return [log]
+        return [log, *self._check_retries(now, job)]
 
     def _learn(self, now: float, job: JobRecord, task: TaskRecord, target: TargetRecord) -> None:
         """Learn from an end how long tasks take; one on a runner that is not well says nothing."""
@@ -472,7 +522,7 @@
             task.failures += 1
         if task.failures >= job.queue.max_attempts:
             return [self._answer(now, job, Failed("attempts"))]
-        return []
+        return self._check_retries(now, job)
 
     # Inside: placement.
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
@@ -77,6 +77,7 @@
             task.phase = TaskPhase.WAITING
             task.ran = True
             task.losses += 1
+            task.retries += 1
             fields: dict[str, str | int | float] = {
                 "index": run.task.index,
                 "target": target,
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -74,6 +74,8 @@
     failures: int = 0
     losses: int = 0
     """Runs of it that were lost with their runner or target, as far as this entry saw."""
+    retries: int = 0
+    """Runs of it that may have begun and did not end well, for whatever reason."""
     ran: bool = False
     """Whether an earlier run of it may have started."""
     avoid: set[str] = field(default_factory=set)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import final
 
+from paddleshunt_core.leased.wire import RunnerLost, RunnerReturned
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -13,7 +15,7 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """A task failed as often as the queue allows."""
+    """A task failed as often as the queue allows, takes its runners down, or is lost each time."""
 
     reason: str
 
@@ -39,6 +41,14 @@
     reason: str
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class HandOn:
+    """Tell the other entries what has just been learned here."""
+
+    news: RunnerLost | RunnerReturned
+
+
 JobOutcome = Completed | Failed | Refused | GivenUp
 
 
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -0,0 +1,84 @@
+"""How often a task is tried again after runs that may have begun, and when its job is given up.
+
+Each way back to waiting counts: a run that was lost, stood still, was stopped or failed on a sick
+runner. Without such a bound a task that can't end is tried for as long as its caller waits.
+"""
+
+from typing import final
+
+from paddleshunt_core.events import Log, note
+from paddleshunt_core.leased.jobs import JobRecord, TaskRecord
+from paddleshunt_core.leased.losses import LossBook
+from paddleshunt_core.leased.outcomes import Failed
+from paddleshunt_core.leased.wire import RunnerLost, RunnerReturned
+
+LOST_RUNNERS = 2
+"""Runners lost under a task after which its job is given up, whatever else ran on them.
+
+One more costs the neighbours on the third runner more than it spares sound jobs that were beside
+the cause twice: measured in docs/design/crashing-tasks.md.
+"""
+
+LOST_RUNS = 3
+"""Lost runs of a task after which its job is given up, if a runner was lost under one of them.
+
+The others may have ended with their target or its session, which tells no reason.
+"""
+
+MOST_RETRIES = 8
+"""Runs that may have begun without ending well, after which a task is not tried again.
+
+A task that is no fault of this meets a lost, a hanging and a slow runner in turn and has some left.
+"""
+
+CRASHES = "crashes"
+RETRIES = "retries"
+
+
+@final
+class Retries:
+    """What an entry goes by when it tries a task again, or gives its job up."""
+
+    def __init__(self) -> None:
+        self._losses = LossBook()
+
+    def known_losses(self, now: float) -> list[RunnerLost]:
+        """Return what is remembered of lost runners, to hand on."""
+        return self._losses.all(now)
+
+    def learn(self, now: float, news: RunnerLost | RunnerReturned, source: str) -> list[Log]:
+        """Follow a word on a lost runner; return the line about it, none if it was known."""
+        runner = news.loss.runner
+        if isinstance(news, RunnerReturned):
+            known = not self._losses.returned(news.loss)
+            return [] if known else [note("runner_return_learned", runner=runner, source=source)]
+        if not self._losses.learn(now, news):
+            return []
+        tasks = len(news.tasks)
+        return [note("runner_loss_learned", runner=runner, tasks=tasks, source=source)]
+
+    def outcome(self, job: JobRecord) -> Failed | None:
+        """Return how a job ends that is not to be tried again; None if it may be."""
+        for task in job.tasks:
+            reason = self._reason(task)
+            if reason:
+                return Failed(reason)
+        return None
+
+    def note_given_up(self, job: JobRecord, outcome: Failed) -> Log:
+        """Return the line that says for which task a job is given up, and what that cost."""
+        task = next(task for task in job.tasks if self._reason(task))
+        fields: dict[str, str | int | float] = {
+            "reason": outcome.reason,
+            "index": task.id.index,
+            "runners": ",".join(self._losses.runners(task.id)),
+            "retries": task.retries,
+        }
+        return note("job_given_up", job.request.key, **fields)
+
+    def _reason(self, task: TaskRecord) -> str:
+        """Return why a task is not to be tried again; empty if it may be."""
+        runners = len(self._losses.runners(task.id))
+        if runners >= LOST_RUNNERS or (runners and task.losses >= LOST_RUNS):
+            return CRASHES
+        return RETRIES if task.retries >= MOST_RETRIES else ""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -1,5 +1,6 @@
 """A target's control of its runner: which runs it orders, keeps alive, stops and gives up."""
 
+from dataclasses import replace
 from typing import final
 
 from paddleshunt_core.events import Log, note
@@ -27,15 +28,20 @@
 )
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.runnerlease import RunnerLease
+from paddleshunt_core.leased.runnerlosses import RunnerLosses
 from paddleshunt_core.leased.runnotes import (
     ended_note,
     lapsed_note,
     rejected_note,
-    runner_lost_note,
 )
 from paddleshunt_core.leased.runtable import Phase, Run, RunTable
 from paddleshunt_core.leased.stopping import stop, stop_again
-from paddleshunt_core.leased.wire import End, Health, RunId, RunnerState
+from paddleshunt_core.leased.wire import (
+    End,
+    Health,
+    RunId,
+    RunnerState,
+)
 
 LOOK_SHARE = 0.07
 """Part of the runner's lease that one look may wait for an end: 48 ms of the council's 0.69 s.
@@ -86,11 +92,10 @@
         self.clean = False
         """Whether this life of the runner was seen with nothing foreign at work."""
         self._ends: list[tuple[Run, End]] = []
+        self.losses = RunnerLosses()
         self._last_seen = 0
         self._lease = RunnerLease(times)
         self._failed_looks = 0
-        self._silent_since: float | None = None
-        """When a look had no answer for the first time since one had; None if the last one had."""
         self._waited = 0.0
         """Seconds that the last look may have waited at the runner."""
         self._met = float("-inf")
@@ -154,9 +159,9 @@
         self.lives.has_ended(runner)
         if self.account is None or self.account.runner != runner:
             return []
-        effects = self._runner_replaced(now, "")
-        self.account = None
-        return effects
+        # What still runs there ends with a runner that left as it said: none of it took it down.
+        self.account = replace(self.account, leaving=True)
+        return self._runner_replaced(now, "")
 
     def next_look(self, now: float, *, renew: bool) -> Look:
         """Return the look to send now; it counts as sent, and renews if an entry's session lives.
@@ -189,7 +194,7 @@
         if self._failed_looks >= UNREACHABLE_LOOKS:
             effects.append(note("runner_reachable"))
         self._failed_looks = 0
-        self._silent_since = None
+        self.losses.answered()
         for finished in answer.finished:
             effects += self._listed(now, finished)
         running = {row.run: row.percent for row in answer.running}
@@ -210,13 +215,12 @@
         if other_life:
             return self._runner_replaced(now, "")
         effects: list[Effect] = []
-        if self._silent_since is None:
-            self._silent_since = now
+        self.losses.unanswered(now)
         self._failed_looks += 1
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self.table)))
         if self._lease.has_killed(now) and len(self.table):
-            effects.append(self._runner_lost(now, "silent"))
+            effects.append(self.losses.given_up(now, self.account, self.table))
             for run in self.table:
                 effects.append(lapsed_note(run, self._lease.over_for(now)))
                 effects += self._ended(run, End.LOST, "lease_lapsed")
@@ -420,9 +424,7 @@
         """End all that an earlier life of the runner had: it died with it."""
         was = self.account.runner if self.account else ""
         effects: list[Effect] = [note("runner_replaced", was=was, now=runner)]
-        if len(self.table):
-            effects.append(self._runner_lost(now, "replaced"))
-        self._silent_since = None
+        effects += self.losses.replaced(now, self.account, self.table)
         for run in self.table:
             effects += self._ended(run, End.LOST, "runner_replaced")
         self.health = RunnerHealth()
@@ -434,12 +436,6 @@
             self.account = None
         return effects
 
-    def _runner_lost(self, now: float, how: str) -> Log:
-        """Return the line on all that was at work on the runner, which is lost."""
-        runner = self.account.runner if self.account else ""
-        silent_since = now if self._silent_since is None else self._silent_since
-        return runner_lost_note(runner, how, silent_since, self.table)
-
     def _ended(self, run: Run, end: End, reason: str) -> list[Effect]:
         self.table.drop(run)
         return [self._tell(run, end, reason)]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
@@ -16,8 +16,8 @@
     `how`: silent (no answer until its lease was over) or replaced (another life answers). Times are
     milliseconds from a run's start until the runner fell silent.
     """
-    worked = {str(run.id): max(0, round((silent_since - run.began) * 1000)) for run in runs}
-    named = ",".join(f"{run}:{worked_ms}" for run, worked_ms in list(worked.items())[:MOST_NAMED])
+    worked = [f"{run.id}:{max(0, round((silent_since - run.began) * 1000))}" for run in runs]
+    named = ",".join(worked[:MOST_NAMED])
     return note("runner_lost", runner=runner, how=how, runs=len(worked), worked_ms=named)
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -185,6 +185,32 @@
     evacuated: EvacuatedHalls
 
 
+@final
+class LossId(msgspec.Struct, frozen=True, array_like=True):
+    """A loss of a runner: its life, and since when it was silent by its target's steady clock."""
+
+    runner: str
+    silent_ms: int
+
+
+@final
+class RunnerLost(_Body, frozen=True, tag=13):
+    """A life of a runner that ended, or gave no answer until its lease was over, unannounced.
+
+    `tasks` were at work on it, each once.
+    """
+
+    loss: LossId
+    tasks: list[TaskId]
+
+
+@final
+class RunnerReturned(_Body, frozen=True, tag=14):
+    """A life of a runner that was taken for lost answers again."""
+
+    loss: LossId
+
+
 Body = (
     Assign
     | Stop
@@ -197,6 +223,8 @@
     | CatalogNews
     | CatalogVersion
     | EvacuationNews
+    | RunnerLost
+    | RunnerReturned
 )
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -12,6 +12,7 @@
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.evacuation import evacuation_note
 from paddleshunt_core.leased.incarnations import Claim
+from paddleshunt_core.leased.losses import LossBook
 from paddleshunt_core.leased.offers import Offers
 from paddleshunt_core.leased.orders import Look, LookAnswer, RunnerAccount, StartAnswer
 from paddleshunt_core.leased.resources import NOTHING, Resources
@@ -30,6 +31,7 @@
     Health,
     Hello,
     RunId,
+    RunnerLost,
     RunnerReport,
     RunnerState,
     Stop,
@@ -78,6 +80,8 @@
         self._control = RunnerControl(times, hall)
         self._links: dict[str, _EntryLink] = {}
         self._offers = Offers()
+        self._losses = LossBook()
+        """What this target saw of its own runner, for entries that it meets later."""
         self._pauses = StandStill(STILL_HEARTBEATS * times.heartbeat)
 
     # What others ask about this target.
@@ -132,7 +136,7 @@
 
     def opened(self, now: float, hello: Hello, said: float) -> list[Effect]:
         """Take an entry's answer to the greeting that was sent at `said`."""
-        self._collect()
+        self._collect(now)
         link = self._links.setdefault(hello.name, _EntryLink())
         link.report_due = True
         session = link.session
@@ -143,6 +147,8 @@
         link.life = hello.life
         link.retired = None
         link.session = Session(hello.session, int(said * 1000))
+        for loss in self._losses.all(now):
+            link.session.send(loss)
         fields: dict[str, str | int | float] = {"entry": hello.name, "session": hello.session}
         return [*effects, note("session_opened", **fields)]
 
@@ -246,7 +252,7 @@
 
     def prepare_frames(self, now: float) -> float | None:
         """Put ends and reports that are due into the sessions; return when the next is due."""
-        self._collect()
+        self._collect(now)
         next_due: float | None = None
         plenty = self._has_plenty()
         free = self._control.offered(now)
@@ -304,7 +310,7 @@
     def _end_session(self, now: float, entry: str, reason: str) -> list[Effect]:
         link = self._links[entry]
         over = now + min(0.0, self.session_left(now, entry))
-        self._collect()
+        self._collect(now)
         link.session = None
         link.ends = []
         self._offers.drop(entry)
@@ -370,8 +376,16 @@
             labels=account.labels if account else (),
         )
 
-    def _collect(self) -> None:
-        """Give each entry the ends of its runs."""
+    def _collect(self, now: float) -> None:
+        """Give each entry the ends of its runs, and all entries word of a lost runner before."""
+        for news in self._control.losses.take_news():
+            if isinstance(news, RunnerLost):
+                self._losses.learn(now, news)
+            else:
+                self._losses.returned(news.loss)
+            for known in self._links.values():
+                if known.session is not None:
+                    known.session.send(news)
         for run, end in self._control.take_ends():
             link = self._links.get(run.entry)
             if link is not None and link.session is not None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -16,6 +16,8 @@
     EvacuationNews,
     Frame,
     Hello,
+    RunnerLost,
+    RunnerReturned,
 )
 
 from paddleshunt_node.aio.dialer import Dialer
@@ -48,6 +50,12 @@
     def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
         """Take the evacuated halls that another entry knows."""
 
+    def known_losses(self) -> list[RunnerLost]:
+        """Return what is remembered of lost runners."""
+
+    def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
+        """Take another entry's word on a lost runner."""
+
     def found(self, entry: EntryAddress) -> None:
         """Take note of an entry that is new, or has moved."""
 
@@ -112,6 +120,10 @@
         """Tell all which halls are evacuated."""
         self._send_all(EvacuationNews(evacuated))
 
+    def tell_loss(self, news: RunnerLost | RunnerReturned) -> None:
+        """Hand a word on a lost runner on to all."""
+        self._send_all(news)
+
     async def dial_for_ever(self) -> None:
         """Keep a connection to each entry until cancelled."""
         await self._dialer.run()
@@ -158,9 +170,9 @@
     # Connections that this entry has made.
 
     def opened(self, link: PeerLink) -> None:
-        """Greet an entry that was dialled, and tell it all others."""
+        """Greet an entry that was dialled, and tell it all others and which runners were lost."""
         link.send(self._greeting)
-        link.send(_loose(Entries(self.live())))
+        link.send(_loose(Entries(self.live()), *self._owner.known_losses()))
 
     def greeted(self, link: PeerLink, hello: Hello) -> None:
         """Take the greeting of an entry that was dialled."""
@@ -169,25 +181,30 @@
     def heard(self, link: PeerLink, frame: Frame) -> None:
         """Take what another entry says, over whichever connection."""
         for body in frame.bodies:
-            match body:
-                case Entries():
-                    for entry in body.entries:
-                        self.met(entry)
-                case EvacuationNews():
-                    if self._owner.evacuations.outdates(body.evacuated):
-                        link.send(_loose(EvacuationNews(self._owner.evacuations.known)))
-                    self._owner.learn(body.evacuated, link.peer)
-                case CatalogNews():
-                    self._owner.adopt(body.catalog, link.peer)
-                case CatalogVersion():
-                    if body.version < self._owner.catalog.version:
-                        link.send(_loose(CatalogNews(self._owner.catalog)))
-                case _:
-                    pass
+            self._take(link, body)
         known = self._known.get(link.peer)
         if known is not None:
             self._known[link.peer] = (known[0], monotonic())
 
+    def _take(self, link: PeerLink, body: Body) -> None:
+        match body:
+            case Entries():
+                for entry in body.entries:
+                    self.met(entry)
+            case EvacuationNews():
+                if self._owner.evacuations.outdates(body.evacuated):
+                    link.send(_loose(EvacuationNews(self._owner.evacuations.known)))
+                self._owner.learn(body.evacuated, link.peer)
+            case RunnerLost() | RunnerReturned():
+                self._owner.told_loss(body, link.peer)
+            case CatalogNews():
+                self._owner.adopt(body.catalog, link.peer)
+            case CatalogVersion():
+                if body.version < self._owner.catalog.version:
+                    link.send(_loose(CatalogNews(self._owner.catalog)))
+            case _:
+                pass
+
     def closed(self, link: PeerLink) -> None:
         """Make another connection."""
         self._dialer.lost(link)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -12,9 +12,17 @@
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
-from paddleshunt_core.leased.outcomes import AnswerJob, Completed
+from paddleshunt_core.leased.outcomes import AnswerJob, Completed, HandOn
 from paddleshunt_core.leased.session import Session
-from paddleshunt_core.leased.wire import Entries, EntryAddress, EntryChanges, Frame, Hello
+from paddleshunt_core.leased.wire import (
+    Entries,
+    EntryAddress,
+    EntryChanges,
+    Frame,
+    Hello,
+    RunnerLost,
+    RunnerReturned,
+)
 
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
@@ -208,6 +216,8 @@
             if isinstance(effect, Log):
                 self._around.log(effect)
                 self._around.measures.event(effect.event)
+            elif isinstance(effect, HandOn):
+                self._peers.tell_loss(effect.news)
             else:
                 self._answer(effect)
         if flush:
@@ -293,6 +303,14 @@
         """Dial an entry that was heard of."""
         self._peers.met(entry)
 
+    def known_losses(self) -> list[RunnerLost]:
+        """Return what is remembered of lost runners."""
+        return self._dispatcher.known_losses(self._now())
+
+    def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
+        """Take another entry's word on a lost runner."""
+        self._act(self._dispatcher.told_loss(self._now(), news, source))
+
     # The operator's word.
 
     @property
--- a/testing/cli/test_explain.py
+++ b/testing/cli/test_explain.py
@@ -21,8 +21,9 @@
         ("refused.log", "5d319e9a4e82dd8c", "refused: nothing of it has run"),
         ("entry-lost.log", "89768747958c8a53", "its entry was lost"),
         ("sick-runner.log", "ebcea14ac1581af3", "delayed by failed runs"),
+        ("crashing.log", "ffc7e705080eae43", "failed: runners were lost again and again"),
     ],
-    ids=["refused", "entry-lost", "sick-runner"],
+    ids=["refused", "entry-lost", "sick-runner", "crashing"],
 )
 def test_cause_is_found_from_the_id(file: str, key: str, cause: str) -> None:
     result = CliRunner().invoke(main, ["explain", key, str(DATA / file)])
@@ -40,7 +41,7 @@
 
 
 def test_page_has_a_command_for_each_kind() -> None:
-    assert len(COMMANDS) == 3
+    assert len(COMMANDS) == 4
 
 
 def test_an_unknown_key_is_an_error() -> None:
--- a/testing/core/leased/test_crashes.py
+++ b/testing/core/leased/test_crashes.py
@@ -1,7 +1,13 @@
 """Tasks that crash each runner that starts them: how often one is tried, at what cost to others."""
 
+from collections.abc import Callable
+
+import pytest
 from leasedfleet import Fleet
-from paddleshunt_core.leased.outcomes import Failed
+from paddleshunt_core.leased.outcomes import Completed, Failed
+from paddleshunt_core.leased.wire import TaskId
+
+BAD = TaskId("bad", 0, 0)
 
 
 def test_a_task_that_crashes_its_runners_is_given_up_and_its_job_failed() -> None:
@@ -20,3 +26,106 @@
         fleet.run(0.9)
         fleet.kill(entry)
         fleet.run(1.3)
+
+
+def test_a_crashing_task_takes_no_more_than_two_runners_down() -> None:
+    fleet = Fleet(entries=2, targets=8)
+    fleet.settle()
+    bad = fleet.submit_crashing("e0", "bad", count=1, deadline=6.0)
+    fleet.run(6.5)
+    assert fleet.crashes.crashed[BAD] == 2
+    assert fleet.answers[bad] == Failed("crashes")
+
+
+def test_a_job_that_shared_one_runner_with_a_crashing_one_completes() -> None:
+    fleet = Fleet(entries=2, targets=8)
+    fleet.settle()
+    sound = [fleet.submit("e0", f"sound{n}", count=8, length=0.3) for n in range(2)]
+    bad = fleet.submit_crashing("e1", "bad", count=1, deadline=6.0)
+    fleet.run(6.5)
+    assert fleet.answers[bad] == Failed("crashes")
+    assert [fleet.answers[caller] for caller in sound] == [Completed(), Completed()]
+    assert fleet.ends("runner_lost")
+
+
+def test_a_job_known_to_crash_runners_is_answered_before_its_first_start() -> None:
+    fleet = Fleet(entries=3, targets=8)
+    fleet.settle()
+    fleet.submit_crashing("e0", "bad", count=1, deadline=6.0)
+    fleet.run(2.5)
+    again = fleet.submit_crashing("e1", "bad", count=1)
+    assert fleet.answers[again] == Failed("crashes")
+    assert fleet.crashes.crashed[BAD] == 2
+
+
+def test_an_entry_that_starts_after_the_crashes_learns_of_them_from_the_targets() -> None:
+    fleet = Fleet(entries=2, targets=8)
+    fleet.settle()
+    fleet.submit_crashing("e0", "bad", count=1, deadline=6.0)
+    fleet.run(2.5)
+    for entry in ("e0", "e1"):
+        fleet.kill(entry)
+        fleet.start(entry)
+    fleet.settle()
+    again = fleet.submit_crashing("e1", "bad", count=1)
+    assert fleet.answers[again] == Failed("crashes")
+
+
+def test_a_crash_behind_a_cut_counts_as_soon_as_it_is_told() -> None:
+    """The job has gone on elsewhere meanwhile, and its second runner is the second loss."""
+    fleet = Fleet(entries=1, targets=6)
+    fleet.settle()
+    caller = fleet.submit_crashing("e0", "bad", after=0.3, count=1, length=0.6, deadline=6.0)
+    fleet.run(0.1)
+    (first,) = [name for name, runner in fleet.runners.items() if runner.running]
+    fleet.cut(first, "e0")
+    fleet.cut("e0", first)
+    fleet.run(3.0)
+    fleet.heal()
+    fleet.run(3.0)
+    assert fleet.answers[caller] == Failed("crashes")
+    assert fleet.crashes.crashed[BAD] <= 3
+
+
+def silent(fleet: Fleet, name: str) -> None:
+    fleet.runners[name].mute = True
+
+
+def cut_off(fleet: Fleet, name: str) -> None:
+    fleet.cut(name, "e0")
+    fleet.cut("e0", name)
+
+
+@pytest.mark.parametrize("lose", [silent, cut_off])
+def test_a_job_whose_runners_are_only_silent_for_a_while_completes(
+    lose: Callable[[Fleet, str], None],
+) -> None:
+    """Two in turn: the first answers again before the second falls silent."""
+    fleet = Fleet(entries=1, targets=4)
+    fleet.settle()
+    caller = fleet.submit("e0", "job", count=1, length=1.0, deadline=9.0)
+    for _ in range(2):
+        fleet.run(0.3)
+        (name,) = [name for name, runner in fleet.runners.items() if runner.running]
+        lose(fleet, name)
+        fleet.run(1.3)
+        fleet.runners[name].mute = False
+        fleet.heal()
+        fleet.run(0.05)
+    fleet.run(2.0)
+    assert fleet.answers[caller] == Completed()
+
+
+def test_runners_that_leave_as_they_said_count_for_nothing() -> None:
+    fleet = Fleet(entries=1, targets=4)
+    fleet.settle()
+    caller = fleet.submit("e0", "job", count=1, length=2.0, deadline=9.0)
+    for _ in range(2):
+        fleet.run(0.3)
+        (name,) = [name for name, runner in fleet.runners.items() if runner.running]
+        runner = fleet.runners[name]
+        life = f"{name}-{runner.life}"
+        runner.crash()
+        fleet.workers[name].runner_left(fleet.now, life)
+    fleet.run(3.0)
+    assert fleet.answers[caller] == Completed()
--- /dev/null
+++ b/testing/core/leased/test_losses.py
@@ -0,0 +1,61 @@
+"""What is remembered of lost runners: within bounds, and undone when one answers again."""
+
+import pytest
+from paddleshunt_core.leased.losses import KEEP_SECONDS, MOST_REMEMBERED, LossBook
+from paddleshunt_core.leased.wire import LossId, RunnerLost, TaskId
+
+TASK = TaskId("job", 0, 0)
+OTHER = TaskId("other", 0, 3)
+
+
+def lost(runner: str, *tasks: TaskId, silent_ms: int = 1000) -> RunnerLost:
+    return RunnerLost(LossId(runner, silent_ms), list(tasks))
+
+
+@pytest.fixture
+def book() -> LossBook:
+    book = LossBook()
+    assert book.learn(1.0, lost("i-1", TASK, OTHER))
+    return book
+
+
+def test_the_runners_lost_under_a_task_are_named(book: LossBook) -> None:
+    book.learn(2.0, lost("i-2", TASK))
+    assert book.runners(TASK) == ["i-1", "i-2"]
+    assert book.runners(OTHER) == ["i-1"]
+    assert book.runners(TaskId("job", 0, 1)) == []
+
+
+def test_a_loss_that_is_told_again_counts_once(book: LossBook) -> None:
+    assert not book.learn(1.1, lost("i-1", TASK, OTHER))
+    assert book.runners(TASK) == ["i-1"]
+
+
+@pytest.mark.parametrize("told_first", ["loss", "return"])
+def test_a_runner_that_answers_again_counts_for_nothing(told_first: str) -> None:
+    book = LossBook()
+    if told_first == "loss":
+        book.learn(1.0, lost("i-1", TASK))
+    assert book.returned(LossId("i-1", 1000))
+    assert not book.learn(1.2, lost("i-1", TASK))
+    assert book.runners(TASK) == []
+    assert not book.returned(LossId("i-1", 1000))
+
+
+def test_a_runner_that_answered_again_may_be_lost_later(book: LossBook) -> None:
+    book.returned(LossId("i-1", 1000))
+    assert book.learn(3.0, lost("i-1", TASK, silent_ms=3000))
+    assert book.runners(TASK) == ["i-1"]
+
+
+def test_a_loss_is_forgotten_after_a_while(book: LossBook) -> None:
+    book.learn(2.0, lost("i-2", TASK))
+    assert book.all(1.0 + KEEP_SECONDS) == [lost("i-2", TASK)]
+    assert book.runners(TASK) == ["i-2"]
+
+
+def test_no_more_than_a_bound_is_remembered(book: LossBook) -> None:
+    for number in range(MOST_REMEMBERED):
+        book.learn(2.0, lost(f"j-{number}", TaskId(f"job{number}", 0, 0)))
+    assert len(book.all(2.0)) == MOST_REMEMBERED
+    assert book.runners(TASK) == []
--- a/testing/core/leased/test_soak.py
+++ b/testing/core/leased/test_soak.py
@@ -97,6 +97,7 @@
                 self.delay_orders,
                 self.lose_answers,
                 self.retire,
+                self.hand_in_crashing,
             ]
         )
         fault()
@@ -153,6 +154,14 @@
         setattr(runner, field, value)
         self.until(lambda: setattr(runner, field, normal))
 
+    def hand_in_crashing(self) -> None:
+        """Hand in jobs of which a task crashes each runner that starts it."""
+        for _ in range(self.rng.randint(1, 2)):
+            key = f"bad{self.keys}"
+            self.keys += 1
+            self.fleet.crashes.after[TaskId(key, 0, 0)] = self.rng.choice([0.01, 0.08, 0.3])
+            self.submit(key)
+
     def retire(self) -> None:
         """Let a target prefer other entries for a moment."""
         name = self.rng.choice([*self.fleet.targets])
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -116,8 +116,11 @@
         self._back_at = now + AWAY_SECONDS
 
     def _die(self, now: float) -> None:
+        """End all that runs; nobody hears of it, not even those that wait for an answer."""
         for run in list(self.running.values()):
             self._end(run, "died", now)
+        self._waiting.clear()
+        self._finished.clear()
         self.up = False
 
     def restart(self) -> None:
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -21,7 +21,7 @@
     StartRun,
     StopRun,
 )
-from paddleshunt_core.leased.outcomes import JobOutcome
+from paddleshunt_core.leased.outcomes import HandOn, JobOutcome
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import Frame, Hello, TaskId
 from paddleshunt_core.leased.worker import Worker
@@ -353,9 +353,17 @@
             if isinstance(effect, AnswerJob):
                 self.answers[effect.caller] = effect.outcome
                 self.answered_at[effect.caller] = self.now
+            elif isinstance(effect, HandOn):
+                self._hand_on(name, effect)
             else:
                 self._note(effect)
 
+    def _hand_on(self, name: str, effect: HandOn) -> None:
+        for other, node in self.entries.items():
+            if other != name and node.moves:
+                dispatcher = self.dispatchers[other]
+                self._act_entry(other, dispatcher.told_loss(self.now, effect.news, name))
+
     def _note(self, log: object) -> None:
         self.events.append((self.now, log.event, log.submission))  # type: ignore[attr-defined]
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -13,6 +13,7 @@
 from time import monotonic
 
 from deployment import HALLS, Deployment, Process
+from soakcallers import Callers
 
 MEAN_GAP = 0.35
 """Mean seconds between two faults."""
@@ -43,6 +44,18 @@
 EVACUATE = "evacuate"
 """The operator evacuates a hall and takes it back: drawn apart as well."""
 
+CRASHING = "crashing_jobs"
+"""Jobs come of which a task crashes each runner that starts it: drawn apart as well."""
+
+CRASHING_GAP = 5.0
+"""Mean seconds between two such moments."""
+
+MOST_CRASHING = 3
+"""Jobs of that kind that come at once."""
+
+LATEST_CRASH = 0.35
+"""Seconds of work after which such a task takes its runner down, at most."""
+
 EVACUATION_GAP = 5.0
 """Mean seconds between two evacuations."""
 
@@ -78,6 +91,8 @@
     faults += _drawn_apart(f"lost stops {seed}", seconds, *stops)
     evacuations = (EVACUATE, EVACUATION_GAP, (0.1, EVACUATION_LONGEST))
     faults += _drawn_apart(f"evacuations {seed}", seconds, *evacuations)
+    crashing = (CRASHING, CRASHING_GAP, (0.1, LONGEST))
+    faults += _drawn_apart(f"crashing jobs {seed}", seconds, *crashing)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -97,8 +112,9 @@
 class Injector:
     """Carries out a schedule on a deployment."""
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, deployment: Deployment, callers: Callers) -> None:
         self._deployment = deployment
+        self._callers = callers
         self._tasks: set[asyncio.Task[None]] = set()
         self.counts: dict[str, int] = {}
 
@@ -120,11 +136,19 @@
             await self._trouble_store(fault)
         elif fault.kind == CONFIGURE:
             self._deployment.configure()
+        elif fault.kind == CRASHING:
+            self._hand_in_crashing(fault)
         elif fault.kind == EVACUATE:
             await self._evacuate(fault)
         else:
             await self._trouble_process(fault)
 
+    def _hand_in_crashing(self, fault: Fault) -> None:
+        jobs = 1 + int(fault.whom * MOST_CRASHING)
+        for number in range(jobs):
+            after = LATEST_CRASH * fault.seconds / LONGEST / (number + 1)
+            self._callers.submit(2, 0.4, leaves=False, crashes_after=after)
+
     async def _evacuate(self, fault: Fault) -> None:
         hall = HALLS[int(fault.whom * len(HALLS))]
         if self._deployment.evacuate(hall):
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -77,18 +77,22 @@
     """Play one seed."""
     record = Record()
     deployment = Deployment(folder, record, Random(f"deployment {seed}"))
-    injector = Injector(deployment)
     # Every other seed has runners that start whatever they are told.
     async with deployed(deployment, size.entries, size.targets, guards=seed % 2 == 0):
         callers = Callers(deployment, record, Random(f"callers {seed}"))
         callers.rate = size.rate
+        # These draw for themselves, so that the other callers of a seed do as they always did.
+        crashing = Callers(deployment, record, Random(f"crashing {seed}"))
+        injector = Injector(deployment, crashing)
         handing_in = asyncio.ensure_future(callers.run())
         watching = asyncio.ensure_future(deployment.watch_versions())
         await injector.run(schedule(seed, size.seconds))
         handing_in.cancel()
         await _recover(deployment, callers, record)
         watching.cancel()
+        await crashing.finish()
         await callers.leave()
+        await crashing.leave()
     violations = record.finish()
     return Result(seed, violations, record.outcomes(), record.starts, injector.counts)
 
