Hold orders back that a runner has shrunk under; let fleets and soaks have runners that shrink

By reading, the target goes by the runner's newest account already; what failed first is the last gate: four orders that left together were all sent although the runner had shrunk by half before. An order that has not left is held back while more is counted than the runner has.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -33,6 +33,7 @@
     ended_note,
     lapsed_note,
     rejected_note,
+    resized_note,
 )
 from paddleshunt_core.leased.runtable import Phase, Run, RunTable
 from paddleshunt_core.leased.stopping import stop, stop_again
@@ -150,6 +151,8 @@
             self._met = now
         self.account = account
         self.lives.follow(account)
+        if known is not None and known.capacity != account.capacity:
+            effects.append(resized_note(account, known.capacity))
         if account.leaving and not (known and known.leaving):
             effects.append(note("runner_leaving", runner=account.runner))
         return effects
@@ -273,7 +276,14 @@
         """Whether an order to start that is about to leave is still wanted and allowed."""
         run = self.table.get(id_)
         wanted = run is not None and run.phase is Phase.STARTING
-        return wanted and self.state() is RunnerState.READY
+        return wanted and self.state() is RunnerState.READY and not self._is_overfilled()
+
+    def _is_overfilled(self) -> bool:
+        """Whether more is counted on the runner than it has: it has shrunk since that was ordered.
+
+        What runs goes on; an order that has not left yet is held back.
+        """
+        return self.account is None or not self.table.used.fits(self.account.capacity)
 
     def free(self) -> Resources:
         """Return the room on the runner."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 
 from paddleshunt_core.events import Log, note
+from paddleshunt_core.leased.orders import RunnerAccount
+from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.runtable import Run
 from paddleshunt_core.leased.wire import End
 
@@ -44,6 +46,21 @@
     return note("run_lapsed", str(run.id.task), **fields)
 
 
+def resized_note(account: RunnerAccount, before: Resources) -> Log:
+    """Return the line that says what a runner that goes on running has now, and had before."""
+    now = account.capacity
+    fields: dict[str, str | int | float] = {
+        "runner": account.runner,
+        "processor": now.processor,
+        "processor_before": before.processor,
+        "memory": now.memory,
+        "memory_before": before.memory,
+        "accelerators": now.accelerators,
+        "accelerators_before": before.accelerators,
+    }
+    return note("runner_resized", **fields)
+
+
 def rejected_note(run: Run, used: int) -> Log:
     """Return the line that says that the runner had no room, and what was thought to be `used`."""
     fields: dict[str, str | int | float] = {"used": used, "run": run.id.number}
--- a/testing/core/leased/test_soak.py
+++ b/testing/core/leased/test_soak.py
@@ -10,9 +10,10 @@
 from random import Random
 
 import pytest
-from leasedfleet import Fleet
+from leasedfleet import CAPACITY, Fleet
 from paddleshunt_core.leased.bounds import Bounds
 from paddleshunt_core.leased.outcomes import Completed, GivenUp, Refused
+from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import TaskId
 
 SEEDS = int(os.environ.get("PADDLESHUNT_SOAK", "3"))
@@ -31,6 +32,8 @@
         self.rng = Random(seed)
         self.resend = bounds.resend
         self.fleet = Fleet(entries=4, targets=6, bounds=bounds)
+        for runner in list(self.fleet.runners.values())[::2]:
+            runner.guards = False
         self.ends: list[tuple[float, Callable[[], None]]] = []
         self.callers: dict[int, tuple[str, str]] = {}
         """The key of each caller's job, and the entry it waits at."""
@@ -98,6 +101,7 @@
                 self.lose_answers,
                 self.retire,
                 self.hand_in_crashing,
+                self.shrink,
             ]
         )
         fault()
@@ -162,6 +166,12 @@
             self.fleet.crashes.after[TaskId(key, 0, 0)] = self.rng.choice([0.01, 0.08, 0.3])
             self.submit(key)
 
+    def shrink(self) -> None:
+        """Let a runner shrink, also to nothing, and grow again."""
+        runner = self.rng.choice([*self.fleet.runners.values()])
+        runner.resize(self.fleet.now, Resources(self.rng.choice([0, 2000, 5000]), 8000))
+        self.until(lambda: runner.resize(self.fleet.now, CAPACITY))
+
     def retire(self) -> None:
         """Let a target prefer other entries for a moment."""
         name = self.rng.choice([*self.fleet.targets])
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -14,6 +14,9 @@
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.wire import RunId, TaskId
 
+SHRUNK_SECONDS = 0.4
+"""Seconds until a room that has shrunk counts: a heartbeat of the fleet, and a little."""
+
 
 @dataclass
 class RunnerTask:
@@ -57,6 +60,12 @@
         self, capacity: Resources, lengths: dict[str, float], crashes: Crashes | None = None
     ) -> None:
         self.capacity = capacity
+        self.guards = True
+        """Whether it rejects what doesn't fit; otherwise it starts whatever it is told."""
+        self.overfilled: list[tuple[float, RunId]] = []
+        """Starts that brought it over its capacity."""
+        self._before: tuple[float, Resources] = (float("-inf"), capacity)
+        """When the capacity changed last, and what it was before."""
         self.lengths = lengths
         self.crashes = crashes or Crashes()
         self.crashed_at: float | None = None
@@ -75,6 +84,16 @@
         self.rejected = 0
         self.clear()
 
+    def resize(self, now: float, capacity: Resources) -> None:
+        """Change the capacity while it runs."""
+        self._before = (now, self.capacity)
+        self.capacity = capacity
+
+    def _counts(self, now: float) -> Resources:
+        """Return the capacity that a start is judged by: one that has shrunk counts later."""
+        changed, before = self._before
+        return before if now < changed + SHRUNK_SECONDS else self.capacity
+
     def clear(self) -> None:
         self.running: dict[RunId, RunnerTask] = {}
         self.finished: list[FinishedRun] = []
@@ -125,9 +144,13 @@
         if any(other.task == run.task and other.number >= run.number for other in self.ended):
             return StartAnswer.STALE
         need = self.needs[run]
-        if not need.fits(self.capacity - self.used):
+        if self.guards and not need.fits(self.capacity - self.used):
             self.rejected += 1
             return StartAnswer.NO_ROOM
+        if not need.fits(self.capacity - self.used) and not need.fits(
+            self._counts(now) - self.used
+        ):
+            self.overfilled.append((now, run))
         self.starts[run.task] += 1
         self.crashes.started(run.task)
         self.running[run] = RunnerTask(need, self.lengths[run.task.job])
