Decide by a clock that counts suspensions, in one place

A host that is suspended wakes with a steady clock that did not move: by reading, an entry would have gone on with jobs whose callers had handed them in elsewhere, and a target with sessions that were over. What must not be taken for longer than the runner's clock may have run, its estimated clock and the end of its lease, leaves the suspension out.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -134,6 +134,13 @@
             effects.append(note("runner_health", health=level.name.lower(), speed=speed))
         return effects
 
+    def runner_stood_still(self, seconds: float) -> None:
+        """Note that the runner's clock and work may have stood still, as its host was suspended."""
+        self._lease.stood_still(seconds)
+        for run in self.table:
+            run.moved += seconds
+            run.seen += seconds
+
     def leave(self) -> None:
         """Start nothing more."""
         self.leaving = True
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlease.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlease.py
@@ -40,6 +40,13 @@
         """Note that an order brings the runner a lease until `end`."""
         self._end = max(self._end, end)
 
+    def stood_still(self, seconds: float) -> None:
+        """Note that the runner's clock may not have moved for so long, as its host was suspended.
+
+        A lease that has just been granted is unaffected by it; that it counts as longer is safe.
+        """
+        self._end += seconds
+
     def over_for(self, now: float) -> float:
         """Return for how many seconds the lease has been over; negative if it is not."""
         return now - self._end
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -225,6 +225,16 @@
 
     # Time.
 
+    def suspended(self, seconds: float) -> list[Effect]:
+        """Note that the host was suspended: the runner beside it may have been as well.
+
+        What was decided before is judged by the time that has passed. Only the runner's lease may
+        not have run down meanwhile, so nothing on it is taken for killed any sooner, and that its
+        runs did not get on meanwhile is no fault of it.
+        """
+        self._control.runner_stood_still(seconds)
+        return [note("host_suspended", seconds=round(seconds, 3), runs=self.runs)]
+
     def tick(self, now: float) -> list[Effect]:
         """Act on the passing of time."""
         effects = self._notice_pause(now)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
-from time import monotonic
 from typing import final
 
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.framing import PeerHandler, PeerLink
 from paddleshunt_node.aio.sockets import split_address
 
@@ -78,13 +78,13 @@
         with nothing else.
         """
         address = self.address_of(link)
-        if address and monotonic() > link.made + RETRY_SECONDS:
+        if address and clock.now() > link.made + RETRY_SECONDS:
             self._try(address)
 
     async def run(self) -> None:
         """Try addresses until cancelled."""
         while True:
-            now = monotonic()
+            now = clock.now()
             for address in [a for a, at in self._wanted.items() if at < now - FORGET_SECONDS]:
                 if address not in self._links:
                     del self._wanted[address]
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -1,7 +1,6 @@
 """What an entry knows of the other entries, and says to them: who lives, the operator's word."""
 
 import asyncio
-from time import monotonic
 from typing import Protocol, final
 
 from paddleshunt_core.leased.catalog import Catalog
@@ -20,6 +19,7 @@
     RunnerReturned,
 )
 
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 
@@ -90,7 +90,7 @@
 
     def live(self) -> list[EntryAddress]:
         """Return the entries that were heard lately, and this one."""
-        now = monotonic()
+        now = clock.now()
         live = [entry for entry, at in self._known.values() if now < at + ENTRY_FRESH]
         return sorted([*live, self._own])
 
@@ -100,12 +100,12 @@
 
     def met(self, entry: EntryAddress) -> None:
         """Dial an entry that was heard of."""
-        self._dialer.want(monotonic(), entry.address)
+        self._dialer.want(clock.now(), entry.address)
 
     def note(self, entry: EntryAddress) -> None:
         """Take an entry's greeting."""
         known = self._known.get(entry.name)
-        self._known[entry.name] = (entry, monotonic())
+        self._known[entry.name] = (entry, clock.now())
         self.met(entry)
         if known is None or known[0] != entry:
             self._owner.found(entry)
@@ -184,7 +184,7 @@
             self._take(link, body)
         known = self._known.get(link.peer)
         if known is not None:
-            self._known[link.peer] = (known[0], monotonic())
+            self._known[link.peer] = (known[0], clock.now())
 
     def _take(self, link: PeerLink, body: Body) -> None:
         match body:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -4,7 +4,6 @@
 import os
 from dataclasses import dataclass
 from random import Random
-from time import monotonic
 from typing import final
 
 from paddleshunt_core.events import Log
@@ -24,6 +23,7 @@
     RunnerReturned,
 )
 
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
@@ -174,7 +174,7 @@
         return max(ages, default=0.0)
 
     def _now(self) -> float:
-        return monotonic()
+        return clock.now()
 
     # Callers.
 
@@ -342,14 +342,14 @@
     # Time and sending.
 
     async def _tick_for_ever(self) -> None:
-        loop = asyncio.get_running_loop()
-        due = loop.time()
+        due = self._now()
         while True:
-            self._act(self._dispatcher.tick(loop.time()))
+            self._act(self._dispatcher.tick(self._now()))
             self._flush()
             self._close_silent()
-            due = max(due + self._times.check, loop.time())
-            await asyncio.sleep(due - loop.time())
+            now = self._now()
+            due = max(due + self._times.check, now)
+            await asyncio.sleep(due - now)
 
     def _close_silent(self) -> None:
         """Break off half-open connections: a new one works sooner."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
@@ -1,12 +1,12 @@
 """Connections between processes: msgspec messages, each behind its length, over TCP."""
 
 import asyncio
-from time import monotonic
 from typing import Protocol, final
 
 import msgspec
 from paddleshunt_core.leased.wire import Frame, Hello
 
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.reading import ReadingProtocol
 from paddleshunt_node.aio.sockets import prepare
 
@@ -45,7 +45,7 @@
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self.peer = ""
-        self.made = monotonic()
+        self.made = clock.now()
         """When it was dialled or taken."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/httpclient.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/httpclient.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.httptext import request_head
 from paddleshunt_node.aio.reading import ReadingProtocol
 from paddleshunt_node.aio.sockets import prepare, split_address
@@ -91,7 +92,7 @@
                 *headers,
             ],
         )
-        began = asyncio.get_running_loop().time()
+        began = clock.now()
         try:
             answer = await connection.exchange(head, body, timeout)
         except (TimeoutError, OSError) as error:
@@ -141,7 +142,7 @@
         self._waiting: asyncio.Future[Answer] | None = None
         self._headers: dict[str, str] = {}
         self._body = bytearray()
-        self.answered = loop.time()
+        self.answered = clock.now()
         """When it last brought an answer, or was made."""
 
     @property
@@ -192,7 +193,7 @@
             self._break_off(OSError("answer too long"))
 
     def on_message_complete(self) -> None:
-        self.answered = self._loop.time()
+        self.answered = clock.now()
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -3,12 +3,12 @@
 import asyncio
 import signal
 from collections.abc import Callable, Coroutine
-from time import monotonic
 from typing import Any, final
 
 import msgspec
 from paddleshunt_core.events import Log
 
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
 from paddleshunt_node.aio.logline import LogLines
 from paddleshunt_node.aio.measures import Measures
@@ -63,11 +63,11 @@
 
     def log(self, log: Log) -> None:
         """Write one event's line."""
-        self.lines.write(monotonic(), log)
+        self.lines.write(clock.now(), log)
 
     def event(self, name: str, /, **fields: str | int | float) -> None:
         """Write one event's line."""
-        self.lines.event(monotonic(), name, **fields)
+        self.lines.event(clock.now(), name, **fields)
 
     def cancel(self) -> None:
         """End all tasks."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 from dataclasses import dataclass
-from time import monotonic
 from typing import final
 
 from paddleshunt_core.events import Log
@@ -15,6 +14,7 @@
 from paddleshunt_core.leased.wire import Entries, EntryAddress, EntryChanges, Frame, Hello
 from paddleshunt_core.leased.worker import Worker
 
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
@@ -86,6 +86,7 @@
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
         self._worker = Worker(self._times, config.hall)
+        self._suspensions = clock.Suspensions()
         self._links: dict[str, PeerLink] = {}
         self._names: dict[str, str] = {}
         """Entries by the address at which they were met."""
@@ -103,6 +104,8 @@
         self._looked = False
         self._flushing = False
         self._report_timer: asyncio.TimerHandle | None = None
+        self._report_due = 0.0
+        """When the timer goes off."""
 
     # The process.
 
@@ -156,7 +159,10 @@
         measures.gauge("paddleshunt_sessions", "Entries in session.", lambda: len(self._links))
 
     def _now(self) -> float:
-        return monotonic()
+        now, suspended = self._suspensions.read()
+        if suspended:
+            self._act(self._worker.suspended(suspended))
+        return now
 
     # The runner.
 
@@ -380,17 +386,17 @@
     # Time and sending.
 
     async def _tick_for_ever(self) -> None:
-        loop = asyncio.get_running_loop()
-        due = loop.time()
+        due = self._now()
         while True:
-            now = loop.time()
+            now = self._now()
             self._act(self._worker.tick(now))
             self._retire(now)
             self._dialer.keep(now, [entry.address for entry in self._wanted()])
             self._close_silent(now)
             self._flush(heartbeat=True)
-            due = max(due + self._times.heartbeat, loop.time())
-            await asyncio.sleep(due - loop.time())
+            now = self._now()
+            due = max(due + self._times.heartbeat, now)
+            await asyncio.sleep(due - now)
 
     def _close_silent(self, now: float) -> None:
         """Break off connections whose session is over, or that say nothing.
@@ -406,8 +412,8 @@
                 link.close()
             elif silent > MISSED_HEARTBEATS * self._times.heartbeat:
                 # The next tick may come too late for the session to go on.
-                due = now + self._times.redial - silent + TIMER_MARGIN
-                self._loop.call_at(due, lambda: self._close_silent(self._now()))
+                due_in = self._times.redial - silent + TIMER_MARGIN
+                self._loop.call_later(due_in, lambda: self._close_silent(self._now()))
         for link, said in list(self._said.items()):
             if now > said + self._times.session:
                 self._dial_failed(self._dialer.address_of(link))
@@ -421,10 +427,11 @@
     def _flush_reports_at(self, due: float) -> None:
         timer = self._report_timer
         if timer is not None:
-            if timer.when() <= due:
+            if self._report_due <= due:
                 return
             timer.cancel()
-        self._report_timer = self._loop.call_at(due, self._flush_reports)
+        self._report_due = due
+        self._report_timer = self._loop.call_later(due - self._now(), self._flush_reports)
 
     def _flush_reports(self) -> None:
         self._report_timer = None
--- a/testing/core/leased/test_leases.py
+++ b/testing/core/leased/test_leases.py
@@ -153,3 +153,19 @@
     fleet.run(4.0)
     started = sum(sum(runner.starts.values()) for runner in fleet.runners.values())
     assert started >= 2
+
+
+@pytest.mark.parametrize("suspended", [0.0, 1.0, 4.0], ids=lambda seconds: f"{seconds:g}s")
+def test_a_lease_is_not_over_for_time_that_the_runner_may_not_have_counted(
+    suspended: float, worker: Worker
+) -> None:
+    """Host and runner stand still together: what runs may go on for the rest of its lease."""
+    say(worker, "e", 1.1, 1, assign("job"))
+    worker.start_answered(1.101, run("job"), StartAnswer.STARTED)
+    if suspended:
+        worker.suspended(suspended)
+    last = 1.1 + suspended + TIMES.run_end
+    worker.look_failed(last - 0.01)
+    assert worker.runs == 1
+    worker.look_failed(last + 0.01)
+    assert worker.runs == 0
--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -18,6 +18,7 @@
 )
 from paddleshunt_core.leased.wire import RunId, TaskId
 from paddleshunt_council.runner import Runner
+from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.ports import OtherLife, Superseded
 from standins import RunnerStandIn
 
@@ -248,3 +249,21 @@
         assert await runner.start(order(), always) is StartAnswer.STARTED
 
     play(scene)
+
+
+@pytest.mark.parametrize("seconds", [0.2, 1.0, 4.0, 10.0])
+def test_the_runners_clock_may_have_stood_still_while_this_host_was_suspended(
+    seconds: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A deadline that counts on the time for which it may not have run would come too late."""
+    read = clock.now
+
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        await runner.look(FIRST_LOOK)
+        monkeypatch.setattr(clock, "now", lambda: read() + seconds)
+        now = clock.now()
+        given = StartRun(RUN, "spec", now + 0.5, "e", now)
+        assert await runner.start(given, always) is StartAnswer.STARTED
+        assert int(str(standin.calls[-1][1]["deadline_ms"])) <= 5000 + 500 + 100
+
+    play(scene)
