--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -20,6 +20,9 @@
 BEAT_RETRY_SECONDS = 0.15
 STEP_SECONDS = 0.005
 LISTED = 500
+SHRUNK_SECONDS = 4.0
+"""Seconds until a room that has shrunk counts: `contact_ms` and a beat."""
+
 AWAY_SECONDS = 3.4
 """Seconds after which a runner that a task has crashed is back, as another life."""
 
@@ -73,7 +76,11 @@
         self._record = record
         self._lengths = lengths
         self._rng = rng
+        self._full = capacity
         self._capacity = capacity
+        self._shrunk_at = float("-inf")
+        self._before = capacity
+        """Its capacity before it shrank last."""
         self._hold_max = hold_max
         self._stop = stop
         self._guards = guards
@@ -123,6 +130,18 @@
         self._finished.clear()
         self.up = False
 
+    def resize(self, share: float) -> None:
+        """Have only a share of the full capacity from now on; the next heartbeat tells it."""
+        self._before = self._counts(monotonic())
+        self._shrunk_at = monotonic()
+        self._capacity = round(self._full * share)
+
+    def _counts(self, now: float) -> int:
+        """Return the capacity that a start is judged by: one that has shrunk counts later."""
+        if now < self._shrunk_at + SHRUNK_SECONDS:
+            return max(self._before, self._capacity)
+        return self._capacity
+
     def restart(self) -> None:
         """Come back as another life."""
         self._back_at = None
@@ -253,7 +272,8 @@
         if used + need > self._capacity:
             if self._guards:
                 return 409, {"reason": "room"}
-            self._record.over_capacity(self.name, now, used + need, self._capacity)
+            if used + need > self._counts(now):
+                self._record.over_capacity(self.name, now, used + need, self._counts(now))
         length = self._lengths[task.partition(".")[0]] / self.faults.speed
         lease_end = now + (self._deadline_ms - self.clock_ms(now)) / 1000 / self._rate
         run = RunSeen(task, number, self.name, now, lease_end, now + length)
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -44,6 +44,15 @@
 EVACUATE = "evacuate"
 """The operator evacuates a hall and takes it back: drawn apart as well."""
 
+SHRINKS = "shrinks"
+"""A runner's capacity shrinks, to nothing too, and grows again: drawn apart as well."""
+
+SHRINK_STEPS = 3
+"""Sizes to which a runner shrinks."""
+
+SHRINK_GAP = 3.0
+"""Mean seconds between two such faults."""
+
 CRASHING = "crashing_jobs"
 """Jobs come of which a task crashes each runner that starts it: drawn apart as well."""
 
@@ -93,6 +102,7 @@
     faults += _drawn_apart(f"evacuations {seed}", seconds, *evacuations)
     crashing = (CRASHING, CRASHING_GAP, (0.1, LONGEST))
     faults += _drawn_apart(f"crashing jobs {seed}", seconds, *crashing)
+    faults += _drawn_apart(f"shrinking {seed}", seconds, SHRINKS, SHRINK_GAP, (0.1, 2 * LONGEST))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -130,7 +140,7 @@
         await asyncio.gather(*self._tasks)
 
     async def _inject(self, fault: Fault) -> None:
-        if fault.kind in (*RUNNER_KINDS, LOSES_STOPS):
+        if fault.kind in (*RUNNER_KINDS, LOSES_STOPS, SHRINKS):
             await self._trouble_runner(fault)
         elif fault.kind in STORE_KINDS:
             await self._trouble_store(fault)
@@ -247,6 +257,12 @@
                 await asyncio.sleep(fault.seconds)
                 runner.restart()
             return
+        if fault.kind == SHRINKS:
+            # To nothing, a third or two of it: the length of the fault says which, too.
+            runner.resize(int(fault.seconds * SHRINK_STEPS / (2 * LONGEST)) / SHRINK_STEPS)
+            await asyncio.sleep(fault.seconds)
+            runner.resize(1.0)
+            return
         field, value, normal = {
             "silent": ("silent", True, False),
             "loses_answers": ("loses_answers", True, False),
