--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -7,7 +7,7 @@
 from typing import final
 
 from paddleshunt_core.events import Log, note
-from paddleshunt_core.leased.jobs import JobRecord, TaskRecord
+from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.losses import LossBook
 from paddleshunt_core.leased.outcomes import Failed
 from paddleshunt_core.leased.wire import RunnerLost, RunnerReturned
@@ -59,23 +59,23 @@
 
     def outcome(self, job: JobRecord) -> Failed | None:
         """Return how a job ends that is not to be tried again; None if it may be."""
-        for task in job.tasks:
-            reason = self._reason(task)
-            if reason:
-                return Failed(reason)
-        return None
+        task = self._spent(job)
+        return None if task is None else Failed(self._reason(task))
 
     def note_given_up(self, job: JobRecord, outcome: Failed) -> Log:
         """Return the line that says for which task a job is given up, and what that cost."""
-        task = next(task for task in job.tasks if self._reason(task))
-        fields: dict[str, str | int | float] = {
-            "reason": outcome.reason,
-            "index": task.id.index,
-            "runners": ",".join(self._losses.runners(task.id)),
-            "retries": task.retries,
-        }
+        fields: dict[str, str | int | float] = {"reason": outcome.reason}
+        task = self._spent(job)
+        if task is not None:
+            runners = ",".join(self._losses.runners(task.id))
+            fields |= {"index": task.id.index, "runners": runners, "retries": task.retries}
         return note("job_given_up", job.request.key, **fields)
 
+    def _spent(self, job: JobRecord) -> TaskRecord | None:
+        """Return a task that is not to be tried again; one that has ended well needs no try."""
+        open_tasks = (task for task in job.tasks if task.phase is not TaskPhase.DONE)
+        return next((task for task in open_tasks if self._reason(task)), None)
+
     def _reason(self, task: TaskRecord) -> str:
         """Return why a task is not to be tried again; empty if it may be."""
         runners = len(self._losses.runners(task.id))
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/clock.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/clock.py
@@ -34,9 +34,10 @@
     def read(self) -> tuple[float, float]:
         """Return `now`, and for how many seconds the host was suspended since this was called."""
         moment = now()
+        # A pause between the two readings makes them seem nearer, never further apart.
         apart = moment - steady()
         suspended = apart - self._apart
-        if abs(suspended) < NOISE_SECONDS:
+        if suspended < NOISE_SECONDS:
             return moment, 0.0
         self._apart = apart
-        return moment, max(0.0, suspended)
+        return moment, suspended
--- a/testing/core/leased/test_retries.py
+++ b/testing/core/leased/test_retries.py
@@ -2,7 +2,7 @@
 
 import pytest
 from paddleshunt_core.leased.catalog import Queue
-from paddleshunt_core.leased.jobs import JobRecord, JobRequest, new_job
+from paddleshunt_core.leased.jobs import JobRecord, JobRequest, TaskPhase, new_job
 from paddleshunt_core.leased.outcomes import Failed
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.retries import (
@@ -67,6 +67,15 @@
     assert retries.outcome(job) is None
 
 
+def test_a_task_that_has_ended_well_is_held_against_nobody(job: JobRecord) -> None:
+    """A loss under an earlier run of it may be told late, as it happened behind a cut."""
+    retries = Retries()
+    job.tasks[1].phase = TaskPhase.DONE
+    for number in range(LOST_RUNNERS):
+        retries.learn(1.0, loss(number, job), "t")
+    assert retries.outcome(job) is None
+
+
 def test_the_line_names_the_runners_that_the_task_took_down(job: JobRecord) -> None:
     retries = Retries()
     for number in range(LOST_RUNNERS):
--- a/testing/node/aio/test_clock.py
+++ b/testing/node/aio/test_clock.py
@@ -86,6 +86,16 @@
     assert suspensions.read()[1] == 0.0
 
 
+def test_a_pause_between_the_readings_of_both_clocks_is_no_suspension(
+    clocks: Clocks, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    suspensions = clock.Suspensions()
+    monkeypatch.setattr(clock, "steady", lambda: clocks.steady + 0.1)
+    assert suspensions.read() == (50.0, 0.0)
+    monkeypatch.setattr(clock, "steady", lambda: clocks.steady)
+    assert suspensions.read() == (50.0, 0.0)
+
+
 def test_clocks_that_are_read_apart_are_no_suspension(clocks: Clocks) -> None:
     suspensions = clock.Suspensions()
     clocks.suspend(clock.NOISE_SECONDS / 2)
