--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -7,11 +7,23 @@
 import pytest
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
-from paddleshunt_core.leased.wire import Entries, EntryAddress, EntryChanges, Frame, Hello
+from paddleshunt_core.leased.wire import (
+    Entries,
+    EntryAddress,
+    EntryChanges,
+    Frame,
+    Hello,
+    LossId,
+    RunnerLost,
+    RunnerReturned,
+    TaskId,
+)
 from paddleshunt_node.aio import entrypeers
 from paddleshunt_node.aio.entrypeers import EntryPeers
 
 OWN = EntryAddress("e0", "127.0.0.1:1", "life")
+LOST = RunnerLost(LossId("i-1", 1000), [TaskId("job", 0, 0)])
+RETURNED = RunnerReturned(LOST.loss)
 ROUND = 0.05
 BEAT_BYTES = 60
 """Bytes that a round may bring another entry: two versions, and the frame around them."""
@@ -24,6 +36,8 @@
         self.catalog: Catalog = EMPTY
         self.evacuations = Evacuations()
         self.told: list[EntryChanges] = []
+        self.losses = [LOST]
+        self.heard: list[tuple[RunnerLost | RunnerReturned, str]] = []
 
     def adopt(self, catalog: Catalog, source: str) -> None:
         pass
@@ -34,6 +48,12 @@
     def found(self, entry: EntryAddress) -> None:
         pass
 
+    def known_losses(self) -> list[RunnerLost]:
+        return self.losses
+
+    def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
+        self.heard.append((news, source))
+
     def tell_targets(self, changes: EntryChanges) -> None:
         self.told.append(changes)
 
@@ -122,3 +142,42 @@
         assert owner.told[1:] == [gone]
 
     play(monkeypatch, [], scene)
+
+
+@pytest.mark.parametrize("news", [LOST, RETURNED], ids=["lost", "returned"])
+def test_a_word_on_a_lost_runner_goes_to_all_other_entries(
+    monkeypatch: pytest.MonkeyPatch, news: RunnerLost | RunnerReturned
+) -> None:
+    links = [Link(), Link()]
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        peers.tell_loss(news)
+        assert [link.frames[-1].bodies for link in links] == [[news], [news]]
+
+    play(monkeypatch, links, scene)
+
+
+def test_an_entry_that_is_met_is_told_of_the_runners_lost_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    link = Link()
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        peers.opened(link)  # type: ignore[arg-type]
+        assert LOST in link.frames[-1].bodies
+
+    play(monkeypatch, [], scene)
+
+
+@pytest.mark.parametrize("news", [LOST, RETURNED], ids=["lost", "returned"])
+def test_another_entrys_word_on_a_lost_runner_is_followed(
+    monkeypatch: pytest.MonkeyPatch, news: RunnerLost | RunnerReturned
+) -> None:
+    link = Link()
+    link.peer = "e7"
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        peers.heard(link, Frame(1, 0, 0, 0, [news]))  # type: ignore[arg-type]
+        assert owner.heard == [(news, "e7")]
+
+    play(monkeypatch, [], scene)
--- a/testing/soak/test_crashing.py
+++ b/testing/soak/test_crashing.py
@@ -1,20 +1,24 @@
 """Issue 32 with the real programs: a task that crashes each runner that starts it."""
 
 import asyncio
+import signal
 from pathlib import Path
 from random import Random
 
 import pytest
 from deployment import Deployment, deployed
-from record import Record
+from record import CRASHED, Record, Violation
 from soakcallers import Callers
 
 DEADLINE = 6.0
 """Seconds that the job's caller waits: room for seven starts, 0.8 s apart."""
 
 
-async def hand_in(folder: Path) -> tuple[Record, str]:
-    """Hand in one such job among others, and return what was seen."""
+async def hand_in(folder: Path, *, kill: bool = False) -> tuple[Record, str]:
+    """Hand in one such job among others, and return what was seen.
+
+    `kill`: its entry is killed after its first start, so that it comes again at another.
+    """
     record = Record()
     deployment = Deployment(folder, record, Random("crashing"))
     async with deployed(deployment, 2, 10):
@@ -22,14 +26,39 @@
         for _ in range(10):
             callers.submit(4, 0.4, leaves=False)
         bad = callers.submit(1, 0.4, DEADLINE, leaves=False, crashes_after=0.01)
+        if kill:
+            await kill_home(deployment, record, bad)
         await callers.finish()
         await callers.leave()
     record.finish()
     return record, bad
 
 
+async def kill_home(deployment: Deployment, record: Record, job: str) -> None:
+    """Kill the entry that holds a job, as soon as the job has taken its first runner down."""
+    async with asyncio.timeout(DEADLINE):
+        while not any(run.how == CRASHED for run in record.runs.get(f"{job}.0.0.0", ())):
+            await asyncio.sleep(0.01)
+    deployment.processes[record.tries[job][0].entry].send(signal.SIGKILL)
+
+
+def expect_killed(record: Record) -> list[Violation]:
+    """Return what was broken, but for the end of the entry that the test itself has killed."""
+    return [seen for seen in record.violations if seen.rule != "ENDED"]
+
+
 @pytest.mark.timeout(90)
 def test_a_task_that_crashes_its_runners_is_not_started_without_end(tmp_path: Path) -> None:
     record, bad = asyncio.run(hand_in(tmp_path))
     assert record.violations == []
     assert [seen.outcome for seen in record.tries[bad]] == ["failed"]
+
+
+@pytest.mark.timeout(90)
+def test_an_entry_that_gets_the_job_after_another_was_lost_goes_on_counting(tmp_path: Path) -> None:
+    record, bad = asyncio.run(hand_in(tmp_path, kill=True))
+    assert expect_killed(record) == []
+    assert len(record.tries[bad]) > 1
+    assert record.tries[bad][-1].outcome == "failed"
+    crashed = [run for run in record.runs[f"{bad}.0.0.0"] if run.how == CRASHED]
+    assert len(crashed) == 2
