--- a/testing/council/councilsystem.py
+++ b/testing/council/councilsystem.py
@@ -101,8 +101,8 @@
         self.callers = f"127.0.0.1:{free_port()}"
         self.ready = f"127.0.0.1:{free_port()}"
         self.registration = f"127.0.0.1:{free_port()}"
-        self.entry_around = Surroundings(LogLines("error"), Measures())
-        self.target_around = Surroundings(LogLines("error"), Measures())
+        self.entry_around = Surroundings(LogLines("info"), Measures())
+        self.target_around = Surroundings(LogLines("info"), Measures())
 
     async def start(self) -> None:
         await self.store.start()
