Count no time before a run is known to be at work as its runner's

The process stood still for 0.27 s between three orders and their answers; progress was counted from the decision, so two looks in the next milliseconds took the runner for hung, stopped all three runs and gave it nothing for 2 s. Progress counts from the answer or the first look that shows the run; the new test failed before, seen by either.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -329,7 +329,7 @@
 
     def _started(self, now: float, run: Run) -> list[Effect]:
         if run.phase is Phase.STARTING:
-            run.phase = Phase.RUNNING
+            run.begin(now)
         if run.phase is Phase.RUNNING:
             return []
         run.ordered = now
@@ -410,7 +410,7 @@
 
     def _progressed(self, now: float, shown: float, run: Run, percent: int) -> list[Effect]:
         if run.phase is Phase.STARTING:
-            run.phase = Phase.RUNNING
+            run.begin(now)
         run.doubted = None
         run.settled = now if run.phase is Phase.RUNNING else run.settled
         note_progress(now, run, percent, self.health)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -50,6 +50,11 @@
     unwanted: float = 0.0
     """Since when nobody has a right to it, if it is being stopped."""
 
+    def begin(self, now: float) -> None:
+        """Note that it is known to be at work; what passed before that is not its runner's time."""
+        self.phase = Phase.RUNNING
+        self.moved = self.seen = now
+
 
 @final
 class RunTable:
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -1,5 +1,6 @@
 """The target's worker, step by step."""
 
+import pytest
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.offers import OFFER_SECONDS
 from paddleshunt_core.leased.orders import (
@@ -327,3 +328,21 @@
     old = LookAnswer(1.208, [RunningRun(run, 50) for run in runs], [])
     effects = worker.looked(1.338, old)
     assert not [effect for effect in effects if isinstance(effect, StopRun)]
+
+
+@pytest.mark.parametrize("seen_by", ["answer", "look"])
+def test_a_stand_still_before_a_start_is_known_is_not_the_runners(seen_by: str) -> None:
+    """The orders were decided at 1.0; they were carried out, or heard of, as the process woke."""
+    worker = working()
+    second = RunId(TaskId("more", 0, 0), 1)
+    more = Assign("more", 0, "spec", Resources(1000, 10), 400, 4000, [(0, 1)])
+    worker.heard(1.001, "e", Frame(2, 0, 1001, 1001, [more]))
+    if seen_by == "answer":
+        for run in (RUN, second):
+            worker.start_answered(1.27, run, StartAnswer.STARTED)
+    stopped: list[object] = []
+    for at in (1.272, 1.284, 1.296, 1.308):
+        worker.next_look(at)
+        look = LookAnswer(at, [RunningRun(RUN, 0), RunningRun(second, 0)], [])
+        stopped += [e for e in worker.looked(at + 0.001, look) if isinstance(e, StopRun)]
+    assert stopped == []
