Check only the jobs that a lost runner had at work; follow a word on one at one place

told_loss walked all jobs of the entry for each word, though only the tasks named in it can be decided by it; it and _run_again had the same loop over jobs, which is one function now. Target and entry told the two kinds of word apart each for itself; LossBook does. Three tests of crashing tasks shared a line to find the busy runner. Behaviour is meant to be the same: no test's assertion is changed.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -227,9 +227,16 @@
         logs = self._retries.learn(now, news, source)
         if not logs:
             return []
-        effects: list[Effect] = [*logs, HandOn(news)]
-        for job in self._jobs.all():
-            effects += self._check_retries(now, job)
+        tasks = news.tasks if isinstance(news, RunnerLost) else []
+        return [*logs, HandOn(news), *self._check_jobs(now, {task.job for task in tasks})]
+
+    def _check_jobs(self, now: float, keys: set[str]) -> list[Effect]:
+        """Give up those of the jobs that are held here and have been tried in vain too often."""
+        effects: list[Effect] = []
+        for key in keys:
+            job = self._jobs.of_key(key)
+            if job is not None:
+                effects += self._check_retries(now, job)
         return effects
 
     def _check_retries(self, now: float, job: JobRecord) -> list[Effect]:
@@ -418,12 +425,8 @@
 
     def _run_again(self, now: float, runs: list[RunId], target: str, reason: str) -> list[Effect]:
         """Let tasks wait again whose runs were lost, unless they have been tried too often."""
-        effects: list[Effect] = [*self._jobs.run_again(runs, target, reason)]
-        for key in {run.task.job for run in runs}:
-            job = self._jobs.of_key(key)
-            if job is not None:
-                effects += self._check_retries(now, job)
-        return effects
+        logs = self._jobs.run_again(runs, target, reason)
+        return [*logs, *self._check_jobs(now, {run.task.job for run in runs})]
 
     def _end_session(self, now: float, target: TargetRecord) -> list[Effect]:
         """Give a silent target up; what it has can't be placed again before the leases are over."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import final
 
-from paddleshunt_core.leased.wire import LossId, RunnerLost, TaskId
+from paddleshunt_core.leased.wire import LossId, RunnerLost, RunnerReturned, TaskId
 
 KEEP_SECONDS = 60.0
 """Seconds for which a loss is remembered: some tries of a caller, at 4 s and a pause each."""
@@ -23,7 +23,7 @@
 
 @final
 class LossBook:
-    """The losses that one process knows of. Times are steady seconds."""
+    """The losses that one process knows of. Times are seconds of that process's clock."""
 
     def __init__(self) -> None:
         self._losses: dict[LossId, tuple[float, RunnerLost]] = {}
@@ -31,6 +31,12 @@
         self._by_task: dict[TaskId, list[LossId]] = {}
         self._returned: deque[LossId] = deque(maxlen=MOST_RETURNED)
 
+    def follow(self, now: float, news: RunnerLost | RunnerReturned) -> bool:
+        """Follow a word on a lost runner; return whether it was news."""
+        if isinstance(news, RunnerReturned):
+            return self.returned(news.loss)
+        return self.learn(now, news)
+
     def learn(self, now: float, lost: RunnerLost) -> bool:
         """Remember a loss; return whether it was news."""
         self._expire(now)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -48,12 +48,11 @@
 
     def learn(self, now: float, news: RunnerLost | RunnerReturned, source: str) -> list[Log]:
         """Follow a word on a lost runner; return the line about it, none if it was known."""
+        if not self._losses.follow(now, news):
+            return []
         runner = news.loss.runner
         if isinstance(news, RunnerReturned):
-            known = not self._losses.returned(news.loss)
-            return [] if known else [note("runner_return_learned", runner=runner, source=source)]
-        if not self._losses.learn(now, news):
-            return []
+            return [note("runner_return_learned", runner=runner, source=source)]
         tasks = len(news.tasks)
         return [note("runner_loss_learned", runner=runner, tasks=tasks, source=source)]
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -31,7 +31,6 @@
     Health,
     Hello,
     RunId,
-    RunnerLost,
     RunnerReport,
     RunnerState,
     Stop,
@@ -389,10 +388,7 @@
     def _collect(self, now: float) -> None:
         """Give each entry the ends of its runs, and all entries word of a lost runner before."""
         for news in self._control.losses.take_news():
-            if isinstance(news, RunnerLost):
-                self._losses.learn(now, news)
-            else:
-                self._losses.returned(news.loss)
+            self._losses.follow(now, news)
             for known in self._links.values():
                 if known.session is not None:
                     known.session.send(news)
--- a/testing/core/leased/test_crashes.py
+++ b/testing/core/leased/test_crashes.py
@@ -10,6 +10,12 @@
 BAD = TaskId("bad", 0, 0)
 
 
+def busy_runner(fleet: Fleet) -> str:
+    """Return the one runner that has something at work."""
+    (name,) = [name for name, runner in fleet.runners.items() if runner.running]
+    return name
+
+
 def test_a_task_that_crashes_its_runners_is_given_up_and_its_job_failed() -> None:
     fleet = Fleet(entries=2, targets=8)
     fleet.settle()
@@ -77,7 +83,7 @@
     fleet.settle()
     caller = fleet.submit_crashing("e0", "bad", after=0.3, count=1, length=0.6, deadline=6.0)
     fleet.run(0.1)
-    (first,) = [name for name, runner in fleet.runners.items() if runner.running]
+    first = busy_runner(fleet)
     fleet.cut(first, "e0")
     fleet.cut("e0", first)
     fleet.run(3.0)
@@ -106,7 +112,7 @@
     caller = fleet.submit("e0", "job", count=1, length=1.0, deadline=9.0)
     for _ in range(2):
         fleet.run(0.3)
-        (name,) = [name for name, runner in fleet.runners.items() if runner.running]
+        name = busy_runner(fleet)
         lose(fleet, name)
         fleet.run(1.3)
         fleet.runners[name].mute = False
@@ -122,7 +128,7 @@
     caller = fleet.submit("e0", "job", count=1, length=2.0, deadline=9.0)
     for _ in range(2):
         fleet.run(0.3)
-        (name,) = [name for name, runner in fleet.runners.items() if runner.running]
+        name = busy_runner(fleet)
         runner = fleet.runners[name]
         life = f"{name}-{runner.life}"
         runner.crash()
