--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -27,6 +27,7 @@
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.loop import once_known
 from paddleshunt_node.aio.ports import CallerCodec, StorePort
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
 from paddleshunt_node.aio.sockets import split_address
@@ -200,11 +201,8 @@
         self._loop.call_later(self._config.bounds.caller_delay + TIMER_MARGIN, self._place_soon)
 
     def _place_soon(self) -> None:
-        """Place what has just come, once the connections that have ended are known.
-
-        The loop tells of an ended connection after the timers that were due in the same round.
-        """
-        self._loop.call_soon(lambda: self._act(self._dispatcher.place_arrived(self._now())))
+        """Place what has just come, once the connections that have ended are known."""
+        once_known(self._loop, lambda: self._act(self._dispatcher.place_arrived(self._now())))
 
     def abandoned(self, exchange: Exchange) -> None:
         """Stop the work of a caller that left."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
@@ -35,6 +35,12 @@
 )
 """Events without which a failed request can't be explained."""
 
+COLLECT_SECONDS = 0.1
+"""Longest time for which lines are collected: what a killed process did last is not told."""
+
+COLLECTED_BYTES = 4096
+"""Bytes of collected lines that are written at once: a pipe takes so many whole or not at all."""
+
 _LOGGER = "paddleshunt.leased"
 
 
@@ -46,24 +52,51 @@
         super().__init__()
         self._descriptor = sys.stdout.fileno()
         os.set_blocking(self._descriptor, False)
+        self._collected: list[bytes] = []
+        self._bytes = 0
         self.dropped = 0
 
+    @property
+    def holds(self) -> bool:
+        """Whether lines wait to be written."""
+        return bool(self._collected)
+
     def emit(self, record: logging.LogRecord) -> None:
         line = self.format(record).encode() + b"\n"
+        if self._bytes + len(line) > COLLECTED_BYTES:
+            self.write_out()
+        self._collected.append(line)
+        self._bytes += len(line)
+
+    def write_out(self) -> None:
+        """Write what was collected."""
+        if not self._collected:
+            return
+        lines = self._collected
+        self._collected = []
+        self._bytes = 0
+        block = b"".join(lines)
         try:
-            written = os.write(self._descriptor, line)
+            written = os.write(self._descriptor, block)
         except OSError:
-            self.dropped += 1
+            self.dropped += len(lines)
             return
-        if written < len(line):
-            self.dropped += 1
+        if written < len(block):
+            self.dropped += block[written:].count(b"\n")
 
 
 @final
 class LogLines:
-    """Writes the events of one process."""
+    """Writes the events of one process.
+
+    With `collect`, lines are written in blocks: what explains a failed request at once, the others
+    when `flush` is called or a block is full. Whoever collects calls `flush` within
+    `COLLECT_SECONDS` while `holds` says that lines wait.
+    """
 
-    def __init__(self, level: str = "info") -> None:
+    def __init__(self, level: str = "info", *, collect: bool = False) -> None:
+        _look_up_nothing()
+        self._collect = collect
         self._handler = _StandardOutput()
         formatter = KeyValueFormatter(
             "%(asctime)s %(message)s", rename_fields={"asctime": "time", "message": "event"}
@@ -85,6 +118,15 @@
         """Lines that a full pipe did not take, since the last line that said so."""
         return self._handler.dropped
 
+    @property
+    def holds(self) -> bool:
+        """Whether lines wait to be written."""
+        return self._handler.holds
+
+    def flush(self) -> None:
+        """Write what was collected."""
+        self._handler.write_out()
+
     def write(self, now: float, log: Log) -> None:
         """Write the line of one event, if its kind's budget allows."""
         if log.submission:
@@ -98,18 +140,34 @@
         if int(now) != self._second:
             self._next_second(int(now))
         self._written[name] += 1
-        budget = FAILED_LINES_A_SECOND if name in FAILURE_EVENTS else LINES_A_SECOND
+        explains = name in FAILURE_EVENTS
+        budget = FAILED_LINES_A_SECOND if explains else LINES_A_SECOND
         if self._written[name] <= budget:
-            self._logger.info(name, extra=fields)
+            self._line(name, fields)
+        if explains or not self._collect:
+            self.flush()
 
     def _next_second(self, second: int) -> None:
         self._second = second
         for name, count in self._written.items():
             budget = FAILED_LINES_A_SECOND if name in FAILURE_EVENTS else LINES_A_SECOND
             if count > budget:
-                extra = {"kind": name, "lines": count - budget}
-                self._logger.info("lines_left_out", extra=extra)
+                self._line("lines_left_out", {"kind": name, "lines": count - budget})
         self._written.clear()
         if self._handler.dropped:
-            self._logger.info("lines_dropped", extra={"lines": self._handler.dropped})
+            self._line("lines_dropped", {"lines": self._handler.dropped})
             self._handler.dropped = 0
+
+    def _line(self, name: str, fields: dict[str, str | int | float]) -> None:
+        self._logger.info(name, extra=fields)
+
+
+def _look_up_nothing() -> None:
+    """Let `logging` look up neither process, thread nor place in the code, as no line tells them.
+
+    The process's number alone is a system call a line.
+    """
+    logging.logProcesses = False
+    logging.logThreads = False
+    logging.logMultiprocessing = False
+    logging._srcfile = None
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -10,7 +10,7 @@
 
 from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
-from paddleshunt_node.aio.logline import LogLines
+from paddleshunt_node.aio.logline import COLLECT_SECONDS, LogLines
 from paddleshunt_node.aio.measures import Measures
 from paddleshunt_node.aio.sockets import split_address
 
@@ -45,6 +45,7 @@
         self.stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop: asyncio.AbstractEventLoop | None = None
+        self._flushing = False
 
     def listen_to_signals(self, reload: Callable[[], None]) -> None:
         """Stop at SIGTERM or SIGINT, read the settings again at SIGHUP."""
@@ -64,16 +65,32 @@
     def log(self, log: Log) -> None:
         """Write one event's line."""
         self.lines.write(clock.now(), log)
+        self._flush_in_time()
 
     def event(self, name: str, /, **fields: str | int | float) -> None:
         """Write one event's line."""
         self.lines.event(clock.now(), name, **fields)
+        self._flush_in_time()
 
     def cancel(self) -> None:
         """End all tasks."""
         for task in list(self._tasks):
             task.cancel()
 
+    def _flush_in_time(self) -> None:
+        """Write collected lines before long."""
+        if self._flushing or not self.lines.holds:
+            return
+        if self._loop is None:
+            self.lines.flush()
+            return
+        self._flushing = True
+        self._loop.call_later(COLLECT_SECONDS, self._flush)
+
+    def _flush(self) -> None:
+        self._flushing = False
+        self.lines.flush()
+
     def _finished(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/testing/node/aio/test_logline.py
+++ b/testing/node/aio/test_logline.py
@@ -2,7 +2,12 @@
 
 import pytest
 from paddleshunt_core.events import note
-from paddleshunt_node.aio.logline import FAILED_LINES_A_SECOND, LINES_A_SECOND, LogLines
+from paddleshunt_node.aio.logline import (
+    COLLECTED_BYTES,
+    FAILED_LINES_A_SECOND,
+    LINES_A_SECOND,
+    LogLines,
+)
 
 
 @pytest.mark.parametrize(
@@ -30,3 +35,55 @@
     monkeypatch.setattr("paddleshunt_node.aio.logline.os.write", full)
     lines.event(1.0, "started")
     assert lines.dropped == 1
+
+
+def test_collected_lines_are_written_in_one_block(capfd: pytest.CaptureFixture[str]) -> None:
+    lines = LogLines(collect=True)
+    lines.event(1.0, "job_admitted")
+    lines.event(1.0, "job_placed")
+    assert lines.holds
+    assert capfd.readouterr().out == ""
+    lines.flush()
+    assert not lines.holds
+    assert len(capfd.readouterr().out.splitlines()) == 2
+
+
+def test_what_explains_a_failed_request_is_not_held_back(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    lines = LogLines(collect=True)
+    lines.event(1.0, "job_admitted")
+    lines.event(1.0, "task_returned")
+    assert [line.split()[1] for line in capfd.readouterr().out.splitlines()] == [
+        "event=job_admitted",
+        "event=task_returned",
+    ]
+
+
+def test_a_block_is_never_longer_than_a_pipe_takes_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    blocks: list[bytes] = []
+
+    def take(descriptor: int, data: bytes) -> int:
+        blocks.append(data)
+        return len(data)
+
+    monkeypatch.setattr("paddleshunt_node.aio.logline.os.write", take)
+    lines = LogLines(collect=True)
+    for _ in range(100):
+        lines.event(1.0, "job_admitted", queue="q" * 40)
+    lines.flush()
+    assert sum(block.count(b"\n") for block in blocks) == 100
+    assert max(map(len, blocks)) <= COLLECTED_BYTES
+
+
+def test_a_full_pipe_counts_each_line_of_a_block(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines = LogLines(collect=True)
+
+    def full(descriptor: int, data: bytes) -> int:
+        raise BlockingIOError
+
+    monkeypatch.setattr("paddleshunt_node.aio.logline.os.write", full)
+    for _ in range(3):
+        lines.event(1.0, "job_admitted")
+    lines.flush()
+    assert lines.dropped == 3
