--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -28,7 +28,8 @@
 from paddleshunt_core.effects import Send, Start
 from paddleshunt_core.entry import Entry, EntrySettings
 from paddleshunt_core.gate import Gate, GateLimits
-from paddleshunt_core.home import Home, HomeLimits
+from paddleshunt_core.home import Home
+from paddleshunt_core.homelimits import HomeLimits
 from paddleshunt_core.ids import Incarnation, mint
 from paddleshunt_core.members import Host, Role
 from paddleshunt_core.messages import (
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -6,20 +6,22 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import final
 
 from paddleshunt_core.effects import Effect, Send
 from paddleshunt_core.events import Log
-from paddleshunt_core.ids import Incarnation, InvalidId, parse_id
+from paddleshunt_core.forecast import Forecast
+from paddleshunt_core.homelimits import HomeLimits
+from paddleshunt_core.ids import Incarnation
+from paddleshunt_core.idwindow import IdWindow
+from paddleshunt_core.inquiries import Inquiries, stuck_tasks
 from paddleshunt_core.job import Job
-from paddleshunt_core.links import FULL_SECONDS, Link, Outstanding, TaskKey, group
+from paddleshunt_core.links import FULL_SECONDS, Link, Outstanding, TaskKey
 from paddleshunt_core.messages import (
     Absent,
     Answer,
     Assign,
     Body,
-    Inquire,
     PeerInfo,
     Query,
     Report,
@@ -34,7 +36,6 @@
     NotAccepted,
     NotRun,
     Outcome,
-    Unknown,
     kind_of_outcome,
 )
 from paddleshunt_core.placement import Placement, Plan
@@ -47,33 +48,6 @@
 REPORT_FRESH = 0.2
 """Seconds for which a gate's own report of its load counts more than an entry's word."""
 
-UNSEEN_TASK = 0.6
-"""Seconds after which a task is asked about if its gate hasn't said that it saw the message."""
-
-STUCK_TASK = 0.55
-"""Seconds after which a task that may still be queued is taken back if a slot is free elsewhere;
-a task that started at once has usually ended by then."""
-
-SLOW_TASK = 2.0
-"""Seconds after which any task without news is asked about; the time doubles with each question."""
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class HomeLimits:
-    """Bounds of a home's memory and patience.
-
-    `window` and `skew` (seconds) bound when an id is accepted, by the home's own clock.
-    `usual_task` (seconds) is the first guess of a task's length, until tasks have been seen.
-    """
-
-    window: float = 120.0
-    skew: float = 5.0
-    max_records: int = 20_000
-    max_waiting_tasks: int = 20_000
-    answer_bytes: int = 8 << 20
-    usual_task: float = 0.25
-
 
 @final
 class Home:
@@ -87,16 +61,15 @@
         waste: Waste | None = None,
     ) -> None:
         self._waste = waste or Waste()
-        self._me = me
+        self._inquiries = Inquiries(self._waste)
         self._limits = limits
+        self._ids = IdWindow(me, limits.window, limits.skew)
         self._placement = placement
         self._jobs: dict[str, Job] = {}
         self._records = Records(limits.answer_bytes)
         self._links: dict[Incarnation, Link] = {}
         self._closed_sites: set[str] = set()
-        self._task_seconds = limits.usual_task
-        # One count for all gates, so that it never falls back when a link is made anew.
-        self._seq = 0
+        self._forecast = Forecast(self._jobs, self._links, placement, limits.usual_task)
         self.leaving = False
 
     @property
@@ -108,21 +81,12 @@
         """Return a summary of the state for a dump."""
         return {
             "jobs": len(self._jobs),
-            "waiting_tasks": self._waiting_tasks(),
+            "waiting_tasks": self._forecast.waiting_tasks(),
             "closed_ids": len(self._records),
             "kept_answer_bytes": self._records.kept_bytes,
-            "task_seconds": round(self._task_seconds, 4),
+            "task_seconds": round(self._forecast.task_seconds, 4),
             "leaving": self.leaving,
-            "links": {
-                str(link.incarnation): {
-                    "site": link.site,
-                    "suspect": link.suspect,
-                    "leaving": link.leaving,
-                    "load": link.load,
-                    "outstanding": len(link.outstanding),
-                }
-                for link in self._links.values()
-            },
+            "links": {str(link.incarnation): link.describe() for link in self._links.values()},
         }
 
     # Callers' side.
@@ -136,7 +100,7 @@
         answer = self._records.find(name, message.digest)
         if answer is not None:
             return [Send(entry, address, answer)]
-        refusal = self._judge_id(now, name)
+        refusal = self._ids.judge(now, name)
         if refusal is not None:
             return [Send(entry, address, Answer(name, message.digest, refusal, message.repeatable))]
         return self._accept(now, entry, address, message)
@@ -151,7 +115,7 @@
         answer = self._records.find(name, message.digest)
         if answer is not None:
             return [Send(entry, address, answer)]
-        refusal = self._judge_id(now, name)
+        refusal = self._ids.judge(now, name)
         body: Body = (
             Absent(name, message.digest)
             if refusal is None
@@ -215,7 +179,7 @@
         for job in touched.values():
             effects += self._settle(now, job)
         if link.gap and not link.inquiry:
-            effects += self._ask(now, link, list(link.outstanding), revoke=False)
+            effects.append(self._inquiries.ask(now, link, list(link.outstanding), revoke=False))
         return effects
 
     def undelivered(self, now: float, gate: Incarnation, message: Body) -> list[Effect]:
@@ -244,10 +208,7 @@
             if now >= job.deadline:
                 effects += self._settle(now, job, final_call=True)
         effects += self._revoke_queued(now)
-        for link in self._links.values():
-            slow = [key for key, out in link.outstanding.items() if _is_due(link, out, now)]
-            if slow:
-                effects += self._ask(now, link, slow, revoke=False)
+        effects += self._inquiries.ask_slow(now, self._links.values())
         self._records.forget(now)
         return effects
 
@@ -255,17 +216,17 @@
         """Place waiting tasks, and return one message for each target that gets some."""
         if not any(job.waiting for job in self._jobs.values()):
             return []
-        self._seq += 1
+        number = self._inquiries.next_number()
         plan = self._placement.plan(self._links.values(), now, self._closed_sites)
         for job in self._jobs.values():
-            if not self._place(now, plan, job):
+            if not self._place(now, plan, job, number):
                 break
         effects: list[Effect] = []
         for link in self._links.values():
             if link.batches:
                 batches = list(link.batches.values())
                 link.batches = {}
-                body = Assign(self._seq, link.stamp_ms(now), link.acked, batches)
+                body = Assign(number, link.stamp_ms(now), link.acked, batches)
                 effects.append(Send(link.incarnation, link.address, body))
         return effects
 
@@ -275,18 +236,6 @@
         job.waiters[entry] = address
         return Running(job.submission, job.digest)
 
-    def _judge_id(self, now: float, name: str) -> Outcome | None:
-        """Return why an id without a record can't be accepted now, or None if it can."""
-        parsed = parse_id(name)
-        if isinstance(parsed, InvalidId) or parsed.home != self._me:
-            return NotAccepted("the id names another home", 0)
-        minted = parsed.minted_ms / 1000
-        if now > minted + self._limits.window:
-            return Unknown("the id is too old; what was known of it may be forgotten")
-        if now < minted - self._limits.skew:
-            return NotAccepted("the id was minted in the future", 1000)
-        return None
-
     def _accept(
         self, now: float, entry: Incarnation, address: str, message: Submit
     ) -> list[Effect]:
@@ -313,29 +262,14 @@
         """Return a refusal if the tasks can't be expected to end before the deadline."""
         if self.leaving:
             return NotRun("the home is leaving", 0)
-        waiting = self._waiting_tasks()
+        waiting = self._forecast.waiting_tasks()
         if waiting + tasks > self._limits.max_waiting_tasks:
-            return NotRun("too many tasks wait", int(self._wait(now, waiting) * 1000))
-        wait = self._wait(now, waiting + tasks)
+            return NotRun("too many tasks wait", int(self._forecast.wait(now, waiting) * 1000))
+        wait = self._forecast.wait(now, waiting + tasks)
         if now + wait > deadline - HOLD_MARGIN:
             return NotRun("overloaded", int(wait * 500))
         return None
 
-    def _wait(self, now: float, waiting: int) -> float:
-        """Estimate the seconds until `waiting` more tasks of this home could have ended."""
-        usable = [link for link in self._links.values() if link.is_usable(now)]
-        slots = sum(link.load.slots for link in usable)
-        busy = sum(self._placement.busy(link, now) for link in usable)
-        if slots == 0:
-            return 0.0
-        estimate = (waiting + busy) / slots * self._task_seconds
-        placed = sum(len(link.outstanding) for link in usable)
-        if placed and self._waiting_tasks():
-            # Others use the same targets. What this home gets of them is, by Little's law, the
-            # tasks it has there over the time that each spends there.
-            estimate = max(estimate, waiting * self._task_seconds / placed)
-        return estimate
-
     def _shed(self, now: float) -> list[Effect]:
         """Refuse now the held jobs that can't be expected to end in time.
 
@@ -346,22 +280,12 @@
         ahead = 0
         for job in list(self._jobs.values()):
             untouched = len(job.waiting) == len(job.payloads)
-            end = now + self._wait(now, ahead + len(job.waiting))
+            end = now + self._forecast.wait(now, ahead + len(job.waiting))
             if untouched and end > job.deadline - HOLD_MARGIN:
                 effects += self._stop(now, job, "overloaded")
             ahead += len(job.waiting)
         return effects
 
-    def _waiting_tasks(self) -> int:
-        return sum(len(job.waiting) for job in self._jobs.values())
-
-    def _forget_at(self, now: float, name: str) -> float:
-        """Return when the id can no longer be accepted, whatever this home remembers."""
-        parsed = parse_id(name)
-        if isinstance(parsed, InvalidId):
-            return now + self._limits.window
-        return parsed.minted_ms / 1000 + self._limits.window + self._limits.skew
-
     def _link(self, now: float, peer: PeerInfo) -> Link:
         link = self._links.get(peer.incarnation)
         if link is None:
@@ -382,7 +306,7 @@
         if result.ok is None:
             job.lose(result.index, "the runner's answer was lost")
             return
-        self._task_seconds += 0.05 * (now - out.sent - self._task_seconds)
+        self._forecast.learn(now - out.sent)
         job.finish(result.index, ok=result.ok, payload=result.payload)
 
     def _take_back(self, link: Link, key: TaskKey, seen_seq: int, touched: dict[str, Job]) -> None:
@@ -404,8 +328,11 @@
             job.confirm_started(key[1])
             touched[job.submission] = job
 
-    def _place(self, now: float, plan: Plan, job: Job) -> bool:
-        """Assign the job's waiting tasks; return False when no target has room."""
+    def _place(self, now: float, plan: Plan, job: Job, number: int) -> bool:
+        """Assign the job's waiting tasks; return False when no target has room.
+
+        `number` is that of the messages that will carry them.
+        """
         while job.waiting:
             link = plan.take()
             if link is None:
@@ -417,72 +344,39 @@
                 batch = TaskBatch(job.submission, job.service, expires_ms, [])
                 link.batches[job.submission] = batch
             batch.tasks.append(Task(index, job.payloads[index]))
-            link.outstanding[(job.submission, index)] = Outstanding(self._seq, now, now)
+            link.outstanding[(job.submission, index)] = Outstanding(number, now, now)
         return True
 
-    def _ask(self, now: float, link: Link, keys: list[TaskKey], *, revoke: bool) -> list[Effect]:
-        for key in keys:
-            out = link.outstanding[key]
-            out.asked = now
-            out.wait = max(SLOW_TASK, 2 * out.wait)
-        self._waste.inquiries += 1
-        if link.asked_at is None:
-            link.asked_at = now
-        self._seq += 1
-        if len(keys) == len(link.outstanding):
-            link.inquiry = self._seq
-        body = Inquire(self._seq, link.stamp_ms(now), link.acked, revoke, group(keys))
-        return [Send(link.incarnation, link.address, body)]
-
     def _stop(self, now: float, job: Job, reason: str) -> list[Effect]:
         """Assign no more of the job, and revoke what may not have started."""
         job.stop(reason)
         effects = self._settle(now, job)
         if job.submission in self._jobs:
-            effects += self._revoke(now, job)
+            effects += self._inquiries.revoke_job(now, job.submission, self._links.values())
         return effects
 
     def _revoke_queued(self, now: float) -> list[Effect]:
-        """Take back tasks that wait in a target's queue while another one has free slots.
-
-        The gate gives back only what it has not started, so a straggler itself stays where it is.
-        """
-        stuck = {
-            link: keys
-            for link in self._links.values()
-            if link.load.queued
-            and (keys := [k for k, o in link.outstanding.items() if _stuck(o, now)])
-        }
+        """Take back tasks that wait in a target's queue while another one has free slots."""
+        stuck = [link for link in self._links.values() if stuck_tasks(now, link)]
         if not stuck:
             return []
         plan = self._placement.plan(self._links.values(), now, self._closed_sites)
-        if not plan.free_slots:
-            return []
-        effects: list[Effect] = []
-        for link, keys in stuck.items():
-            effects += self._ask(now, link, keys, revoke=True)
-        return effects
-
-    def _revoke(self, now: float, job: Job) -> list[Effect]:
-        effects: list[Effect] = []
-        for link in self._links.values():
-            keys = [key for key in link.outstanding if key[0] == job.submission]
-            if keys:
-                effects += self._ask(now, link, keys, revoke=True)
-        return effects
+        return self._inquiries.revoke_queued(now, stuck) if plan.free_slots else []
 
     def _settle(self, now: float, job: Job, *, final_call: bool = False) -> list[Effect]:
         """Answer the job if its outcome is settled."""
         if job.submission not in self._jobs:
             return []
         # Only a job that stops is told when to come back, and only then is it worth working out.
-        retry_after = self._wait(now, self._waiting_tasks()) if job.stopping else 0.0
+        retry_after = (
+            self._forecast.wait(now, self._forecast.waiting_tasks()) if job.stopping else 0.0
+        )
         outcome = job.verdict(final_call=final_call, retry_after_ms=int(retry_after * 1000))
         if outcome is None:
             return []
         effects: list[Effect] = []
         if not isinstance(outcome, Complete):
-            effects += self._revoke(now, job)
+            effects += self._inquiries.revoke_job(now, job.submission, self._links.values())
         self._drop_outstanding(job)
         return effects + self._close(now, job, outcome)
 
@@ -495,19 +389,10 @@
         """Record the outcome and answer all who wait for it."""
         del self._jobs[job.submission]
         answer = Answer(job.submission, job.digest, outcome, job.repeatable)
-        self._records.close(answer, self._forget_at(now, job.submission))
+        self._records.close(answer, self._ids.forget_at(now, job.submission))
         kind = kind_of_outcome(outcome)
         results = len(outcome.results) if isinstance(outcome, Complete) else 0
         effects: list[Effect] = [
             Send(entry, address, answer) for entry, address in job.waiters.items()
         ]
         return [*effects, Log("answered", job.submission, {"outcome": kind, "results": results})]
-
-
-def _stuck(out: Outstanding, now: float) -> bool:
-    return not out.started and now - out.asked > STUCK_TASK
-
-
-def _is_due(link: Link, out: Outstanding, now: float) -> bool:
-    first = SLOW_TASK if link.seen_seq >= out.seq else UNSEEN_TASK
-    return now - out.asked > (out.wait or first)
--- a/packages/paddleshunt-core/src/paddleshunt_core/links.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/links.py
@@ -61,6 +61,16 @@
     outstanding: dict[TaskKey, Outstanding] = field(default_factory=dict)
     batches: dict[str, TaskBatch] = field(default_factory=dict)
 
+    def describe(self) -> dict[str, object]:
+        """Return a summary of the state for a dump."""
+        return {
+            "site": self.site,
+            "suspect": self.suspect,
+            "leaving": self.leaving,
+            "load": self.load,
+            "outstanding": len(self.outstanding),
+        }
+
     def is_usable(self, now: float) -> bool:
         """Whether new work may go there."""
         return not (self.suspect or self.leaving or self.is_mute(now))
--- a/packages/paddleshunt-core/src/paddleshunt_core/target.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/target.py
@@ -9,7 +9,8 @@
 from paddleshunt_core.effects import Effect, Send
 from paddleshunt_core.events import Log
 from paddleshunt_core.gate import Gate, GateLimits
-from paddleshunt_core.home import Home, HomeLimits
+from paddleshunt_core.home import Home
+from paddleshunt_core.homelimits import HomeLimits
 from paddleshunt_core.ids import Incarnation
 from paddleshunt_core.messages import (
     Assign,
--- a/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/targetprocess.py
@@ -10,7 +10,7 @@
 
 from paddleshunt_core.effects import Effect, Start
 from paddleshunt_core.gate import GateLimits
-from paddleshunt_core.home import HomeLimits
+from paddleshunt_core.homelimits import HomeLimits
 from paddleshunt_core.ids import Incarnation
 from paddleshunt_core.members import Host, HostState, Role
 from paddleshunt_core.messages import EntryInfo
--- a/testing/scenario.py
+++ b/testing/scenario.py
@@ -12,7 +12,7 @@
 from fleet import Fleet
 from fleetparts import Shape
 from paddleshunt_core.checker import Rule
-from paddleshunt_core.home import HomeLimits
+from paddleshunt_core.homelimits import HomeLimits
 from paddleshunt_core.ids import SubmissionId, parse_id
 from paddleshunt_core.members import HostState
 from paddleshunt_core.messages import Submit
