Let check-settings check the settings of leased jobs too

Cause: the platform's settings could only be checked through the adapter. Change: paddleshuntd check-settings takes both kinds.

--- a/packages/paddleshunt-node/src/paddleshunt_node/main.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/main.py
@@ -22,6 +22,9 @@
 PATIENCE = 120.0
 """Seconds that a leaving process gives its requests to finish."""
 
+LEASED_TABLE = "process"
+"""Table that only the settings of processes for leased jobs have."""
+
 _File = TypeVar("_File")
 _FILE = click.Path(path_type=Path, dir_okay=False)
 
@@ -64,8 +67,8 @@
 @main.command("check-settings")
 @click.argument("file", type=_FILE)
 def check_settings(file: Path) -> None:
-    """Check a settings file without starting anything."""
-    _checked(lambda: settings.load_either(file))
+    """Check a settings file without starting anything: of the own interface or of leased jobs."""
+    _checked(lambda: _load_any(file))
     click.echo(f"{file}: ok")
 
 
@@ -80,6 +83,14 @@
     sys.exit(run_demo(out, examples))
 
 
+def _load_any(file: Path) -> object:
+    if LEASED_TABLE in settings.read_tables(file):
+        from paddleshunt_platform.leasedsettings import load_leased
+
+        return load_leased(file)
+    return settings.load_either(file)
+
+
 def _checked(load: Callable[[], _File]) -> _File:
     try:
         return load()
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/settings.py
@@ -154,10 +154,11 @@
 
 def load_either(file: Path) -> AnyFile:
     """Return the settings of a target if the file has a runner, else of an entry."""
-    return load_target(file) if "runner" in _read(file) else load_entry(file)
+    return load_target(file) if "runner" in read_tables(file) else load_entry(file)
 
 
-def _read(file: Path) -> dict[str, object]:
+def read_tables(file: Path) -> dict[str, object]:
+    """Return the tables of a TOML file, not checked yet; raises `SettingsError`."""
     try:
         return tomllib.loads(file.read_text(encoding="utf-8"))
     except OSError as error:
@@ -178,7 +179,7 @@
 def load_as(file: Path, kind: type[_Any]) -> _Any:
     """Return the file's settings, checked as `kind`; raises `SettingsError`."""
     try:
-        return msgspec.convert(_read(file), kind)
+        return msgspec.convert(read_tables(file), kind)
     except msgspec.ValidationError as error:
         raise _explain(file, str(error)) from error
 
--- a/testing/node/test_main.py
+++ b/testing/node/test_main.py
@@ -1,6 +1,7 @@
 import socket
 from pathlib import Path
 
+import pytest
 from click.testing import CliRunner
 from paddleshunt_node.main import main
 
@@ -13,6 +14,40 @@
     assert "ok" in found.output
 
 
+LEASED = """
+[process]
+name = "t-1"
+hall = "hall"
+role = "target"
+[listen]
+peers = "127.0.0.1:7720"
+metrics = "127.0.0.1:9464"
+runner = "127.0.0.1:8166"
+[runner]
+address = "127.0.0.1:8165"
+[peers]
+[store]
+address = "127.0.0.1:8169"
+[bounds]
+resend_ms = {resend_ms}
+"""
+
+
+@pytest.mark.parametrize(
+    ("resend_ms", "status", "told"),
+    [(1300, 0, "ok"), (100, 2, "bounds: "), ('"soon"', 2, "bounds.resend_ms: ")],
+    ids=["sound", "no time for leases", "mistyped"],
+)
+def test_check_settings_of_leased_jobs(
+    resend_ms: object, status: int, told: str, tmp_path: Path
+) -> None:
+    file = tmp_path / "leased.toml"
+    file.write_text(LEASED.format(resend_ms=resend_ms))
+    found = CliRunner().invoke(main, ["check-settings", str(file)])
+    assert found.exit_code == status
+    assert told in found.output
+
+
 def test_bad_settings_exit_with_2(tmp_path: Path) -> None:
     file = tmp_path / "bad.toml"
     file.write_text("host = 5\n")
