End kept connections of a leaving entry once it gets no new ones

A page-render of 0.4 s was refused as it came over a kept connection 4.1 s after SIGTERM, when the entry had no time left for it, though the balancer had sent new connections elsewhere for two seconds. Change: once the balancer must have noticed, idle connections are ended; callers come back to entries that stay. Test: test_a_stopping_entry_ends_kept_connections... fails before (the connection stays open), passes now.

--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -39,6 +39,9 @@
 NOTICED_SECONDS = 2.3
 """Seconds that the balancer may take to notice that this entry is leaving."""
 
+LEAVING_PAUSE = 0.02
+"""Seconds between two looks whether a leaving entry may end."""
+
 END_MARGIN = 0.8
 """Seconds before SIGKILL at which all that is left is answered."""
 
@@ -144,8 +147,12 @@
         last = began + self._config.bounds.grace - END_MARGIN
         self._dispatcher.leave(last)
         noticed = min(began + NOTICED_SECONDS, last)
-        while self._now() < last and (self._dispatcher.jobs or self._now() < noticed):
-            await asyncio.sleep(0.02)
+        while self._now() < noticed:
+            await asyncio.sleep(LEAVING_PAUSE)
+        # New connections go elsewhere by now, but callers may still hand in over kept ones.
+        self._callers.close_idle()
+        while self._now() < last and self._dispatcher.jobs:
+            await asyncio.sleep(LEAVING_PAUSE)
         self._act(self._dispatcher.finish(self._now()))
         self._flush()
         self._callers.stop_listening()
--- a/testing/council/test_system.py
+++ b/testing/council/test_system.py
@@ -6,6 +6,7 @@
 import pytest
 from councilsystem import BOUNDS, System, play, until, until_true
 from paddleshunt_node.aio.httpclient import NoAnswerError
+from paddleshunt_node.aio.sockets import split_address
 
 KEY = "5c0e7a21d94b36f8"
 
@@ -119,3 +120,26 @@
         await asyncio.wait_for(system.entry_run, BOUNDS.grace)
 
     play(scene)
+
+
+def test_a_stopping_entry_ends_kept_connections_once_it_gets_no_new_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Callers must not hand in over them what it has no time to end any more."""
+    monkeypatch.setattr("paddleshunt_node.aio.entryservice.NOTICED_SECONDS", 0.2)
+
+    async def scene(system: System) -> None:
+        await system.open()
+        host, port = split_address(system.callers)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"GET /q/ HTTP/1.1\r\nHost: host\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        job = asyncio.ensure_future(system.submit(KEY, 1500))
+        await until_true(lambda: len(system.runner.tasks) == 3)
+        system.entry_around.stopping.set()
+        await asyncio.wait_for(reader.read(), 1.0)
+        assert not job.done()
+        writer.close()
+        assert (await job).status == 200
+
+    play(scene)
