Keep no lease for sessions under which nothing runs

Cause: each of a target's sessions was kept alive by heartbeats every 0.13 s, run or no run. Change: a session is held while something runs, is to start or has ended untold under it, and idle otherwise; idle ones beat once a second and their lease runs out. What is assigned then is pending at the target until a later echo confirms the lease; an entry that gets no answer in 30 ms withdraws it and places it elsewhere. A frame after a gap confirms nothing. Seen to fail before: test_a_frame_after_a_gap_renews_and_acknowledges_nothing.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -49,7 +49,7 @@
             task.phase = TaskPhase.PLACED
             task.target = target.name
             task.placed_at = now
-            target.placed.add(task.run)
+            target.place(now, task.run)
             target.reserve(job.request.need)
             chosen.setdefault(target.name, []).append(task)
         self.assigned += [by_name[name] for name in chosen]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -21,6 +21,22 @@
 Two heartbeats of the target have then got no answer, and enough of the session is left to go on.
 """
 
+IDLE_BEAT = 1.0
+"""Seconds between two heartbeats of a target in an idle session, at least.
+
+So long may a target that has died unseen stay on an entry's list; the first assignment to it
+finds that out in some 30 ms.
+"""
+
+IDLE_BEAT_SESSIONS = 2.0
+"""The same as a multiple of a session's lease, which must run out between two of them."""
+
+FRESH_HEARTBEATS = 2.0
+"""Heartbeats by which a word of a target may be late and it is still given new work."""
+
+CLOCK_MARGIN = 0.002
+"""Seconds that two readings of clocks may be off, as they are told in whole milliseconds."""
+
 CHECKS_A_SESSION = 6
 """How often within a session's length an entry looks for what time has decided."""
 
@@ -78,6 +94,44 @@
         """Seconds of silence after which a target makes the connection of a session anew."""
         return self.session * REDIAL_SHARE
 
+    @property
+    def idle_beat(self) -> float:
+        """Seconds between two heartbeats of a target in an idle session."""
+        return max(IDLE_BEAT, IDLE_BEAT_SESSIONS * self.session)
+
+    @property
+    def idle_reply(self) -> float:
+        """Shortest time between two frames of an entry that only answer reports of an idle target.
+
+        A run that is still being stopped there keeps its session's lease by them.
+        """
+        return self.session / 2
+
+    @property
+    def idle_session(self) -> float:
+        """Seconds of silence after which an idle session is over."""
+        return self.idle_beat + self.session
+
+    @property
+    def fresh(self) -> float:
+        """Seconds since its last word for which a target that has work is given more."""
+        return self.heartbeat * FRESH_HEARTBEATS
+
+    @property
+    def idle_fresh(self) -> float:
+        """The same for a target that has no work of the entry."""
+        return self.idle_beat + self.fresh
+
+    @property
+    def pending(self) -> float:
+        """Seconds for which a target keeps an assignment that no echo has confirmed yet."""
+        return self.session / 2
+
+    @property
+    def lapse(self) -> float:
+        """Seconds from an entry's last echo until a target starts nothing more by it."""
+        return self.session * (1 + CLOCK_DRIFT) + CLOCK_MARGIN
+
     @property
     def check(self) -> float:
         """Seconds between two looks of an entry at what time has decided."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -10,6 +10,7 @@
 
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.admission import NO_TARGET_WAIT, expected_wait, room_note
+from paddleshunt_core.leased.answers import Answers
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
@@ -103,6 +104,7 @@
         self._targets: dict[str, TargetRecord] = {}
         self._lengths = Lengths()
         self._wants = Wants()
+        self._answers = Answers(times, self._jobs)
         self._evacuations = Evacuations()
         self._unplaced = False
         """Whether something was heard that may let a task be placed."""
@@ -136,6 +138,8 @@
                     "report": target.report,
                     "placed": len(target.placed),
                     "held": len(target.held),
+                    "asked_ms": round((now - target.asked) * 1000) if target.asked else 0,
+                    "answered": not target.unanswered,
                 }
                 for target in self._targets.values()
             },
@@ -258,7 +262,7 @@
         if target is None:
             target = self._targets[hello.name] = TargetRecord(hello.name, hello.hall, hello.life)
         target.connected = True
-        target.heard = now
+        target.spoke(now)
         session = target.session
         if session is not None and target.life == hello.life and session.number == hello.session:
             session.resume(hello.received)
@@ -286,12 +290,33 @@
         if target is None or target.session is None:
             return effects
         bodies = target.session.accept(frame)
-        target.heard = now
+        target.spoke(now)
         for body in bodies:
             effects += self._take(now, target, frame, body)
         self._unplaced = self._unplaced or bool(bodies)
         return effects
 
+    def owes_answer(self, now: float, name: str, frame: Frame) -> bool:
+        """Whether a target's frame is to be answered at once, which renews its lease.
+
+        Not if it has just been renewed. What an idle target only reports is answered less often.
+        """
+        target = self._targets.get(name)
+        if target is None or target.session is None:
+            return False
+        calm = not target.placed and any(isinstance(body, RunnerReport) for body in frame.bodies)
+        pause = self._times.idle_reply if calm else self._times.reply_pause
+        return now > target.session.renewed_ms / 1000 + pause
+
+    def answer_due(self) -> float | None:
+        """Return when `check_answers` is due, if a target is to confirm that it lives."""
+        return self._answers.due()
+
+    def check_answers(self, now: float) -> list[Effect]:
+        """Place elsewhere what targets were given that do not answer; it has never begun."""
+        logs = self._answers.check(now)
+        return [*logs, *self._place(now)] if logs else []
+
     def place_arrived(self, now: float) -> list[Effect]:
         """Place jobs whose callers have had the time to say that they left."""
         return self._place(now)
@@ -305,6 +330,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Act on the passing of time."""
         effects = self._notice_pause(now)
+        effects += self._answers.check(now)
         for target in list(self._targets.values()):
             effects += self._check_target(now, target)
         self._placement.compare(self._targets.values())
@@ -412,9 +438,7 @@
 
     def _check_target(self, now: float, target: TargetRecord) -> list[Effect]:
         if target.session is not None:
-            if target.is_fresh(now, self._times) or now < target.heard + self._times.session:
-                return []
-            return self._end_session(now, target)
+            return self._end_session(now, target) if target.is_silent(now, self._times) else []
         if target.held and now > target.lost_at:
             lost = list(target.held)
             target.held.clear()
@@ -542,6 +566,7 @@
     def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
         jobs = [job for job in self._jobs.all() if now >= job.place_from]
         logs = self._assigner.place(now, jobs, room or self._room(now))
+        self._answers.ask(now, self._assigner.assigned)
         self._unplaced = False
         heads = self._assigner.heads
         self._wants.tell(now, heads, self._open_targets(), self._assigner.assigned)
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
@@ -0,0 +1,161 @@
+"""One entry as a target knows it: the session with it, and what is to be told and started.
+
+A session is *held* while something runs for the entry, is to start, or has ended and the entry may
+not know it yet; otherwise it is *idle*. A held one is kept alive by heartbeats; the lease of an
+idle one runs out, and what is assigned in it then is *pending* until the entry echoes a stamp anew.
+"""
+
+from dataclasses import dataclass, field
+from typing import final
+
+from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.runtable import Run
+from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.wire import End, Ended, Frame, RunId, RunnerReport
+
+REPORT_SECONDS = 0.03
+"""Shortest time between two reports to an entry, but for those that come with an end of a run."""
+
+IDLE_REPORT_SECONDS = 0.25
+"""The same in an idle session, for changes of room that leave it as plenty or as scarce."""
+
+MAX_PENDING = 256
+"""Runs of one entry that may be pending: more than fit on a runner."""
+
+
+@final
+@dataclass(slots=True)
+class EntryLink:
+    """One entry: its life and the session with it. Times are steady seconds."""
+
+    life: str = ""
+    session: Session | None = None
+    ends: list[tuple[RunId, End]] = field(default_factory=list)
+    report_due: bool = True
+    """Whether a report is due even if it says nothing new: it tells what it takes account of."""
+    reported: float = float("-inf")
+    plenty: bool = False
+    """Whether the last report told of plenty of room."""
+    report: RunnerReport | None = None
+    """The last report in this session."""
+    retired: float | None = None
+    """Since when the session is to end, as other entries are preferred; None if it is not."""
+    pending: list[tuple[Run, float]] = field(default_factory=list)
+    """Runs to start once the lease is confirmed, and until when each may be."""
+    heard: float = 0.0
+    """When the entry last said something."""
+    _beat: float = float("-inf")
+    """When a frame last left that the entry answers."""
+    _asking: bool = False
+    """Whether a stamp is to leave at once, as something is pending."""
+    _last_end: int = 0
+    """Number of the last message in which ends were told."""
+
+    def open(self, now: float, life: str, session: Session) -> None:
+        """Begin a session; nothing of an earlier one is left."""
+        self.life = life
+        self.session = session
+        self.retired = None
+        self._last_end = 0
+        self.resumed(now)
+
+    def resumed(self, now: float) -> None:
+        """Note that a connection stands anew: what left over an earlier one may be lost."""
+        self.heard = now
+        self.report_due = True
+        self._beat = float("-inf")
+
+    def drop(self) -> None:
+        """End the session; what was pending in it never starts."""
+        self.session = None
+        self.ends = []
+        self.pending = []
+        self._asking = False
+
+    def is_held(self, *, has_runs: bool) -> bool:
+        """Whether the session is held."""
+        return has_runs or bool(self.pending or self.ends) or self._owes_end()
+
+    def _owes_end(self) -> bool:
+        return self.session is not None and self._last_end > self.session.acknowledged
+
+    def is_confirmed(self, now: float, times: LeaseTimes) -> bool:
+        """Whether the session's lease is in force: runs may start, and go on."""
+        if self.session is None:
+            return False
+        return now * 1000 <= self.session.confirmed_ms + times.session * 1000
+
+    # What is pending.
+
+    def assign(self, now: float, times: LeaseTimes, runs: list[Run]) -> list[Run]:
+        """Keep runs that are to start; return those that are too many."""
+        room = MAX_PENDING - len(self.pending)
+        until = now + times.pending
+        self.pending += [(run, min(until, run.expires)) for run in runs[:room]]
+        self._asking = True
+        return runs[room:]
+
+    def withdraw(self, runs: list[RunId]) -> None:
+        """Drop runs that are not wanted any more from what is pending."""
+        self.pending = [item for item in self.pending if item[0].id not in runs]
+
+    def take_confirmed(self, now: float, times: LeaseTimes) -> tuple[list[Run], list[Run]]:
+        """Return the pending runs that may start now, and those that have waited too long."""
+        stale = [run for run, until in self.pending if now > until]
+        waiting = [item for item in self.pending if now <= item[1]]
+        if not self.is_confirmed(now, times):
+            self.pending = waiting
+            return [], stale
+        self.pending = []
+        self._asking = False
+        return [run for run, _ in waiting], stale
+
+    # What is sent.
+
+    def next_frame(self, now: float, times: LeaseTimes, *, held: bool, beat: bool) -> Frame | None:
+        """Return the frame that is due; `beat`: heartbeats may be sent now."""
+        session = self.session
+        if session is None:
+            return None
+        pause = times.heartbeat if held else times.idle_beat
+        due = beat and now > self._beat + pause - times.heartbeat / 2
+        if not (due or self._asking or session.pending):
+            return None
+        # In an idle session only heartbeats are sure to be answered.
+        if due or held:
+            self._beat = now
+        self._asking = False
+        return session.frame(int(now * 1000))
+
+    def send_ends(self) -> None:
+        """Put the ends that are to be told into the session."""
+        if self.ends and self.session is not None:
+            self._last_end = self.session.send(Ended(self.ends))
+            self.ends = []
+
+    def report_pause(
+        self, times: LeaseTimes, report: RunnerReport, *, plenty: bool, held: bool
+    ) -> float:
+        """Return the shortest time from the last report to this one."""
+        last = self.report
+        if not held and last is not None:
+            if (last.state, last.health) != (report.state, report.health):
+                return 0.0
+            if plenty == self.plenty:
+                return IDLE_REPORT_SECONDS
+        return times.heartbeat if plenty and self.plenty else REPORT_SECONDS
+
+    # What is heard.
+
+    def is_silent(self, now: float, times: LeaseTimes, *, held: bool) -> bool:
+        """Whether the connection is to be made anew: a heartbeat got no answer for too long."""
+        if held:
+            return now > self.heard + times.redial
+        answered = self.heard > self._beat - times.idle_reply
+        return not answered and now > self._beat + times.redial
+
+    def is_over(self, now: float, times: LeaseTimes, *, has_runs: bool) -> bool:
+        """Whether the session can't go on: what runs in it has lost its lease, or it is silent."""
+        if has_runs:
+            return not self.is_confirmed(now, times)
+        return now > self.heard + times.idle_session
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -63,6 +63,7 @@
     def __init__(self) -> None:
         self._runs: dict[RunId, Run] = {}
         self._tasks: Counter[TaskId] = Counter()
+        self._entries: Counter[str] = Counter()
         self.used = NOTHING
 
     def __len__(self) -> int:
@@ -79,12 +80,14 @@
         """Add a run and count its need as used from now on."""
         self._runs[run.id] = run
         self._tasks[run.id.task] += 1
+        self._entries[run.entry] += 1
         self.used += run.need
 
     def drop(self, run: Run) -> None:
         """Forget a run and free what it used."""
         del self._runs[run.id]
         self._tasks[run.id.task] -= 1
+        self._entries[run.entry] -= 1
         if not self._tasks[run.id.task]:
             del self._tasks[run.id.task]
         self.used -= run.need
@@ -93,6 +96,10 @@
         """Whether any run of a task is known."""
         return task in self._tasks
 
+    def has_entry(self, entry: str) -> bool:
+        """Whether any run of an entry is known."""
+        return self._entries[entry] > 0
+
     def of_entry(self, entry: str) -> list[Run]:
         """Return the runs of one entry's session."""
         return [run for run in self._runs.values() if run.entry == entry]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
@@ -1,8 +1,9 @@
 """A session between an entry and a target: an ordered, resumable stream, and a lease.
 
 Either side numbers what it sends and keeps it until the other has it, so a session outlives its
-connection. The target's side is a lease of the entry: it ends when the entry's last echo of the
-target's own clock is older than the lease. Delays on the way can only shorten it.
+connection. The target's side is a lease of the entry: it runs out when the entry's last echo of the
+target's own clock is older than the lease. Delays on the way can only shorten it. While nothing
+runs under it, it may run out and be renewed by a later echo.
 """
 
 from collections import deque
@@ -21,6 +22,8 @@
     def __init__(self, number: int, opened_ms: int) -> None:
         self.number = number
         self.received = 0
+        self.acknowledged = 0
+        """The newest own body that the peer has."""
         self.confirmed_ms = opened_ms
         """The newest own stamp that the peer has echoed: it was alive then or later."""
         self.renewed_ms = opened_ms
@@ -55,13 +58,17 @@
         return Frame(first, self.received, now_ms, self._heard_stamp, bodies)
 
     def accept(self, frame: Frame) -> list[Body]:
-        """Take a frame and return the bodies that are new."""
-        self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
-        self.confirmed_ms = max(self.confirmed_ms, frame.echo_ms)
-        self._acknowledged(frame.received)
+        """Take a frame and return the bodies that are new.
+
+        One after a gap is not taken at all: its echo would renew the lease for bodies that are
+        missing, and what they withdraw would go on.
+        """
         skip = self.received + 1 - frame.first
         if skip < 0:
             return []
+        self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
+        self.confirmed_ms = max(self.confirmed_ms, frame.echo_ms)
+        self._acknowledged(frame.received)
         fresh = frame.bodies[skip:]
         self.received += len(fresh)
         return fresh
@@ -73,5 +80,6 @@
         self._unacknowledged.clear()
 
     def _acknowledged(self, received: int) -> None:
+        self.acknowledged = max(self.acknowledged, received)
         while self._unacknowledged and self._unacknowledged[0][0] <= received:
             self._unacknowledged.popleft()
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -15,9 +15,6 @@
 SLOWNESS_LIMITS = (0.5, 3.0)
 """Bounds of what one end may say of a target's slowness; beyond, the runner's health decides."""
 
-FRESH_HEARTBEATS = 2.0
-"""Heartbeats without a word after which a target is given nothing new."""
-
 
 @final
 @dataclass(slots=True)
@@ -48,6 +45,14 @@
     """Key of the waiting job that it was told of last; empty if it has none to go by."""
     told_need: Resources = NOTHING
     told_at: float = 0.0
+    held_since: float = 0.0
+    """When it was given work last while it had none of this entry."""
+    asked: float | None = None
+    """Since when it is to confirm that it lives, as it was given work while its lease was over."""
+    answered_in: float = 0.0
+    """Seconds in which it last did so."""
+    unanswered: bool = False
+    """Whether it did not, and has said nothing since."""
 
     def take_report(self, now: float, report: RunnerReport) -> None:
         """Adopt a report; another life of the runner may be of another kind."""
@@ -59,6 +64,7 @@
     def reset(self) -> None:
         """Forget what a session that has ended told, and what it was sent."""
         self.report = None
+        self.asked = None
         self.told_want = ""
         self.unseen.clear()
         self.on_way = NOTHING
@@ -83,9 +89,43 @@
         least, most = SLOWNESS_LIMITS
         self.slowness += SLOWNESS_STEP * (min(most, max(least, ratio)) - self.slowness)
 
+    def place(self, now: float, run: RunId) -> None:
+        """Note that a run is on its way there."""
+        if not self.placed:
+            self.held_since = now
+        self.placed.add(run)
+
+    def spoke(self, now: float) -> None:
+        """Note that it said something."""
+        self.heard = now
+        self.unanswered = False
+        if self.asked is not None:
+            self.answered_in = now - self.asked
+            self.asked = None
+
     def is_fresh(self, now: float, times: LeaseTimes) -> bool:
-        """Whether it was heard just now over a connection that stands."""
-        return self.connected and now - self.heard <= times.heartbeat * FRESH_HEARTBEATS
+        """Whether its last word is as new as it should be, over a connection that stands."""
+        if not self.connected or self.unanswered:
+            return False
+        if self.asked is not None:
+            return True
+        silence = now - max(self.heard, self.held_since)
+        return silence <= (times.fresh if self.placed else times.idle_fresh)
+
+    def is_silent(self, now: float, times: LeaseTimes) -> bool:
+        """Whether it has said nothing for so long that its session is over."""
+        if self.placed:
+            return now >= max(self.heard, self.held_since) + times.session
+        return now >= self.heard + times.idle_session
+
+    def may_begin(self, times: LeaseTimes, placed_at: float) -> bool:
+        """Whether what was placed there at a time may have been started.
+
+        If the lease was over when it was placed, it starts only by an echo that is sent later.
+        """
+        if self.session is None:
+            return True
+        return placed_at <= self.session.renewed_ms / 1000 + times.lapse
 
     def takes(self, now: float, service: str, times: LeaseTimes) -> bool:
         """Whether tasks of `service` may be sent there."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -1,15 +1,16 @@
 """The target: gives orders to the one runner beside it, for the entries that hold a session.
 
-It starts nothing that doesn't fit, keeps the runner's lease alive while an entry's session is,
-stops what an ended session has left, and tells how each run ended. Feed it messages, answers of
+It starts nothing that doesn't fit and nothing under a session whose lease is not in force, keeps
+the runner's lease alive while an entry's session is, stops what an ended session has left, and
+tells how each run ended. Feed it messages, answers of
 the runner and ticks; it returns orders for the runner, and frames to send lie in its sessions.
 """
 
-from dataclasses import dataclass, field
 from typing import final
 
 from paddleshunt_core.events import note
 from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.entrylink import EntryLink
 from paddleshunt_core.leased.evacuation import evacuation_note
 from paddleshunt_core.leased.incarnations import Claim
 from paddleshunt_core.leased.losses import LossBook
@@ -25,7 +26,6 @@
     Body,
     Decline,
     End,
-    Ended,
     EvacuationNews,
     Frame,
     Health,
@@ -38,9 +38,6 @@
     Want,
 )
 
-REPORT_SECONDS = 0.03
-"""Shortest time between two reports to an entry, but for those that come with an end of a run."""
-
 PLENTY = 0.3
 """Share of the runner's room that is free, above which changes are told with the next heartbeat."""
 
@@ -51,25 +48,6 @@
 """Shortest time for which an entry is told to send nothing more, before its session ends."""
 
 
-@final
-@dataclass(slots=True)
-class _EntryLink:
-    """One entry: its life and the session with it."""
-
-    life: str = ""
-    session: Session | None = None
-    ends: list[tuple[RunId, End]] = field(default_factory=list)
-    report_due: bool = True
-    """Whether a report is due even if it says nothing new: it tells what it takes account of."""
-    reported: float = float("-inf")
-    plenty: bool = False
-    """Whether the last report told of plenty of room."""
-    report: RunnerReport | None = None
-    """The last report in this session."""
-    retired: float | None = None
-    """Since when the session is to end, as other entries are preferred; None if it is not."""
-
-
 @final
 class Worker:
     """State of one target."""
@@ -77,7 +55,7 @@
     def __init__(self, times: LeaseTimes, hall: str = "") -> None:
         self._times = times
         self._control = RunnerControl(times, hall)
-        self._links: dict[str, _EntryLink] = {}
+        self._links: dict[str, EntryLink] = {}
         self._offers = Offers()
         self._losses = LossBook()
         """What this target saw of its own runner, for entries that it meets later."""
@@ -116,6 +94,16 @@
             "sessions": {
                 name: link.session.number for name, link in self._links.items() if link.session
             },
+            "leases": {
+                name: {
+                    "held": self._is_held(name),
+                    "confirmed": link.is_confirmed(now, self._times),
+                    "pending": len(link.pending),
+                    "silent_s": round(now - link.heard, 2),
+                }
+                for name, link in self._links.items()
+                if link.session
+            },
         }
 
     # Sessions.
@@ -128,6 +116,10 @@
         """Return the entries that a session is open with."""
         return {name for name, link in self._links.items() if link.session is not None}
 
+    def held_names(self) -> set[str]:
+        """Return the entries whose session is held: something runs for them or is on its way."""
+        return {name for name in self._links if self._is_held(name)}
+
     def session(self, entry: str) -> Session | None:
         """Return the session with an entry."""
         link = self._links.get(entry)
@@ -136,23 +128,22 @@
     def opened(self, now: float, hello: Hello, said: float) -> list[Effect]:
         """Take an entry's answer to the greeting that was sent at `said`."""
         self._collect(now)
-        link = self._links.setdefault(hello.name, _EntryLink())
-        link.report_due = True
+        link = self._links.setdefault(hello.name, EntryLink())
         session = link.session
         if session is not None and link.life == hello.life and session.number == hello.session:
             session.resume(hello.received)
+            link.resumed(now)
             return [note("session_resumed", entry=hello.name)]
         effects = self._end_session(now, hello.name, "replaced") if session else []
-        link.life = hello.life
-        link.retired = None
-        link.session = Session(hello.session, int(said * 1000))
+        session = Session(hello.session, int(said * 1000))
+        link.open(now, hello.life, session)
         for loss in self._losses.all(now):
-            link.session.send(loss)
+            session.send(loss)
         fields: dict[str, str | int | float] = {"entry": hello.name, "session": hello.session}
         return [*effects, note("session_opened", **fields)]
 
     def session_left(self, now: float, entry: str) -> float:
-        """Return the seconds that are left of an entry's session; 0 or less if it is over."""
+        """Return the seconds that are left of a session's lease; 0 or less if it is over."""
         session = self.session(entry)
         return 0.0 if session is None else session.confirmed_ms / 1000 + self._times.session - now
 
@@ -161,17 +152,40 @@
         return self._end_session(now, entry, "refused") if self.session(entry) else []
 
     def heard(self, now: float, entry: str, frame: Frame) -> list[Effect]:
-        """Take a frame of an entry; one of an ended session is dropped."""
-        session = self.session(entry)
-        if session is None:
+        """Take a frame of an entry; one of an ended session is dropped.
+
+        Nothing starts before all of the frame is known: it may withdraw what it assigns.
+        """
+        link = self._links.get(entry)
+        if link is None or link.session is None:
             return []
-        bodies = session.accept(frame)
-        if self._is_over(now, session):
+        bodies = link.session.accept(frame)
+        if self._is_over(now, entry):
             return self._end_session(now, entry, "silent")
+        link.heard = now
         effects: list[Effect] = []
         for body in bodies:
             effects += self._take(now, entry, body)
-        return effects
+        return effects + self._start_pending(now, entry, link)
+
+    def is_silent(self, now: float, entry: str) -> bool:
+        """Whether the connection with an entry is to be made anew: it does not answer."""
+        link = self._links.get(entry)
+        if link is None or link.session is None:
+            return True
+        return link.is_silent(now, self._times, held=self._is_held(entry))
+
+    def silence(self, now: float, entry: str) -> float:
+        """Return the seconds since an entry was heard."""
+        link = self._links.get(entry)
+        return now - link.heard if link else 0.0
+
+    def next_frame(self, now: float, entry: str, *, beat: bool) -> Frame | None:
+        """Return the frame that is due to an entry, if any; `beat`: heartbeats may be sent now."""
+        link = self._links.get(entry)
+        if link is None:
+            return None
+        return link.next_frame(now, self._times, held=self._is_held(entry), beat=beat)
 
     # The runner.
 
@@ -192,8 +206,11 @@
         return self._control.runner_left(now, runner)
 
     def next_look(self, now: float) -> Look:
-        """Return the renewal to send now; it counts as sent."""
-        return self._control.next_look(now, renew=self._any_session(now))
+        """Return the look to send now; it counts as sent.
+
+        It renews the runner's lease while something is at work and a session's lease is in force.
+        """
+        return self._control.next_look(now, renew=self._any_needs_lease(now))
 
     def looked(self, now: float, answer: LookAnswer) -> list[Effect]:
         """Take the runner's lists of what runs and what has ended."""
@@ -209,8 +226,8 @@
         What it was decided on may have changed since: its caller may have left, its entry's session
         may be over, or its data hall evacuated.
         """
-        session = self.session(entry)
-        if session is None or self._is_over(now, session):
+        link = self._links.get(entry)
+        if link is None or not link.is_confirmed(now, self._times):
             return False
         return self._control.may_send(id_)
 
@@ -238,8 +255,9 @@
         """Act on the passing of time."""
         effects = self._notice_pause(now)
         for name, link in self._links.items():
-            if link.session is not None and self._is_over(now, link.session):
+            if link.session is not None and self._is_over(now, name):
                 effects += self._end_session(now, name, "silent")
+            effects += self._start_pending(now, name, link)
         return effects + self._control.tick(now)
 
     def leave(self, now: float) -> list[Effect]:
@@ -248,14 +266,14 @@
         return [note("leaving", runs=self.runs)]
 
     def retire(self, now: float, preferred: set[str]) -> list[Effect]:
-        """End the sessions with other entries than `preferred`, once they have no run here."""
+        """End the sessions with other entries than `preferred`, once they have no work here."""
         effects: list[Effect] = []
         for name, link in self._links.items():
             if link.session is None or name in preferred:
                 link.retired = None
             elif link.retired is None:
                 link.retired = now
-            elif now > link.retired + RETIRE_SECONDS and not self._control.table.of_entry(name):
+            elif now > link.retired + RETIRE_SECONDS and not self._has_work(name):
                 effects += self._end_session(now, name, "other_entries_preferred")
         return effects
 
@@ -273,7 +291,8 @@
                 continue
             report = self._report(now, link, free if holder in (None, name) else NOTHING)
             if report != link.report or link.report_due:
-                pause = self._times.heartbeat if plenty and link.plenty else REPORT_SECONDS
+                held = self._is_held(name)
+                pause = link.report_pause(self._times, report, plenty=plenty, held=held)
                 due = now if holder == name else link.reported + pause
                 if link.ends or now >= due:
                     link.session.send(report)
@@ -283,9 +302,7 @@
                     link.plenty = plenty
                 else:
                     next_due = due if next_due is None else min(next_due, due)
-            if link.ends:
-                link.session.send(Ended(link.ends))
-                link.ends = []
+            link.send_ends()
         return next_due
 
     # Inside.
@@ -295,8 +312,17 @@
         seconds = self._pauses.moved(now)
         return [note("stood_still", seconds=round(seconds, 2), runs=self.runs)] if seconds else []
 
-    def _is_over(self, now: float, session: Session) -> bool:
-        return now * 1000 > session.confirmed_ms + self._times.session * 1000
+    def _has_work(self, entry: str) -> bool:
+        """Whether something runs for an entry, or is to start."""
+        return self._control.table.has_entry(entry) or bool(self._links[entry].pending)
+
+    def _is_held(self, entry: str) -> bool:
+        link = self._links[entry]
+        return link.is_held(has_runs=self._control.table.has_entry(entry))
+
+    def _is_over(self, now: float, entry: str) -> bool:
+        has_runs = self._control.table.has_entry(entry)
+        return self._links[entry].is_over(now, self._times, has_runs=has_runs)
 
     def _has_plenty(self) -> bool:
         control = self._control
@@ -310,18 +336,16 @@
             return None
         return self._offers.holder(now, free)
 
-    def _any_session(self, now: float) -> bool:
-        return any(
-            link.session is not None and not self._is_over(now, link.session)
-            for link in self._links.values()
+    def _any_needs_lease(self, now: float) -> bool:
+        return not self.idle and any(
+            link.is_confirmed(now, self._times) for link in self._links.values()
         )
 
     def _end_session(self, now: float, entry: str, reason: str) -> list[Effect]:
         link = self._links[entry]
         over = now + min(0.0, self.session_left(now, entry))
         self._collect(now)
-        link.session = None
-        link.ends = []
+        link.drop()
         self._offers.drop(entry)
         effects: list[Effect] = []
         runs = self._control.table.of_entry(entry)
@@ -334,7 +358,7 @@
         match body:
             case Assign():
                 self._offers.drop(entry)
-                return self._assign(now, entry, body)
+                self._assign(now, entry, body)
             case Decline():
                 self._offers.drop(entry)
             case EvacuationNews():
@@ -342,6 +366,7 @@
             case Want():
                 self._offers.want(entry, body.need, now + body.within_ms / 1000)
             case Stop():
+                self._links[entry].withdraw(body.runs)
                 return [
                     effect
                     for run in map(self._control.table.get, body.runs)
@@ -362,17 +387,32 @@
             return []
         return [evacuation_note(evacuations, entry)]
 
-    def _assign(self, now: float, entry: str, body: Assign) -> list[Effect]:
-        control = self._control
+    def _assign(self, now: float, entry: str, body: Assign) -> None:
+        """Keep runs until all of the frame is known, and the session's lease is in force."""
+        link = self._links[entry]
+        link.report_due = True
         runs = [_run(now, entry, body, index, number) for index, number in body.runs]
-        self._links[entry].report_due = True
+        excess = link.assign(now, self._times, runs)
+        link.ends += [(run.id, End.NOT_STARTED) for run in excess]
+
+    def _start_pending(self, now: float, entry: str, link: EntryLink) -> list[Effect]:
+        """Start what is pending if the session's lease is in force; give back what is too old."""
+        if not link.pending:
+            return []
+        control = self._control
+        runs, stale = link.take_confirmed(now, self._times)
         takes = control.state() is RunnerState.READY and control.level is not Health.SICK
         # A known run of the task belongs to an earlier try of the job, which is being stopped.
         new = [run for run in runs if takes and not control.table.has_task(run.id.task)]
-        self._links[entry].ends += [(run.id, End.NOT_STARTED) for run in runs if run not in new]
-        return control.add(now, new)
+        back = [run for run in runs if run not in new] + stale
+        link.ends += [(run.id, End.NOT_STARTED) for run in back]
+        effects = control.add(now, new)
+        if stale:
+            fields: dict[str, str | int | float] = {"entry": entry, "runs": len(stale)}
+            return [*effects, note("assignment_unconfirmed", **fields)]
+        return effects
 
-    def _report(self, now: float, link: _EntryLink, shown: Resources) -> RunnerReport:
+    def _report(self, now: float, link: EntryLink, shown: Resources) -> RunnerReport:
         control = self._control
         account = control.account
         return RunnerReport(
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -92,6 +92,7 @@
         self._follower = StoreFollower(store, surroundings, own, self)
         self._loop: asyncio.AbstractEventLoop
         self._flushing = False
+        self._answers_timer: asyncio.TimerHandle | None = None
         self._leaving = False
         self._began = self._now()
 
@@ -271,7 +272,7 @@
         """Take a frame of a target, or of another entry."""
         if self._links.get(link.peer) is link:
             self._act(self._dispatcher.heard(self._now(), link.peer, frame))
-            self._reply(link)
+            self._reply(link, frame)
         else:
             self._peers.heard(link, frame)
 
@@ -356,7 +357,7 @@
         now = self._now()
         for target in self._dispatcher.targets():
             link = self._links.get(target.name)
-            if link is not None and now > target.heard + self._times.session:
+            if link is not None and target.is_silent(now, self._times):
                 link.close()
 
     def _flush_soon(self) -> None:
@@ -371,16 +372,26 @@
             session = self._dispatcher.session(link.peer)
             if session is not None and session.pending:
                 self._send(link, session)
+        self._await_answers()
 
-    def _reply(self, link: PeerLink) -> None:
+    def _await_answers(self) -> None:
+        """Look for idle targets that don't answer when the first is overdue."""
+        due = self._dispatcher.answer_due()
+        if due is not None and self._answers_timer is None:
+            due_in = due - self._now() + TIMER_MARGIN
+            self._answers_timer = self._loop.call_later(due_in, self._check_answers)
+
+    def _check_answers(self) -> None:
+        self._answers_timer = None
+        self._act(self._dispatcher.check_answers(self._now()))
+
+    def _reply(self, link: PeerLink, frame: Frame) -> None:
         """Answer a heartbeat, which renews the target's lease, unless one has just been renewed.
 
         A frame that carried no later echo renewed nothing, as the first over a new connection.
         """
         session = self._dispatcher.session(link.peer)
-        if session is None:
-            return
-        if self._now() > session.renewed_ms / 1000 + self._times.reply_pause:
+        if session is not None and self._dispatcher.owes_answer(self._now(), link.peer, frame):
             self._send(link, session)
 
     def _send(self, link: PeerLink, session: Session) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -91,8 +91,6 @@
         self._names: dict[str, str] = {}
         """Entries by the address at which they were met."""
         self._said: dict[PeerLink, float] = {}
-        self._heard: dict[str, float] = {}
-        self._sent: dict[str, float] = {}
         self._claims: dict[str, RunnerAccount] = {}
         """Accounts of other lives than the known one that the runner has not confirmed."""
         self._choice = EntryChoice(config.name)
@@ -311,10 +309,7 @@
             link.close()
             return
         self._links[hello.name] = link
-        self._heard[hello.name] = now
         self._act(self._worker.opened(now, hello, said))
-        # What was sent over an earlier connection may be lost, and the session's time is running.
-        self._sent.pop(hello.name, None)
         self._flush(heartbeat=True)
 
     def heard(self, link: PeerLink, frame: Frame) -> None:
@@ -322,7 +317,6 @@
         if self._links.get(link.peer) is not link:
             return
         now = self._now()
-        self._heard[link.peer] = now
         for body in frame.bodies:
             if isinstance(body, Entries):
                 self._choice.told(link.peer, body.entries)
@@ -365,8 +359,12 @@
         return self._choice.wanted(self._now(), set(self._links))
 
     def _retire(self, now: float) -> None:
-        """Give up sessions beyond those to be kept: the better ones are open."""
-        self._act(self._worker.retire(now, self._choice.kept(self._worker.session_names())))
+        """Give up sessions beyond those to be kept: the better ones are open.
+
+        An idle one without a connection is no better one: its entry may have ended.
+        """
+        open_now = self._worker.session_names() & self._links.keys() | self._worker.held_names()
+        self._act(self._worker.retire(now, self._choice.kept(open_now)))
 
     def _may_greet(self, name: str) -> bool:
         return self._worker.session(name) is not None or self._worker.may_open(name)
@@ -404,13 +402,14 @@
         A connection may have fallen silent for good while a new one works, so it is made anew while
         the session can still go on over it.
         """
+        held = self._worker.held_names()
         for name, link in list(self._links.items()):
-            silent = now - self._heard.get(name, 0.0)
-            if silent > self._times.session:
+            silent = self._worker.silence(now, name)
+            if silent > (self._times.session if name in held else self._times.idle_session):
                 self._choice.suspect(now, name)
-            if silent > self._times.redial or self._worker.session(name) is None:
+            if self._worker.is_silent(now, name):
                 link.close()
-            elif silent > MISSED_HEARTBEATS * self._times.heartbeat:
+            elif name in held and silent > MISSED_HEARTBEATS * self._times.heartbeat:
                 # The next tick may come too late for the session to go on.
                 due_in = self._times.redial - silent + TIMER_MARGIN
                 self._loop.call_later(due_in, lambda: self._close_silent(self._now()))
@@ -444,13 +443,9 @@
         if next_report is not None:
             self._flush_reports_at(next_report)
         for name, link in self._links.items():
-            session = self._worker.session(name)
-            if session is None:
-                continue
-            due = heartbeat and now > self._sent.get(name, 0.0) + self._times.heartbeat / 2
-            if session.pending or due:
-                link.send(session.frame(int(now * 1000)))
-                self._sent[name] = now
+            frame = self._worker.next_frame(now, name, beat=heartbeat)
+            if frame is not None:
+                link.send(frame)
 
 
 @final
--- /dev/null
+++ b/testing/core/leased/test_answers.py
@@ -0,0 +1,158 @@
+"""First assignments to idle targets: a round trip, and what becomes of those that don't answer."""
+
+import pytest
+from leasedfleet import STEP, Fleet
+from paddleshunt_core.leased.answers import ANSWER_SECONDS
+from paddleshunt_core.leased.outcomes import Completed
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    """A fleet of two targets whose sessions are idle, between two slow heartbeats."""
+    fleet = Fleet(entries=1, targets=2)
+    fleet.settle()
+    while not all(_is_lapsed(fleet, name) for name in fleet.targets):
+        fleet.step()
+    return fleet
+
+
+def _is_lapsed(fleet: Fleet, target: str) -> bool:
+    session = fleet.dispatchers["e0"].session(target)
+    assert session is not None
+    return fleet.now > session.renewed_ms / 1000 + fleet.times.lapse
+
+
+def starts(fleet: Fleet) -> dict[str, int]:
+    return {name: sum(runner.starts.values()) for name, runner in fleet.runners.items()}
+
+
+def holder(fleet: Fleet) -> str:
+    """Return the target that the only task has been sent to."""
+    (name,) = [t.name for t in fleet.dispatchers["e0"].targets() if t.placed]
+    return name
+
+
+def test_the_first_task_after_idleness_costs_one_round_trip(fleet: Fleet) -> None:
+    caller = fleet.submit("e0", "job", count=1, length=0.2)
+    fleet.run(4 * STEP)
+    assert sum(starts(fleet).values()) == 1
+    fleet.run(0.3)
+    assert fleet.answers[caller] == Completed()
+
+
+def test_nothing_starts_before_the_entry_has_answered(fleet: Fleet) -> None:
+    """Its frames still come, but what the target says does not reach it."""
+    fleet.submit("e0", "job", count=1, length=0.2)
+    for name in fleet.targets:
+        fleet.cut(name, "e0")
+    fleet.run(ANSWER_SECONDS)
+    assert sum(starts(fleet).values()) == 0
+
+
+def test_a_target_that_died_unseen_holds_a_task_up_for_no_longer_than_an_answer(
+    fleet: Fleet,
+) -> None:
+    caller = fleet.submit("e0", "job", count=1, length=0.2)
+    dead = holder(fleet)
+    fleet.freeze(dead)
+    fleet.run(ANSWER_SECONDS + 0.2 + 5 * STEP)
+    assert fleet.answers[caller] == Completed()
+    assert starts(fleet)[dead] == 0
+
+
+def test_a_target_that_did_not_answer_is_given_nothing_until_it_speaks(fleet: Fleet) -> None:
+    fleet.submit("e0", "job", count=1, length=0.1)
+    dead = holder(fleet)
+    fleet.freeze(dead)
+    fleet.run(0.1)
+    for number in range(5):
+        fleet.submit("e0", f"next{number}", count=2, length=0.1)
+        fleet.step()
+        (record,) = [t for t in fleet.dispatchers["e0"].targets() if t.name == dead]
+        assert not record.placed
+    fleet.thaw(dead)
+    fleet.run(1.0)
+    callers = [fleet.submit("e0", f"more{number}", count=6, length=0.2) for number in range(2)]
+    fleet.run(0.5)
+    assert [fleet.answers.get(caller) for caller in callers] == [Completed()] * 2
+    assert starts(fleet)[dead] > 0
+
+
+def test_a_late_target_starts_nothing_of_what_was_withdrawn(fleet: Fleet) -> None:
+    """The link holds all up until the task runs elsewhere; then its frames come all at once."""
+    caller = fleet.submit("e0", "job", count=1, length=0.6)
+    late = holder(fleet)
+    fleet.cut("e0", late)
+    fleet.run(ANSWER_SECONDS + 3 * STEP)
+    fleet.heal()
+    fleet.run(0.4)
+    assert starts(fleet)[late] == 0
+    assert sum(starts(fleet).values()) == 1
+    fleet.run(0.5)
+    assert fleet.answers[caller] == Completed()
+
+
+def test_what_was_withdrawn_counts_as_no_try(fleet: Fleet) -> None:
+    """A job whose tasks never began may be refused as not run."""
+    for name in fleet.targets:
+        fleet.freeze(name)
+    fleet.submit("e0", "job", count=1, length=0.2)
+    fleet.run(2 * (ANSWER_SECONDS + 3 * STEP))
+    (job,) = fleet.dispatchers["e0"]._jobs.all()
+    assert not job.begun
+    assert job.tasks[0].retries == job.tasks[0].losses == 0
+
+
+def test_what_may_have_begun_is_not_withdrawn() -> None:
+    """Right after an echo a target starts at once, and its silence says nothing."""
+    fleet = Fleet(entries=1, targets=1)
+    fleet.settle()
+    while not _is_lapsed(fleet, "t0"):
+        fleet.step()
+    session = fleet.dispatchers["e0"].session("t0")
+    assert session is not None
+    before = session.renewed_ms
+    while session.renewed_ms == before:
+        fleet.step()
+    fleet.submit("e0", "job", count=1, length=3.0)
+    fleet.step()
+    fleet.cut("t0", "e0")
+    fleet.run(0.2)
+    assert fleet.ends("target_unanswered") == []
+    assert len(fleet.runners["t0"].running) == 1
+
+
+def test_idle_sessions_send_a_frame_each_way_a_beat() -> None:
+    fleet = Fleet(entries=4, targets=4)
+    fleet.settle()
+    fleet.run(1.0)
+    before = fleet.frames
+    fleet.run(10.0)
+    beats = 10.0 / fleet.times.idle_beat
+    assert fleet.frames - before <= 1.2 * 2 * beats * 16
+    assert fleet.ends("session_ended") == []
+
+
+def test_a_held_session_is_kept_alive_for_as_long_as_its_run_lasts(fleet: Fleet) -> None:
+    caller = fleet.submit("e0", "job", count=1, length=5.0, deadline=9.0)
+    fleet.run(5.3)
+    assert fleet.answers[caller] == Completed()
+    assert sum(starts(fleet).values()) == 1
+
+
+def test_idle_sessions_last(fleet: Fleet) -> None:
+    fleet.run(20.0)
+    assert fleet.ends("session_ended") == []
+    assert fleet.ends("session_opened").count("") == 4
+
+
+@pytest.mark.parametrize("killed", ["entry", "target"])
+def test_an_idle_session_with_a_process_that_died_is_over_within_seconds(
+    fleet: Fleet, killed: str
+) -> None:
+    fleet.kill("e0" if killed == "entry" else "t0")
+    fleet.run(fleet.times.idle_session + 0.2)
+    if killed == "entry":
+        assert all(not worker.session_names() for worker in fleet.workers.values())
+    else:
+        assert fleet.dispatchers["e0"].session("t0") is None
--- a/testing/core/leased/test_session.py
+++ b/testing/core/leased/test_session.py
@@ -45,3 +45,18 @@
     entry.frame(150)
     entry.frame(900)
     assert entry.renewed_ms == 150
+
+
+def test_a_frame_after_a_gap_renews_and_acknowledges_nothing() -> None:
+    """What is missing may withdraw what came before; the echo must not confirm that."""
+    target, entry = Session(1, 0), Session(1, 0)
+    entry.accept(target.frame(100))
+    entry.send(body(1))
+    target.accept(entry.frame(110))
+    target.send(body(9))
+    entry.accept(target.frame(200))
+    entry.send(body(2))
+    entry.frame(210)
+    assert target.accept(entry.frame(220)) == []
+    assert target.confirmed_ms == 100
+    assert target.acknowledged == 0
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -2,6 +2,7 @@
 
 import pytest
 from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.entrylink import REPORT_SECONDS
 from paddleshunt_core.leased.offers import OFFER_SECONDS
 from paddleshunt_core.leased.orders import (
     FinishedRun,
@@ -27,7 +28,7 @@
     TaskId,
     Want,
 )
-from paddleshunt_core.leased.worker import REPORT_SECONDS, Worker
+from paddleshunt_core.leased.worker import Worker
 
 RUN = RunId(TaskId("job", 0, 0), 1)
 
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -46,6 +46,8 @@
     said: float = 0.0
     greeted: bool = False
     heard: float = 0.0
+    answers: bool = False
+    """Whether the entry owes the target an answer."""
 
 
 @dataclass
@@ -92,6 +94,8 @@
         self._next_dial: dict[tuple[str, str], float] = {}
         self._beats: dict[str, float] = {}
         self._callers = 0
+        self.frames = 0
+        """Frames that targets and entries have sent."""
 
     def _dispatcher(self) -> Dispatcher:
         return Dispatcher(self.times, "hall", Random(7))
@@ -258,6 +262,7 @@
         if isinstance(message, Frame):
             self._act_entry(entry, dispatcher.heard(self.now, target, message))
             self._act_entry(entry, dispatcher.place_waiting(self.now))
+            link.answers = link.answers or dispatcher.owes_answer(self.now, target, message)
             return
         session, effects = dispatcher.greeted(self.now, message)
         self._act_entry(entry, effects)
@@ -291,13 +296,17 @@
         session = worker.session(entry)
         if self.targets[target].moves and session is not None:
             worker.prepare_frames(self.now)
-            if session.pending or due:
-                link.to_entry.append((self.now, session.frame(now_ms)))
+            frame = worker.next_frame(self.now, entry, beat=due)
+            if frame is not None:
+                link.to_entry.append((self.now, frame))
+                self.frames += 1
         theirs = self.dispatchers[entry].session(target)
         ready = self.entries[entry].moves and link.greeted and theirs is not None
-        if ready and theirs is not None and (theirs.pending or due):
+        if ready and theirs is not None and (theirs.pending or link.answers):
             link.to_target.append((self.now, theirs.frame(now_ms)))
-        silent = self.now > link.heard + self.times.session
+            link.answers = False
+            self.frames += 1
+        silent = self.now > link.heard + self.times.session and worker.is_silent(self.now, entry)
         if self.targets[target].moves and (silent or (session is None and link.greeted)):
             self._close(pair)
 
