Refuse frames after a gap and sessions that ended since their greeting

Cause: a target whose session ended while its greeting lay unread at a frozen entry opened a second session of the same number at the answer; the entry's went on at another message, and each dropped what the other said for as long as it lasted. Frames after a gap counted as signs of life, so nothing ended it. Change: a session that has ended is not opened again, and a frame after a gap is no sign of life.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -287,7 +287,7 @@
         """Take a frame of a target."""
         effects = self._notice_pause(now)
         target = self._targets.get(name)
-        if target is None or target.session is None:
+        if target is None or target.session is None or target.session.misses(frame):
             return effects
         bodies = target.session.accept(frame)
         target.spoke(now)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
@@ -48,6 +48,8 @@
     """When a frame last left that the entry answers."""
     _asking: bool = False
     """Whether a stamp is to leave at once, as something is pending."""
+    _newest: int = 0
+    """Number of the newest session with this life of the entry; its numbers rise."""
     _last_end: int = 0
     """Number of the last message in which ends were told."""
 
@@ -55,10 +57,20 @@
         """Begin a session; nothing of an earlier one is left."""
         self.life = life
         self.session = session
+        self._newest = session.number
         self.retired = None
         self._last_end = 0
         self.resumed(now)
 
+    def goes_on(self, life: str, number: int) -> bool:
+        """Whether this is the session that is open."""
+        return self.session is not None and self.life == life and self.session.number == number
+
+    def has_ended(self, life: str, number: int) -> bool:
+        """Whether this session is over: its entry may go on with it if it was greeted before."""
+        known = self.life == life and number <= self._newest
+        return known and not self.goes_on(life, number)
+
     def resumed(self, now: float) -> None:
         """Note that a connection stands anew: what left over an earlier one may be lost."""
         self.heard = now
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
@@ -57,15 +57,19 @@
             self.renewed_ms = now_ms
         return Frame(first, self.received, now_ms, self._heard_stamp, bodies)
 
+    def misses(self, frame: Frame) -> bool:
+        """Whether a frame comes after a gap: what is missing comes over the next connection."""
+        return frame.first > self.received + 1
+
     def accept(self, frame: Frame) -> list[Body]:
         """Take a frame and return the bodies that are new.
 
         One after a gap is not taken at all: its echo would renew the lease for bodies that are
         missing, and what they withdraw would go on.
         """
-        skip = self.received + 1 - frame.first
-        if skip < 0:
+        if self.misses(frame):
             return []
+        skip = self.received + 1 - frame.first
         self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
         self.confirmed_ms = max(self.confirmed_ms, frame.echo_ms)
         self._acknowledged(frame.received)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -126,11 +126,16 @@
         return link.session if link else None
 
     def opened(self, now: float, hello: Hello, said: float) -> list[Effect]:
-        """Take an entry's answer to the greeting that was sent at `said`."""
+        """Take an entry's answer to the greeting that was sent at `said`.
+
+        There is no session then if the one that the greeting named has ended since.
+        """
         self._collect(now)
         link = self._links.setdefault(hello.name, EntryLink())
+        if link.has_ended(hello.life, hello.session):
+            return [note("session_over", entry=hello.name, session=hello.session)]
         session = link.session
-        if session is not None and link.life == hello.life and session.number == hello.session:
+        if session is not None and link.goes_on(hello.life, hello.session):
             session.resume(hello.received)
             link.resumed(now)
             return [note("session_resumed", entry=hello.name)]
@@ -157,7 +162,7 @@
         Nothing starts before all of the frame is known: it may withdraw what it assigns.
         """
         link = self._links.get(entry)
-        if link is None or link.session is None:
+        if link is None or link.session is None or link.session.misses(frame):
             return []
         bodies = link.session.accept(frame)
         if self._is_over(now, entry):
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -308,8 +308,12 @@
             self._act(self._worker.closed(now, hello.name))
             link.close()
             return
-        self._links[hello.name] = link
         self._act(self._worker.opened(now, hello, said))
+        session = self._worker.session(hello.name)
+        if session is None or session.number != hello.session:
+            link.close()
+            return
+        self._links[hello.name] = link
         self._flush(heartbeat=True)
 
     def heard(self, link: PeerLink, frame: Frame) -> None:
--- /dev/null
+++ b/testing/core/leased/test_idle_sessions.py
@@ -0,0 +1,327 @@
+"""Random faults around first assignments to idle sessions: no task runs twice at once.
+
+`Fleet.check` holds that after each step. The planted bugs show that the machine bites: each takes
+away one thing that the rule rests on, and the machine must find a task that runs twice.
+"""
+
+import os
+from collections.abc import Callable
+from functools import partial
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+from leasedfleet import Fleet
+from paddleshunt_core.leased.answers import Answers
+from paddleshunt_core.leased.bounds import Bounds, LeaseTimes
+from paddleshunt_core.leased.entrylink import EntryLink
+from paddleshunt_core.leased.outcomes import GivenUp
+from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.wire import Body, Frame, Stop
+from paddleshunt_core.leased.worker import Worker
+
+EXAMPLES = int(os.environ.get("PADDLESHUNT_FUZZ", "40"))
+PLANTED_EXAMPLES = 200
+
+SHARED = {
+    "deadline": None,
+    "suppress_health_check": list(HealthCheck),
+    "derandomize": True,
+    "stateful_step_count": 4,
+    "database": None,
+}
+"""Shrinking a fleet's history takes minutes; the seeds are fixed, so it can be played again."""
+
+FAULTS = ("cut_both", "cut_out", "cut_back", "freeze", "kill", "break", "lose", "none")
+Plant = Callable[[pytest.MonkeyPatch], None]
+
+
+class IdleMachine(RuleBasedStateMachine):
+    """Two entries, two targets, few jobs; most work meets sessions that are idle."""
+
+    @initialize()
+    def start(self) -> None:
+        self.fleet = Fleet(entries=2, targets=2)
+        self.resend = Bounds().resend
+        self.jobs = 0
+        self.waiting: dict[int, tuple[str, str, int]] = {}
+        """The key and the entry of each caller that waits, and what its job is."""
+        self.again: list[tuple[float, str]] = []
+        self.undo: list[tuple[float, Callable[[], None]]] = []
+        self.fleet.settle()
+
+    # Time, and what callers do in it.
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.fleet.step()
+            for item in [item for item in self.undo if item[0] <= self.fleet.now]:
+                self.undo.remove(item)
+                item[1]()
+            self.send_again()
+
+    def send_again(self) -> None:
+        """Let who lost its entry, or was given up, send again `resend` later."""
+        for caller, (key, entry, life) in list(self.waiting.items()):
+            node = self.fleet.entries[entry]
+            lost = not node.up or node.life != life
+            outcome = self.fleet.answers.get(caller)
+            if lost or isinstance(outcome, GivenUp):
+                del self.waiting[caller]
+                self.again.append((self.fleet.now + self.resend, key))
+        for item in [item for item in self.again if item[0] <= self.fleet.now]:
+            self.again.remove(item)
+            self.submit(item[1], first=0)
+
+    def submit(self, key: str, first: int) -> None:
+        names = [name for name, node in self.fleet.entries.items() if node.moves]
+        if not names:
+            self.again.append((self.fleet.now + self.resend, key))
+            return
+        entry = names[first % len(names)]
+        caller = self.fleet.submit(entry, key, count=1, length=3.0, deadline=9.0)
+        self.waiting[caller] = (key, entry, self.fleet.entries[entry].life)
+
+    @rule(steps=st.integers(1, 6))
+    def a_moment(self, steps: int) -> None:
+        self.run(steps)
+
+    @rule(steps=st.sampled_from([30, 70, 140]))
+    def a_while(self, steps: int) -> None:
+        self.run(steps)
+
+    @rule()
+    def all_end(self) -> None:
+        """Let all jobs go, so that sessions turn idle."""
+        for caller, (_, entry, life) in self.waiting.items():
+            if self.fleet.entries[entry].moves and self.fleet.entries[entry].life == life:
+                self.fleet.leave(entry, caller)
+        self.waiting.clear()
+        self.run(60)
+
+    # Work and faults.
+
+    @rule(
+        first=st.integers(0, 1),
+        delay=st.integers(1, 4),
+        fault=st.sampled_from(FAULTS),
+        lasts=st.sampled_from([0.1, 0.6, 2.5]),
+        gap=st.integers(1, 4),
+        then=st.sampled_from(FAULTS),
+    )
+    def a_first_job(
+        self, first: int, delay: int, fault: str, lasts: float, gap: int, then: str
+    ) -> None:
+        """Hand a job in at an entry that is idle, and strike where it was sent, once or twice."""
+        struck = self.first_job(first, delay)
+        for target, entry in struck:
+            self.strike(fault, target, entry, lasts)
+        self.run(gap)
+        for target, entry in struck:
+            self.strike(then, target, entry, lasts)
+        self.run(20 + round(lasts * 100))
+
+    @rule(first=st.integers(0, 1), delay=st.integers(2, 3))
+    def a_target_stands_still(self, first: int, delay: int) -> None:
+        """It does so with work pending, and reads what was meant to confirm it much later."""
+        for target, _ in self.first_job(first, delay):
+            self.strike("freeze", target, "", 2.2)
+        self.run(250)
+
+    @rule(first=st.integers(0, 1), gap=st.integers(2, 3))
+    def a_withdrawal_is_lost(self, first: int, gap: int) -> None:
+        """A target's answer is held up, and what the entry then says to it gets lost."""
+        struck = self.first_job(first, 2)
+        for target, entry in struck:
+            self.cut(target, entry, 0.1)
+        self.run(gap)
+        for target, entry in struck:
+            self.fleet.lose(target, entry)
+        self.run(40)
+
+    @rule(first=st.integers(0, 1), lasts=st.sampled_from([0.05, 0.5]))
+    def a_target_at_work_restarts(self, first: int, lasts: float) -> None:
+        """Its runner goes on, and may not hear the stops of what the earlier life has left."""
+        for target, _ in self.first_job(first, 8):
+            runner = self.fleet.runners[target]
+            runner.loses_stops = True
+            self.later(1.5, partial(setattr, runner, "loses_stops", False))
+            self.strike("kill", target, "", lasts)
+        self.run(200)
+
+    def first_job(self, first: int, delay: int) -> list[tuple[str, str]]:
+        """Hand a job in while all is idle; return the targets that have work a moment later."""
+        self.turn_idle()
+        self.jobs += 1
+        self.submit(f"job{self.jobs}", first)
+        self.run(delay)
+        return [
+            (target.name, entry)
+            for entry, dispatcher in self.fleet.dispatchers.items()
+            for target in dispatcher.targets()
+            if target.placed
+        ]
+
+    def turn_idle(self) -> None:
+        """Let time pass until no target may start anything, as far as entries know."""
+        for _ in range(150):
+            if not any(
+                target.may_begin(self.fleet.times, self.fleet.now)
+                for dispatcher in self.fleet.dispatchers.values()
+                for target in dispatcher.targets()
+            ):
+                return
+            self.run(1)
+
+    def strike(self, fault: str, node: str, entry: str, lasts: float) -> None:
+        fleet = self.fleet
+        if fault in ("cut_both", "cut_out") and node != entry:
+            self.cut(entry, node, lasts)
+        if fault in ("cut_both", "cut_back") and node != entry:
+            self.cut(node, entry, lasts)
+        if fault == "freeze":
+            fleet.freeze(node)
+            self.later(lasts, lambda: fleet.thaw(node))
+        if fault == "kill" and fleet._node(node).up:
+            fleet.kill(node)
+            self.later(lasts, lambda: fleet.start(node))
+        if fault == "break":
+            fleet.break_off(node, entry)
+        if fault == "lose":
+            fleet.lose(node, entry)
+
+    def cut(self, sender: str, receiver: str, lasts: float) -> None:
+        self.fleet.cut(sender, receiver)
+        self.later(lasts, lambda: self.fleet.cuts.discard((sender, receiver)))
+
+    def later(self, seconds: float, undo: Callable[[], None]) -> None:
+        self.undo.append((self.fleet.now + seconds, undo))
+
+    @rule(
+        fault=st.sampled_from(FAULTS), number=st.integers(0, 3), lasts=st.sampled_from([0.1, 0.9])
+    )
+    def a_fault(self, fault: str, number: int, lasts: float) -> None:
+        self.strike(fault, f"t{number % 2}", f"e{number // 2}", lasts)
+
+    @rule(number=st.integers(0, 1), lasts=st.sampled_from([0.2, 1.0]))
+    def an_entry_ends(self, number: int, lasts: float) -> None:
+        self.strike("kill", f"e{number}", f"e{number}", lasts)
+
+    @rule(
+        number=st.integers(0, 1),
+        lasts=st.sampled_from([0.3, 1.5]),
+        field=st.sampled_from(["mute", "loses_answers", "loses_stops", "late"]),
+    )
+    def a_runner_errs(self, number: int, lasts: float, field: str) -> None:
+        runner = self.fleet.runners[f"t{number}"]
+        setattr(runner, field, 0.4 if field == "late" else True)
+        normal = None if field == "late" else False
+        self.later(lasts, lambda: setattr(runner, field, normal))
+
+    @rule(number=st.integers(0, 1))
+    def a_runner_restarts(self, number: int) -> None:
+        self.fleet.runners[f"t{number}"].crash()
+        self.fleet.runners[f"t{number}"].restart()
+
+    @rule(first=st.integers(0, 1))
+    def a_caller_leaves(self, first: int) -> None:
+        """One hangs up, and sends again to any entry."""
+        for caller, (key, entry, life) in list(self.waiting.items())[:1]:
+            node = self.fleet.entries[entry]
+            if node.moves and node.life == life and caller not in self.fleet.answers:
+                self.fleet.leave(entry, caller)
+                del self.waiting[caller]
+                self.again.append((self.fleet.now + self.resend, key))
+
+
+def test_no_task_runs_twice_around_idle_sessions() -> None:
+    run_state_machine_as_test(
+        IdleMachine, settings=settings(max_examples=EXAMPLES, phases=[Phase.generate], **SHARED)
+    )
+
+
+def start_unconfirmed(patch: pytest.MonkeyPatch) -> None:
+    """A target starts what it is given although its lease has run out."""
+    patch.setattr(EntryLink, "is_confirmed", lambda self, now, times: self.session is not None)
+
+
+def open_too_soon(patch: pytest.MonkeyPatch) -> None:
+    """A target that was started anew opens sessions while runs of its earlier life go on."""
+    patch.setattr(Worker, "may_open", lambda self, entry: True)
+
+
+def outlive_a_stand_still(patch: pytest.MonkeyPatch) -> None:
+    """What is pending survives a stand-still, and counts the lease from when it reads an echo."""
+    patch.setattr(LeaseTimes, "pending", 3600.0)
+
+    def is_confirmed(self: EntryLink, now: float, times: LeaseTimes) -> bool:
+        return self.session is not None and now <= self.heard + times.session
+
+    patch.setattr(EntryLink, "is_confirmed", is_confirmed)
+
+
+def confirm_after_a_gap(patch: pytest.MonkeyPatch) -> None:
+    """A frame whose predecessors are missing renews the lease."""
+
+    def accept(self: Session, frame: Frame) -> list[Body]:
+        self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
+        self.confirmed_ms = max(self.confirmed_ms, frame.echo_ms)
+        self._acknowledged(frame.received)
+        skip = self.received + 1 - frame.first
+        if skip < 0:
+            return []
+        fresh = frame.bodies[skip:]
+        self.received += len(fresh)
+        return fresh
+
+    patch.setattr(Session, "accept", accept)
+    patch.setattr(Session, "misses", lambda self, frame: False)
+
+
+def forget_to_withdraw(patch: pytest.MonkeyPatch) -> None:
+    """An entry places elsewhere what a target did not answer for, and doesn't tell it."""
+    withdraw = Answers._withdraw
+
+    def without_a_word(self: Answers, now: float, target: object, asked: float) -> object:
+        session = target.session  # type: ignore[attr-defined]
+        send = session.send
+        session.send = lambda body: 0 if isinstance(body, Stop) else send(body)
+        logs = withdraw(self, now, target, asked)  # type: ignore[arg-type]
+        del session.send
+        return logs
+
+    patch.setattr(Answers, "_withdraw", without_a_word)
+
+
+def withdraw_what_may_have_begun(patch: pytest.MonkeyPatch) -> None:
+    """An entry takes any target that says nothing for one that has started nothing."""
+    from paddleshunt_core.leased.targets import TargetRecord
+
+    patch.setattr(TargetRecord, "may_begin", lambda self, times, placed_at: False)
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        start_unconfirmed,
+        open_too_soon,
+        outlive_a_stand_still,
+        confirm_after_a_gap,
+        forget_to_withdraw,
+        withdraw_what_may_have_begun,
+    ],
+    ids=lambda plant: plant.__name__,
+)
+def test_the_machine_finds_a_planted_bug(plant: Plant, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match="twice at once"):
+        run_state_machine_as_test(
+            IdleMachine,
+            settings=settings(max_examples=PLANTED_EXAMPLES, phases=[Phase.generate], **SHARED),
+        )
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -347,3 +347,16 @@
         look = LookAnswer(at, [RunningRun(RUN, 0), RunningRun(second, 0)], [])
         stopped += [e for e in worker.looked(at + 0.001, look) if isinstance(e, StopRun)]
     assert stopped == []
+
+
+def test_a_session_that_ended_after_it_was_named_in_a_greeting_is_not_gone_on_with() -> None:
+    """The entry stood still with the greeting unread; to it, the session goes on."""
+    worker = working()
+    worker.start_answered(1.01, RUN, StartAnswer.STARTED)
+    worker.tick(1.0 + lease_times(Bounds()).session + 0.01)
+    assert worker.session("e") is None
+    worker.looked(1.6, LookAnswer(1.5, [], [FinishedRun(1, RUN, RunEnd.STOPPED)]))
+    worker.opened(1.7, Hello("e", "life", True, "hall", "", 1, 0), 1.45)
+    assert worker.session("e") is None
+    worker.opened(1.8, Hello("e", "life", True, "hall", "", 2, 0), 1.75)
+    assert worker.session("e") is not None
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -160,6 +160,16 @@
         """Hold up all that `sender` says to `receiver`."""
         self.cuts.add((sender, receiver))
 
+    def break_off(self, target: str, entry: str) -> None:
+        """Break a connection; what is on its way over it is lost."""
+        self._close((target, entry))
+
+    def lose(self, target: str, entry: str) -> None:
+        """Lose what is on its way to a target over a connection that goes on."""
+        link = self.links.get((target, entry))
+        if link is not None and link.greeted:
+            link.to_target.clear()
+
     def heal(self) -> None:
         self.cuts.clear()
 
@@ -282,7 +292,9 @@
             self._act_target(target, worker.opened(self.now, message, link.said))
         else:
             self._act_target(target, worker.closed(self.now, entry))
-        if worker.session(entry) is None:
+        session = worker.session(entry)
+        refused = isinstance(message, Hello) and session and session.number != message.session
+        if session is None or refused:
             self._close(pair)
 
     def _send(self, pair: tuple[str, str]) -> None:
@@ -306,7 +318,9 @@
             link.to_target.append((self.now, theirs.frame(now_ms)))
             link.answers = False
             self.frames += 1
-        silent = self.now > link.heard + self.times.session and worker.is_silent(self.now, entry)
+        silent = self.now > link.heard + self.times.session
+        if session is not None and link.greeted:
+            silent = worker.is_silent(self.now, entry)
         if self.targets[target].moves and (silent or (session is None and link.greeted)):
             self._close(pair)
 
