Spread idle heartbeats; ask over all connections when one is silent; dial in longer rounds

Cause: connections often fall silent together, and heartbeats of idle sessions are a second apart; a dialer with nothing to dial woke four times a second. Change: a target's idle heartbeats leave at eight moments of a second, and the first without an answer lets all others be asked.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
@@ -44,8 +44,15 @@
     """Runs to start once the lease is confirmed, and until when each may be."""
     heard: float = 0.0
     """When the entry last said something."""
+    phase: float = 0.0
+    """Part of the time between two idle heartbeats by which the first comes sooner.
+
+    Connections often fall silent together; the first heartbeat without an answer tells for all.
+    """
     _beat: float = float("-inf")
     """When a frame last left that the entry answers."""
+    _sooner: float = 0.0
+    """Seconds by which the next idle heartbeat comes sooner."""
     _asking: bool = False
     """Whether a stamp is to leave at once, as something is pending."""
     _newest: int = 0
@@ -77,6 +84,11 @@
         self.report_due = True
         self._beat = float("-inf")
 
+    def probe(self) -> None:
+        """Let the next heartbeat leave as soon as one may, unless one awaits its answer."""
+        if self.heard >= self._beat:
+            self._beat = float("-inf")
+
     def drop(self) -> None:
         """End the session; what was pending in it never starts."""
         self.session = None
@@ -129,12 +141,14 @@
         session = self.session
         if session is None:
             return None
-        pause = times.heartbeat if held else times.idle_beat
+        pause = times.heartbeat if held else times.idle_beat - self._sooner
         due = beat and now > self._beat + pause - times.heartbeat / 2
         if not (due or self._asking or session.pending):
             return None
         # In an idle session only heartbeats are sure to be answered.
         if due or held:
+            first = self._beat == float("-inf")
+            self._sooner = self.phase * times.idle_beat if first else 0.0
             self._beat = now
         self._asking = False
         return session.frame(int(now * 1000))
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -44,6 +44,9 @@
 STILL_HEARTBEATS = 2.0
 """Heartbeats without a tick after which this process is taken to have stood still."""
 
+BEAT_PHASES = 8
+"""Moments between two idle heartbeats of one session at which those of others leave."""
+
 RETIRE_SECONDS = 0.3
 """Shortest time for which an entry is told to send nothing more, before its session ends."""
 
@@ -141,6 +144,7 @@
             return [note("session_resumed", entry=hello.name)]
         effects = self._end_session(now, hello.name, "replaced") if session else []
         session = Session(hello.session, int(said * 1000))
+        link.phase = len(self.session_names()) % BEAT_PHASES / BEAT_PHASES
         link.open(now, hello.life, session)
         for loss in self._losses.all(now):
             session.send(loss)
@@ -180,6 +184,11 @@
             return True
         return link.is_silent(now, self._times, held=self._is_held(entry))
 
+    def probe(self) -> None:
+        """Send all entries a heartbeat as soon as one may be: a connection has fallen silent."""
+        for link in self._links.values():
+            link.probe()
+
     def silence(self, now: float, entry: str) -> float:
         """Return the seconds since an entry was heard."""
         link = self._links.get(entry)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/dialer.py
@@ -14,6 +14,12 @@
 RETRY_SECONDS = 0.25
 """Seconds between two attempts at one address."""
 
+CALM_SECONDS = 1.0
+"""The same while each address that may be dialled has its connection: nothing is missed by it.
+
+An address that is heard of, or whose connection ends, is tried at once.
+"""
+
 LONELY_RETRY_SECONDS = 0.08
 """The same while no connection stands, as after a loss of all power: nothing works till one does.
 
@@ -88,20 +94,24 @@
             for address in [a for a, at in self._wanted.items() if at < now - FORGET_SECONDS]:
                 if address not in self._links:
                     del self._wanted[address]
-            for address in self._seeds | self._wanted.keys():
-                self._try(address)
-            await asyncio.sleep(RETRY_SECONDS if self.links() else LONELY_RETRY_SECONDS)
+            tried = [self._try(address) for address in self._seeds | self._wanted.keys()]
+            pause = RETRY_SECONDS if any(tried) else CALM_SECONDS
+            await asyncio.sleep(pause if self.links() else LONELY_RETRY_SECONDS)
 
-    def _try(self, address: str) -> None:
+    def _try(self, address: str) -> bool:
+        """Dial unless there is a connection or may be none; return whether one is being made."""
         link = self._links.get(address)
         if link is not None and link.is_open:
-            return
-        if address in self._dialing or not self._may_dial(address):
-            return
+            return False
+        if address in self._dialing:
+            return True
+        if not self._may_dial(address):
+            return False
         self._dialing.add(address)
         task = asyncio.get_running_loop().create_task(self._dial(address))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return True
 
     async def _dial(self, address: str) -> None:
         link = PeerLink(self._handler, self._silence)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -407,16 +407,20 @@
         the session can still go on over it.
         """
         held = self._worker.held_names()
+        fallen_silent = False
         for name, link in list(self._links.items()):
             silent = self._worker.silence(now, name)
             if silent > (self._times.session if name in held else self._times.idle_session):
                 self._choice.suspect(now, name)
             if self._worker.is_silent(now, name):
                 link.close()
+                fallen_silent = True
             elif name in held and silent > MISSED_HEARTBEATS * self._times.heartbeat:
                 # The next tick may come too late for the session to go on.
                 due_in = self._times.redial - silent + TIMER_MARGIN
                 self._loop.call_later(due_in, lambda: self._close_silent(self._now()))
+        if fallen_silent:
+            self._worker.probe()
         for link, said in list(self._said.items()):
             if now > said + self._times.session:
                 self._dial_failed(self._dialer.address_of(link))
--- a/testing/council/test_silence.py
+++ b/testing/council/test_silence.py
@@ -4,7 +4,11 @@
 
 import pytest
 from councilsystem import System, play, until_true
-from paddleshunt_core.leased.bounds import lease_times
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount
+from paddleshunt_core.leased.resources import NOTHING
+from paddleshunt_core.leased.wire import Frame, Hello
+from paddleshunt_core.leased.worker import Worker
 from paddleshunt_node.aio.framing import PeerLink
 
 KEY = "5c0e7a21d94b36f8"
@@ -53,3 +57,39 @@
         assert len(system.runner.started) == 3
 
     play(scene)
+
+
+def test_an_idle_session_goes_on_after_its_connection_fell_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    silence = Silence(monkeypatch)
+
+    async def scene(system: System) -> None:
+        await system.open()
+        await asyncio.sleep(0.6)
+        sessions = system.target.describe()["sessions"]
+        silence.fall()
+        times = lease_times(system.bounds)
+        await asyncio.sleep(times.idle_beat + times.redial + 2 * times.heartbeat)
+        job = await asyncio.wait_for(system.submit(KEY, 100), 1.0)
+        assert job.status == 200
+        assert system.target.describe()["sessions"] == sessions
+
+    play(scene)
+
+
+def test_a_target_that_finds_one_connection_silent_asks_over_all_others() -> None:
+    """They often fall silent together; heartbeats of idle sessions are far apart."""
+    times = lease_times(Bounds())
+    worker = Worker(times)
+    worker.runner_spoke(0.9, RunnerAccount("i-1", "svc", "hall", NOTHING, False, None))
+    worker.looked(0.95, LookAnswer(0.92, [], []))
+    for entry in ("a", "b"):
+        worker.opened(1.0, Hello(entry, "life", True, "hall", "", 1, 0), 1.0)
+        assert worker.next_frame(1.0, entry, beat=True) is not None
+        worker.heard(1.001, entry, Frame(1, 0, 1000, 1000, []))
+    assert worker.next_frame(1.3, "b", beat=True) is None
+    worker.probe()
+    assert worker.next_frame(1.3, "b", beat=True) is not None
+    assert not worker.is_silent(1.3 + times.redial - 0.01, "b")
+    assert worker.is_silent(1.3 + times.redial + 0.01, "b")
