Let targets prefer entries of their own data hall, and keep two sessions for others

Cause: sessions were spread over all entries, so reports and heartbeats went between halls, whose bytes are dear. Change: EntryAddress tells the hall; a target ranks its own hall's entries first.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
@@ -1,8 +1,10 @@
 """Which entries a target holds sessions with: a few of those that live, by rendezvous hashing.
 
 Each target ranks the entries by a hash of both names and holds a session with the first few that
-it can reach. So each entry gets an even share of the targets, each target is shared by several
-entries, and one entry's end moves only the sessions that it had.
+it can reach, those of its own data hall before others: bytes between halls are dear. Some sessions
+are kept for other halls, whose entries may have too few targets of their own. So each entry gets an
+even share of the targets, each target is shared by several entries, and one entry's end moves only
+the sessions that it had.
 """
 
 from collections import deque
@@ -15,6 +17,9 @@
 SESSIONS = 6
 """Entries that a target holds a session with, if there are as many."""
 
+OTHER_HALLS = 2
+"""Sessions of these that are for entries of other data halls, if there are any."""
+
 SUSPECT_SECONDS = 2.0
 """Seconds for which an entry that could not be reached is passed over."""
 
@@ -26,8 +31,11 @@
 class EntryChoice:
     """What one target knows of the entries, and which of them it wants."""
 
-    def __init__(self, target: str, sessions: int = SESSIONS) -> None:
+    def __init__(self, target: str, hall: str = "", sessions: int = SESSIONS) -> None:
         self._target = target
+        self._hall = hall
+        self._near: set[str] = set()
+        """Entries of the target's own data hall."""
         self._sessions = sessions
         self._told: dict[str, dict[str, EntryAddress]] = {}
         self._ranks: dict[str, int] = {}
@@ -51,6 +59,10 @@
             told.pop(name, None)
         for entry in joined:
             told[entry.name] = entry
+            if entry.hall and entry.hall == self._hall:
+                self._near.add(entry.name)
+            else:
+                self._near.discard(entry.name)
             if self._has_new_life(entry):
                 self._suspected.pop(entry.name, None)
         self._ranked = None
@@ -73,17 +85,24 @@
             for teller in tellers:
                 known.update(self._told[teller])
             self._ranked = (tellers, sorted(known.values(), key=self._rank))
-        wanted: list[EntryAddress] = []
-        for entry in self._ranked[1]:
-            if entry.name in linked or now >= self._suspected.get(entry.name, 0.0):
-                wanted.append(entry)
-            if len(wanted) == self._sessions:
-                break
-        return wanted
+        usable = {
+            entry.name: entry
+            for entry in self._ranked[1]
+            if entry.name in linked or now >= self._suspected.get(entry.name, 0.0)
+        }
+        return [usable[name] for name in self._first(list(usable))]
 
     def kept(self, names: set[str]) -> set[str]:
         """Return the entries to go on with among those that a session is open with."""
-        return set(sorted(names, key=self._rank_of)[: self._sessions])
+        return set(self._first(sorted(names, key=self._rank_of)))
+
+    def _first(self, ranked: list[str]) -> list[str]:
+        """Return the names to hold sessions with, of the own hall first, but not of it alone."""
+        near = [name for name in ranked if name in self._near]
+        far = [name for name in ranked if name not in self._near]
+        reach = min(OTHER_HALLS, len(far)) if near else 0
+        own = near[: self._sessions - reach]
+        return [*own, *far[: self._sessions - len(own)]]
 
     def knows(self) -> bool:
         """Whether any entry has told of the others."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -142,11 +142,13 @@
     """An entry's name and the host:port on which it listens for peers.
 
     `life` is new at each start of the process; empty if the sender has not met the entry itself.
+    `hall` is the data hall it stands in; empty if it is not known.
     """
 
     name: str
     address: str
     life: str = ""
+    hall: str = ""
 
 
 @final
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -86,7 +86,7 @@
         self._waiting: dict[int, Exchange] = {}
         self._callers = HttpServer(self)
         self._links: dict[str, PeerLink] = {}
-        own = EntryAddress(config.name, config.peers, self._life)
+        own = EntryAddress(config.name, config.peers, self._life, config.hall)
         self._peers = EntryPeers(self, own, self._hello(0, 0), self._times.session)
         self._peers.seeds(set(config.seeds))
         self._follower = StoreFollower(store, surroundings, own, self)
@@ -252,7 +252,7 @@
         """Take the greeting of a target, or of another entry."""
         now = self._now()
         if hello.entry:
-            self._peers.note(EntryAddress(hello.name, hello.address, hello.life))
+            self._peers.note(EntryAddress(hello.name, hello.address, hello.life, hello.hall))
             link.send(self._hello(0, 0))
             return
         session, effects = self._dispatcher.greeted(now, hello)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -93,7 +93,7 @@
         self._said: dict[PeerLink, float] = {}
         self._claims: dict[str, RunnerAccount] = {}
         """Accounts of other lives than the known one that the runner has not confirmed."""
-        self._choice = EntryChoice(config.name)
+        self._choice = EntryChoice(config.name, config.hall)
         self._dialer = Dialer(
             self, config.address, self._times.session, self._may_dial, self._dial_failed
         )
--- a/testing/core/leased/test_entrychoice.py
+++ b/testing/core/leased/test_entrychoice.py
@@ -2,7 +2,13 @@
 
 from collections import Counter
 
-from paddleshunt_core.leased.entrychoice import SESSIONS, SUSPECT_SECONDS, EntryChoice
+import pytest
+from paddleshunt_core.leased.entrychoice import (
+    OTHER_HALLS,
+    SESSIONS,
+    SUSPECT_SECONDS,
+    EntryChoice,
+)
 from paddleshunt_core.leased.wire import EntryAddress
 
 ENTRIES = [EntryAddress(f"e{n}", f"10.0.0.{n}:7720") for n in range(11)]
@@ -108,3 +114,54 @@
     others = {entry.name for entry in ENTRIES} - set(wanted)
     assert choice.kept({*wanted, *others}) == set(wanted)
     assert choice.kept(others) == others
+
+
+def in_halls(target: str, hall: str, entries: dict[str, int]) -> EntryChoice:
+    """Return the choice of a target in `hall` that was told so many entries in each hall."""
+    choice = EntryChoice(target, hall)
+    addresses = [
+        EntryAddress(f"{place}-{n}", f"10.0.{index}.{n}:7720", "life", place)
+        for index, (place, count) in enumerate(entries.items())
+        for n in range(count)
+    ]
+    choice.told("e0", addresses)
+    return choice
+
+
+def test_entries_of_the_own_hall_come_first() -> None:
+    choice = in_halls("t1", "a", {"a": 20, "b": 20})
+    halls = [entry.hall for entry in choice.wanted(1.0, set())]
+    assert halls == ["a"] * (SESSIONS - OTHER_HALLS) + ["b"] * OTHER_HALLS
+
+
+def test_an_entry_whose_hall_has_no_targets_is_served_by_other_halls() -> None:
+    shares = Counter(
+        name
+        for n in range(60)
+        for name in names(in_halls(f"t{n}", "a", {"a": SESSIONS + 4, "b": 3}))
+        if name.startswith("b")
+    )
+    assert len(shares) == 3
+    assert sum(shares.values()) == 60 * OTHER_HALLS
+
+
+@pytest.mark.parametrize(
+    ("entries", "expected"),
+    [
+        ({"a": 2, "b": 20}, {"a": 2, "b": SESSIONS - 2}),
+        ({"a": 20, "b": 1}, {"a": SESSIONS - 1, "b": 1}),
+        ({"b": 20}, {"b": SESSIONS}),
+        ({"a": 20}, {"a": SESSIONS}),
+    ],
+    ids=["few_near", "few_far", "none_near", "none_far"],
+)
+def test_no_session_is_left_unused(entries: dict[str, int], expected: dict[str, int]) -> None:
+    wanted = in_halls("t1", "a", entries).wanted(1.0, set())
+    assert Counter(entry.hall for entry in wanted) == expected
+
+
+def test_of_too_many_open_sessions_those_of_the_own_hall_are_kept_first() -> None:
+    choice = in_halls("t1", "a", {"a": 20, "b": 20})
+    wanted = set(names(choice))
+    every = {f"{hall}-{n}" for hall in "ab" for n in range(20)}
+    assert choice.kept(every) == wanted
