--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
@@ -14,7 +14,7 @@
 
 from paddleshunt_core.leased.wire import EntryAddress
 
-SESSIONS = 6
+SESSIONS = 8
 """Entries that a target holds a session with, if there are as many."""
 
 OTHER_HALLS = 2
