--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
@@ -159,6 +159,15 @@
             self._last_end = self.session.send(Ended(self.ends))
             self.ends = []
 
+    def send_report(self, now: float, report: RunnerReport, *, plenty: bool) -> None:
+        """Put a report into the session."""
+        if self.session is not None:
+            self.session.send(report)
+            self.report = report
+            self.report_due = False
+            self.reported = now
+            self.plenty = plenty
+
     def report_pause(
         self, times: LeaseTimes, report: RunnerReport, *, plenty: bool, held: bool
     ) -> float:
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
@@ -0,0 +1,72 @@
+"""Tells entries of a target's runner: its state, its health and the room that each is shown."""
+
+from collections.abc import Mapping
+from typing import final
+
+from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.entrylink import EntryLink
+from paddleshunt_core.leased.offers import Offers
+from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.runnercontrol import RunnerControl
+from paddleshunt_core.leased.wire import Health, RunnerReport, RunnerState
+
+PLENTY = 0.3
+"""Share of the runner's room that is free, above which changes are told with the next heartbeat."""
+
+
+@final
+class Reporter:
+    """Puts what is due to be told into the sessions of one target."""
+
+    def __init__(self, times: LeaseTimes, control: RunnerControl, offers: Offers) -> None:
+        self._times = times
+        self._control = control
+        self._offers = offers
+
+    def prepare(self, now: float, links: Mapping[str, EntryLink]) -> float | None:
+        """Put ends and reports that are due into the sessions; return when the next is due."""
+        next_due: float | None = None
+        plenty = self._has_plenty()
+        free = self._control.offered(now)
+        holder = self._holder(now, free, plenty)
+        if holder is not None:
+            next_due = self._offers.lapses()
+        for name, link in links.items():
+            if link.session is None:
+                continue
+            report = self._report(link, free if holder in (None, name) else NOTHING)
+            if report != link.report or link.report_due:
+                held = link.is_held(has_runs=self._control.table.has_entry(name))
+                pause = link.report_pause(self._times, report, plenty=plenty, held=held)
+                due = now if holder == name else link.reported + pause
+                if link.ends or now >= due:
+                    link.send_report(now, report, plenty=plenty)
+                else:
+                    next_due = due if next_due is None else min(next_due, due)
+            link.send_ends()
+        return next_due
+
+    def _has_plenty(self) -> bool:
+        control = self._control
+        if control.account is None or control.state() is not RunnerState.READY:
+            return False
+        return control.table.used.share_of(control.account.capacity) < 1 - PLENTY
+
+    def _holder(self, now: float, free: Resources, plenty: bool) -> str | None:
+        """Return the entry that alone is shown the room; None if all are shown it."""
+        if plenty or self._control.level is not Health.GOOD:
+            return None
+        return self._offers.holder(now, free)
+
+    def _report(self, link: EntryLink, shown: Resources) -> RunnerReport:
+        control = self._control
+        account = control.account
+        return RunnerReport(
+            service=account.service if account else "",
+            runner=account.runner if account else "",
+            state=control.state() if link.retired is None else RunnerState.LEAVING,
+            health=control.level,
+            capacity=account.capacity if account else NOTHING,
+            free=shown,
+            labels=account.labels if account else (),
+        )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -16,7 +16,7 @@
 from paddleshunt_core.leased.losses import LossBook
 from paddleshunt_core.leased.offers import Offers
 from paddleshunt_core.leased.orders import Look, LookAnswer, RunnerAccount, StartAnswer
-from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.reporting import Reporter
 from paddleshunt_core.leased.runnercontrol import Effect, RunnerControl
 from paddleshunt_core.leased.runtable import Run
 from paddleshunt_core.leased.session import Session
@@ -31,16 +31,12 @@
     Health,
     Hello,
     RunId,
-    RunnerReport,
     RunnerState,
     Stop,
     TaskId,
     Want,
 )
 
-PLENTY = 0.3
-"""Share of the runner's room that is free, above which changes are told with the next heartbeat."""
-
 STILL_HEARTBEATS = 2.0
 """Heartbeats without a tick after which this process is taken to have stood still."""
 
@@ -60,6 +56,7 @@
         self._control = RunnerControl(times, hall)
         self._links: dict[str, EntryLink] = {}
         self._offers = Offers()
+        self._reporter = Reporter(times, self._control, self._offers)
         self._losses = LossBook()
         """What this target saw of its own runner, for entries that it meets later."""
         self._pauses = StandStill(STILL_HEARTBEATS * times.heartbeat)
@@ -294,30 +291,7 @@
     def prepare_frames(self, now: float) -> float | None:
         """Put ends and reports that are due into the sessions; return when the next is due."""
         self._collect(now)
-        next_due: float | None = None
-        plenty = self._has_plenty()
-        free = self._control.offered(now)
-        holder = self._holder(now, free, plenty)
-        if holder is not None:
-            next_due = self._offers.lapses()
-        for name, link in self._links.items():
-            if link.session is None:
-                continue
-            report = self._report(now, link, free if holder in (None, name) else NOTHING)
-            if report != link.report or link.report_due:
-                held = self._is_held(name)
-                pause = link.report_pause(self._times, report, plenty=plenty, held=held)
-                due = now if holder == name else link.reported + pause
-                if link.ends or now >= due:
-                    link.session.send(report)
-                    link.report = report
-                    link.report_due = False
-                    link.reported = now
-                    link.plenty = plenty
-                else:
-                    next_due = due if next_due is None else min(next_due, due)
-            link.send_ends()
-        return next_due
+        return self._reporter.prepare(now, self._links)
 
     # Inside.
 
@@ -338,18 +312,6 @@
         has_runs = self._control.table.has_entry(entry)
         return self._links[entry].is_over(now, self._times, has_runs=has_runs)
 
-    def _has_plenty(self) -> bool:
-        control = self._control
-        if control.account is None or control.state() is not RunnerState.READY:
-            return False
-        return control.table.used.share_of(control.account.capacity) < 1 - PLENTY
-
-    def _holder(self, now: float, free: Resources, plenty: bool) -> str | None:
-        """Return the entry that alone is shown the room; None if all are shown it."""
-        if plenty or self._control.level is not Health.GOOD:
-            return None
-        return self._offers.holder(now, free)
-
     def _any_needs_lease(self, now: float) -> bool:
         return not self.idle and any(
             link.is_confirmed(now, self._times) for link in self._links.values()
@@ -426,19 +388,6 @@
             return [*effects, note("assignment_unconfirmed", **fields)]
         return effects
 
-    def _report(self, now: float, link: EntryLink, shown: Resources) -> RunnerReport:
-        control = self._control
-        account = control.account
-        return RunnerReport(
-            service=account.service if account else "",
-            runner=account.runner if account else "",
-            state=control.state() if link.retired is None else RunnerState.LEAVING,
-            health=control.level,
-            capacity=account.capacity if account else NOTHING,
-            free=shown,
-            labels=account.labels if account else (),
-        )
-
     def _collect(self, now: float) -> None:
         """Give each entry the ends of its runs, and all entries word of a lost runner before."""
         for news in self._control.losses.take_news():
