--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -46,6 +46,8 @@
     said: float = 0.0
     greeted: bool = False
     heard: float = 0.0
+    answers: bool = False
+    """Whether the entry owes the target an answer."""
 
 
 @dataclass
@@ -92,6 +94,8 @@
         self._next_dial: dict[tuple[str, str], float] = {}
         self._beats: dict[str, float] = {}
         self._callers = 0
+        self.frames = 0
+        """Frames that targets and entries have sent."""
 
     def _dispatcher(self) -> Dispatcher:
         return Dispatcher(self.times, "hall", Random(7))
@@ -156,6 +160,16 @@
         """Hold up all that `sender` says to `receiver`."""
         self.cuts.add((sender, receiver))
 
+    def break_off(self, target: str, entry: str) -> None:
+        """Break a connection; what is on its way over it is lost."""
+        self._close((target, entry))
+
+    def lose(self, target: str, entry: str) -> None:
+        """Lose what is on its way to a target over a connection that goes on."""
+        link = self.links.get((target, entry))
+        if link is not None and link.greeted:
+            link.to_target.clear()
+
     def heal(self) -> None:
         self.cuts.clear()
 
@@ -258,6 +272,7 @@
         if isinstance(message, Frame):
             self._act_entry(entry, dispatcher.heard(self.now, target, message))
             self._act_entry(entry, dispatcher.place_waiting(self.now))
+            link.answers = link.answers or dispatcher.owes_answer(self.now, target, message)
             return
         session, effects = dispatcher.greeted(self.now, message)
         self._act_entry(entry, effects)
@@ -277,7 +292,9 @@
             self._act_target(target, worker.opened(self.now, message, link.said))
         else:
             self._act_target(target, worker.closed(self.now, entry))
-        if worker.session(entry) is None:
+        session = worker.session(entry)
+        refused = isinstance(message, Hello) and session and session.number != message.session
+        if session is None or refused:
             self._close(pair)
 
     def _send(self, pair: tuple[str, str]) -> None:
@@ -291,13 +308,19 @@
         session = worker.session(entry)
         if self.targets[target].moves and session is not None:
             worker.prepare_frames(self.now)
-            if session.pending or due:
-                link.to_entry.append((self.now, session.frame(now_ms)))
+            frame = worker.next_frame(self.now, entry, beat=due)
+            if frame is not None:
+                link.to_entry.append((self.now, frame))
+                self.frames += 1
         theirs = self.dispatchers[entry].session(target)
         ready = self.entries[entry].moves and link.greeted and theirs is not None
-        if ready and theirs is not None and (theirs.pending or due):
+        if ready and theirs is not None and (theirs.pending or link.answers):
             link.to_target.append((self.now, theirs.frame(now_ms)))
+            link.answers = False
+            self.frames += 1
         silent = self.now > link.heard + self.times.session
+        if session is not None and link.greeted:
+            silent = worker.is_silent(self.now, entry)
         if self.targets[target].moves and (silent or (session is None and link.greeted)):
             self._close(pair)
 
