Add typed refusals with a bounded rate; let no single word or partial look undo what is known

Cause: a word of another writer had no type of its own, and a look's answer of which a part could not be read was taken for the whole: runs that it did not show counted as lost and were started again elsewhere, perhaps beside themselves. One heartbeat that named another service, hall or other labels for the known life took a sound runner out of its pool.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -121,8 +121,14 @@
 @final
 @dataclass(frozen=True, slots=True)
 class LookAnswer:
-    """The runner's answer to a `Look` that was sent at `sent` (own steady clock, s)."""
+    """The runner's answer to a `Look` that was sent at `sent` (own steady clock, s).
+
+    `partial`: some of it could not be read, so a run that it doesn't show may be there as well.
+    `listed` is the highest number of an end that it lists, also of one that is no run of ours.
+    """
 
     sent: float
     running: list[RunningRun]
     finished: list[FinishedRun]
+    partial: bool = False
+    listed: int = 0
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from paddleshunt_core.events import Log, note
+from paddleshunt_core.leased.accounts import AccountCheck, contradiction_note
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.evacuation import Evacuations
 from paddleshunt_core.leased.health import SLOW, RunnerHealth
@@ -87,6 +88,7 @@
         self.lives = Incarnations()
         self.table = RunTable()
         self.account: RunnerAccount | None = None
+        self._check_account = AccountCheck()
         self.health = RunnerHealth()
         self.level = Health.GOOD
         self.leaving = False
@@ -150,6 +152,8 @@
         if self.lives.judge(account) is Claim.LATE:
             return [note("heartbeat_late", runner=account.runner, sequence=account.sequence)]
         known = self.account
+        if self._check_account.contradicts(known, account):
+            return [contradiction_note(account)]
         effects: list[Effect] = []
         if known is not None and known.runner != account.runner:
             effects += self._runner_replaced(now, account.runner)
@@ -205,6 +209,7 @@
             effects.append(note("runner_reachable"))
         self._failed_looks = 0
         self.losses.answered()
+        self._last_seen = max(self._last_seen, answer.listed)
         for finished in answer.finished:
             effects += self._listed(now, finished)
         running = {row.run: row.percent for row in answer.running}
@@ -214,6 +219,8 @@
         for run in self.table:
             if run.id in running:
                 effects += self._progressed(now, shown, run, running[run.id])
+            elif answer.partial:
+                continue
             elif run.doubted is not None and run.doubted < answer.sent:
                 effects += stop(now, run, End.NOT_STARTED, "start_unanswered")
             elif run.settled is not None and run.settled < answer.sent:
@@ -429,7 +436,7 @@
         """Stop what an earlier life of this target has left; until it is gone, start nothing."""
         ended = {row.run for row in answer.finished}
         self._foreign = {id_ for id_ in running if self.table.get(id_) is None and id_ not in ended}
-        if not self._foreign and not self.clean and answer.sent >= self._met:
+        if not (self._foreign or self.clean or answer.partial) and answer.sent >= self._met:
             self.clean = True
         effects: list[Effect] = []
         for id_ in self._foreign:
--- /dev/null
+++ b/testing/core/leased/test_refusals.py
@@ -0,0 +1,53 @@
+"""Refusals are counted each and told at a bounded rate."""
+
+from paddleshunt_core.events import Log
+from paddleshunt_core.leased.refusals import (
+    LINE_SECONDS,
+    MOST_SENDERS,
+    MOST_TEXT,
+    Refusal,
+    Refusals,
+    Word,
+)
+
+ODD = Refusal(Word.HEARTBEAT, "i-7", "odd")
+
+
+def fields(logs: list[Log]) -> dict[str, str | int | float]:
+    (log,) = logs
+    assert log.event == "word_refused"
+    return log.fields
+
+
+def test_a_writer_that_goes_on_is_told_of_now_and_then_with_how_many_there_were() -> None:
+    refusals = Refusals()
+    assert fields(refusals.take(0.0, ODD))["left_out"] == 0
+    for second in range(1, int(LINE_SECONDS)):
+        assert refusals.take(second, ODD) == []
+    told = fields(refusals.take(LINE_SECONDS, ODD))
+    assert told == {
+        "word": "heartbeat",
+        "sender": "i-7",
+        "problem": "odd",
+        "left_out": int(LINE_SECONDS) - 1,
+    }
+    assert refusals.take(LINE_SECONDS + 1, ODD) == []
+
+
+def test_other_writers_and_kinds_have_lines_of_their_own() -> None:
+    refusals = Refusals()
+    others = [ODD, Refusal(Word.HEARTBEAT, "i-8", "odd"), Refusal(Word.FRAME, "i-7", "odd")]
+    assert [len(refusals.take(0.0, refusal)) for refusal in others] == [1, 1, 1]
+
+
+def test_writers_that_are_many_are_not_all_remembered() -> None:
+    refusals = Refusals()
+    for number in range(3 * MOST_SENDERS):
+        refusals.take(0.0, Refusal(Word.HEARTBEAT, f"i-{number}", "odd"))
+    assert len(refusals._told) == MOST_SENDERS
+
+
+def test_what_comes_from_outside_stands_in_one_short_line() -> None:
+    told = fields(Refusals().take(0.0, Refusal(Word.FRAME, "\u2028\n" + "x" * 9999, "\ud800\x00é")))
+    for text in (str(told["sender"]), str(told["problem"])):
+        assert text.isascii() and text.isprintable() and len(text) <= MOST_TEXT
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -346,3 +346,36 @@
         look = LookAnswer(at, [RunningRun(RUN, 0), RunningRun(second, 0)], [])
         stopped += [e for e in worker.looked(at + 0.001, look) if isinstance(e, StopRun)]
     assert stopped == []
+
+
+def test_a_run_that_a_partial_answer_does_not_show_is_not_gone() -> None:
+    """The row that could not be read may be the run's, or its end's."""
+    worker = working()
+    worker.start_answered(1.01, RUN, StartAnswer.STARTED)
+    worker.looked(1.2, LookAnswer(1.1, [], [], partial=True))
+    assert worker.runs == 1
+    worker.looked(1.4, LookAnswer(1.3, [], []))
+    assert worker.runs == 0
+
+
+def test_a_doubtful_start_is_not_judged_by_a_partial_answer() -> None:
+    worker = working()
+    worker.start_answered(1.08, RUN, StartAnswer.UNKNOWN)
+    assert StopRun(RUN) not in worker.looked(1.2, LookAnswer(1.1, [], [], partial=True))
+    assert StopRun(RUN) in worker.looked(1.4, LookAnswer(1.3, [], []))
+
+
+def test_a_partial_answer_does_not_show_that_nothing_foreign_runs() -> None:
+    worker = Worker(lease_times(Bounds()))
+    account = RunnerAccount("i-1", "svc", "hall", Resources(8000, 8000), False, None)
+    worker.runner_spoke(0.9, account)
+    worker.looked(1.0, LookAnswer(0.95, [], [], partial=True))
+    assert worker.next_look(1.1).wait == 0
+    worker.looked(1.2, LookAnswer(1.1, [], []))
+    assert worker.next_look(1.3).wait > 0
+
+
+def test_an_end_that_is_none_of_ours_is_taken_note_of() -> None:
+    worker = working()
+    worker.looked(1.2, LookAnswer(1.1, [RunningRun(RUN, 2)], [], listed=7))
+    assert worker.next_look(1.3).last_seen == 7
