Tell and count frames, greetings and addresses that can't be read

Cause: a frame that could not be decoded closed the connection without a line, one nested deep raised through the protocol (RecursionError is no MsgspecError), and an address without a port, told by any peer or found in the store, raised in the dialer's task, each round anew.

Change: PeerHandler.refused takes a typed refusal, Surroundings.refuse counts it (paddleshunt_words_refused_total{word}) and writes its line at a bounded rate; split_address raises AddressError, and addresses are checked where they are told (peerwords.readable), one by one. Frames cost no more than before: only their failures are handled.

test_entrypeers.py's stand-in of an entry got the new method; no assertion changed.

--- a/benchmarks/peer_frames.py
+++ b/benchmarks/peer_frames.py
@@ -9,6 +9,7 @@
 import sys
 import time
 
+from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import Assign, Frame, Hello
 from paddleshunt_node.aio.framing import PeerLink
@@ -36,6 +37,10 @@
         """Count."""
         self.frames += 1
 
+    def refused(self, link: PeerLink, refusal: Refusal) -> None:
+        """Fail: this sender writes nothing that can't be read."""
+        raise AssertionError(refusal)
+
     def closed(self, link: PeerLink) -> None:
         """Ignore the end."""
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -5,6 +5,7 @@
 
 from paddleshunt_core.leased.catalog import Catalog
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
+from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.wire import (
     Body,
     CatalogNews,
@@ -22,6 +23,7 @@
 from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
+from paddleshunt_node.aio.peerwords import readable
 
 GOSSIP_SECONDS = 0.4
 """Seconds between two messages to each other entry."""
@@ -59,6 +61,9 @@
     def found(self, entry: EntryAddress) -> None:
         """Take note of an entry that is new, or has moved."""
 
+    def refuse(self, refusal: Refusal) -> None:
+        """Take note of a word that can't be read."""
+
     def tell_targets(self, changes: EntryChanges) -> None:
         """Tell the targets which entries have joined or gone."""
 
@@ -104,6 +109,8 @@
 
     def note(self, entry: EntryAddress) -> None:
         """Take an entry's greeting."""
+        if not readable([entry], entry.name, self._owner.refuse):
+            return
         known = self._known.get(entry.name)
         self._known[entry.name] = (entry, clock.now())
         self.met(entry)
@@ -189,7 +196,7 @@
     def _take(self, link: PeerLink, body: Body) -> None:
         match body:
             case Entries():
-                for entry in body.entries:
+                for entry in readable(body.entries, link.peer, self._owner.refuse):
                     self.met(entry)
             case EvacuationNews():
                 if self._owner.evacuations.outdates(body.evacuated):
@@ -205,6 +212,10 @@
             case _:
                 pass
 
+    def refused(self, link: PeerLink, refusal: Refusal) -> None:
+        """Take note of a message that can't be read."""
+        self._owner.refuse(refusal)
+
     def closed(self, link: PeerLink) -> None:
         """Make another connection."""
         self._dialer.lost(link)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -12,6 +12,7 @@
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
 from paddleshunt_core.leased.outcomes import AnswerJob, Completed, HandOn
+from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import (
     Entries,
@@ -283,6 +284,10 @@
 
     # Other entries.
 
+    def refuse(self, refusal: Refusal) -> None:
+        """Take note of a word that can't be read."""
+        self._around.refuse(refusal)
+
     def found(self, entry: EntryAddress) -> None:
         """Take note of an entry that is new, or has moved."""
         self._around.event("entry_found", entry=entry.name, address=entry.address)
@@ -420,5 +425,8 @@
     def heard(self, link: PeerLink, frame: Frame) -> None:
         self._service.target_heard(link, frame)
 
+    def refused(self, link: PeerLink, refusal: Refusal) -> None:
+        self._service.refuse(refusal)
+
     def closed(self, link: PeerLink) -> None:
         self._service.link_closed(link)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
@@ -4,6 +4,7 @@
 from typing import Protocol, final
 
 import msgspec
+from paddleshunt_core.leased.refusals import UNREADABLE, Refusal, Word
 from paddleshunt_core.leased.wire import Frame, Hello
 
 from paddleshunt_node.aio import clock
@@ -31,6 +32,9 @@
     def heard(self, link: "PeerLink", frame: Frame) -> None:
         """Take a frame."""
 
+    def refused(self, link: "PeerLink", refusal: Refusal) -> None:
+        """Take note of a message that can't be read; the connection is broken off."""
+
     def closed(self, link: "PeerLink") -> None:
         """Take the end of the connection."""
 
@@ -61,7 +65,7 @@
         while len(self._buffer) >= LENGTH_BYTES:
             length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
             if length > MAX_MESSAGE:
-                self.close()
+                self._refuse(f"{length} bytes")
                 return
             if len(self._buffer) < LENGTH_BYTES + length:
                 return
@@ -93,13 +97,33 @@
             self._transport.abort()
 
     def _handle(self, message: bytes) -> bool:
-        try:
-            if self.peer:
-                self._handler.heard(self, _frame.decode(message))
-            else:
+        if self.peer:
+            try:
+                frame = _frame.decode(message)
+            except UNREADABLE as problem:
+                self._refuse(str(problem))
+                return False
+            self._handler.heard(self, frame)
+        else:
+            try:
                 hello = _hello.decode(message)
-                self.peer = hello.name
-                self._handler.greeted(self, hello)
-        except msgspec.MsgspecError:
-            self.close()
+            except UNREADABLE as problem:
+                self._refuse(str(problem))
+                return False
+            if not hello.name:
+                self._refuse("no name")
+                return False
+            self.peer = hello.name
+            self._handler.greeted(self, hello)
         return self._transport is not None
+
+    def _refuse(self, problem: str) -> None:
+        """Break off a connection over which something came that can't be read."""
+        word = Word.FRAME if self.peer else Word.GREETING
+        self._handler.refused(self, Refusal(word, self.peer or self._remote(), problem))
+        self.close()
+
+    def _remote(self) -> str:
+        """Return the host of a peer that has no name yet."""
+        address = self._transport and self._transport.get_extra_info("peername")
+        return str(address[0]) if address else ""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
@@ -33,6 +33,11 @@
         self._events = Counter(
             "paddleshunt_events_total", "Events of the log.", registry=self._registry
         )
+        self._refused = Counter(
+            "paddleshunt_words_refused_total",
+            "Words of others that were refused, by kind.",
+            registry=self._registry,
+        )
         self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
 
     def answered(self, outcome: str, reason: str) -> None:
@@ -55,6 +60,10 @@
         """Count an event."""
         self._events.inc({"event": name})
 
+    def refused(self, word: str) -> None:
+        """Count a refused word of somebody else."""
+        self._refused.inc({"word": word})
+
     def page(self) -> bytes:
         """Return the page of all figures."""
         for gauge, read in self._gauges:
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/peerwords.py
@@ -0,0 +1,34 @@
+"""What is checked of other processes' words beyond their types: names and addresses of entries."""
+
+from collections.abc import Iterable
+
+from paddleshunt_core.leased.refusals import Refusal, Refuse, Word
+from paddleshunt_core.leased.wire import EntryAddress
+
+from paddleshunt_node.aio.sockets import AddressError, split_address
+
+MOST_NAME = 200
+"""Signs of an entry's name or life; they stand in lines of the log and keys of the store."""
+
+
+def problem_with(entry: EntryAddress) -> str:
+    """Return why an entry can't be dialled or named; empty if it can."""
+    if not 0 < len(entry.name) <= MOST_NAME or len(entry.life) > MOST_NAME:
+        return "name or life too long, or no name"
+    try:
+        split_address(entry.address)
+    except AddressError as problem:
+        return str(problem)
+    return ""
+
+
+def readable(entries: Iterable[EntryAddress], sender: str, refuse: Refuse) -> list[EntryAddress]:
+    """Return the entries that can be dialled; the others that `sender` told of are refused."""
+    found: list[EntryAddress] = []
+    for entry in entries:
+        problem = problem_with(entry)
+        if problem:
+            refuse(Refusal(Word.ADDRESS, sender, problem))
+        else:
+            found.append(entry)
+    return found
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from paddleshunt_core.events import Log
+from paddleshunt_core.leased.refusals import Refusal, Refusals
 
 from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
@@ -43,6 +44,7 @@
         self.lines = lines
         self.measures = measures
         self.stopping = asyncio.Event()
+        self._refusals = Refusals()
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop: asyncio.AbstractEventLoop | None = None
 
@@ -69,6 +71,12 @@
         """Write one event's line."""
         self.lines.event(clock.now(), name, **fields)
 
+    def refuse(self, refusal: Refusal) -> None:
+        """Count a refused word, and write its line unless one like it was written lately."""
+        self.measures.refused(refusal.word.value)
+        for log in self._refusals.take(clock.now(), refusal):
+            self.log(log)
+
     def cancel(self) -> None:
         """End all tasks."""
         for task in list(self._tasks):
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/sockets.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/sockets.py
@@ -1,15 +1,39 @@
 """Addresses, and socket options for links that may fall silent."""
 
 import asyncio
+import re
 import socket
 
+MOST_HOST = 253
+"""Signs of a host's name, as in DNS; one of its parts has at most `MOST_PART`."""
+
+MOST_PART = 63
+LAST_PORT = 65535
+
+_HOST = re.compile(r"[A-Za-z0-9._:%\[\]-]+", re.ASCII)
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+
+
+class AddressError(ValueError):
+    """A text is no host:port."""
+
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of host:port."""
+    """Return the host and the port of host:port; raises `AddressError`."""
     host, _, port = address.rpartition(":")
+    if not _is_host(host):
+        raise AddressError(f"no host in {address[:MOST_HOST]!r}")
+    if not _PORT.fullmatch(port) or not 0 <= int(port) <= LAST_PORT:
+        raise AddressError(f"no port in {address[:MOST_HOST]!r}")
     return host, int(port)
 
 
+def _is_host(host: str) -> bool:
+    if len(host) > MOST_HOST or not _HOST.fullmatch(host):
+        return False
+    return all(0 < len(part) <= MOST_PART for part in host.split("."))
+
+
 def prepare(transport: asyncio.BaseTransport, silence: float) -> None:
     """Send small writes at once, and break a connection that is silent for `silence` seconds."""
     sock = transport.get_extra_info("socket")
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -10,6 +10,7 @@
 from paddleshunt_core.leased.entrychoice import EntryChoice
 from paddleshunt_core.leased.incarnations import Claim
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
+from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.runnercontrol import Effect
 from paddleshunt_core.leased.wire import Entries, EntryAddress, EntryChanges, Frame, Hello
 from paddleshunt_core.leased.worker import Worker
@@ -18,6 +19,7 @@
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.peerwords import readable
 from paddleshunt_node.aio.ports import (
     OtherLife,
     RegistrationCodec,
@@ -224,7 +226,8 @@
                 failures = 0
                 self._note_first_look()
                 self._act(self._worker.looked(now, answer))
-                if look.wait == 0:
+                # The runner doesn't wait either while an end that can't be read is listed.
+                if look.wait == 0 or answer.partial:
                     await asyncio.sleep(SHORT_PAUSE)
                 continue
             if isinstance(answer, Superseded):
@@ -325,15 +328,21 @@
         self._heard[link.peer] = now
         for body in frame.bodies:
             if isinstance(body, Entries):
-                self._choice.told(link.peer, body.entries)
-                self._note_addresses(now, body.entries)
+                entries = readable(body.entries, link.peer, self._around.refuse)
+                self._choice.told(link.peer, entries)
+                self._note_addresses(now, entries)
             elif isinstance(body, EntryChanges):
-                self._choice.changed(link.peer, body.joined, body.gone)
-                self._note_addresses(now, body.joined)
+                joined = readable(body.joined, link.peer, self._around.refuse)
+                self._choice.changed(link.peer, joined, body.gone)
+                self._note_addresses(now, joined)
         self._act(self._worker.heard(now, link.peer, frame))
         if self._worker.session(link.peer) is None:
             link.close()
 
+    def refused(self, link: PeerLink, refusal: Refusal) -> None:
+        """Take note of a message that can't be read."""
+        self._around.refuse(refusal)
+
     def closed(self, link: PeerLink) -> None:
         """Take the end of a connection; its session goes on for a while."""
         self._said.pop(link, None)
--- a/testing/node/aio/test_dialer.py
+++ b/testing/node/aio/test_dialer.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.wire import Frame, Hello
 from paddleshunt_node.aio import dialer
 from paddleshunt_node.aio.dialer import Dialer
@@ -25,6 +26,9 @@
     def heard(self, link: PeerLink, frame: Frame) -> None:
         pass
 
+    def refused(self, link: PeerLink, refusal: Refusal) -> None:
+        pass
+
     def closed(self, link: PeerLink) -> None:
         pass
 
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -7,6 +7,7 @@
 import pytest
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
+from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.wire import (
     Entries,
     EntryAddress,
@@ -38,6 +39,10 @@
         self.told: list[EntryChanges] = []
         self.losses = [LOST]
         self.heard: list[tuple[RunnerLost | RunnerReturned, str]] = []
+        self.refused: list[Refusal] = []
+
+    def refuse(self, refusal: Refusal) -> None:
+        self.refused.append(refusal)
 
     def adopt(self, catalog: Catalog, source: str) -> None:
         pass
--- /dev/null
+++ b/testing/node/aio/test_framing.py
@@ -0,0 +1,145 @@
+"""Messages between processes, and what is done with bytes that are none."""
+
+import asyncio
+from typing import cast
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from paddleshunt_core.leased.refusals import Refusal, Word
+from paddleshunt_core.leased.wire import CatalogVersion, Frame, Hello
+from paddleshunt_node.aio.framing import MAX_MESSAGE, PeerLink
+
+HELLO = Hello("t1", "life", False, "hall", "10.0.0.1:7720", 0, 0)
+FRAME = Frame(1, 0, 5, 5, [CatalogVersion(3)])
+
+
+class Handler:
+    """Notes what comes."""
+
+    def __init__(self) -> None:
+        self.hellos: list[Hello] = []
+        self.frames: list[Frame] = []
+        self.refusals: list[Refusal] = []
+
+    def opened(self, link: PeerLink) -> None:
+        pass
+
+    def greeted(self, link: PeerLink, hello: Hello) -> None:
+        self.hellos.append(hello)
+
+    def heard(self, link: PeerLink, frame: Frame) -> None:
+        self.frames.append(frame)
+
+    def refused(self, link: PeerLink, refusal: Refusal) -> None:
+        self.refusals.append(refusal)
+
+    def closed(self, link: PeerLink) -> None:
+        pass
+
+
+class Transport(asyncio.Transport):
+    """A connection from 10.0.0.9 that notes its end."""
+
+    aborted = False
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return ("10.0.0.9", 4242) if name == "peername" else default
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+def connect() -> tuple[PeerLink, Handler, Transport]:
+    handler, transport = Handler(), Transport()
+    link = PeerLink(handler, 1.0)
+    link.connection_made(cast(asyncio.BaseTransport, transport))
+    return link, handler, transport
+
+
+def packed(message: bytes) -> bytes:
+    return len(message).to_bytes(4, "big") + message
+
+
+def greet(link: PeerLink) -> None:
+    link.data_received(packed(msgspec.msgpack.encode(HELLO)))
+
+
+BAD = {
+    "empty": packed(b""),
+    "cut": packed(msgspec.msgpack.encode(FRAME)[:-1]),
+    "another-type": packed(msgspec.msgpack.encode({"first": 1})),
+    "text": packed(msgspec.msgpack.encode(["1", "2", 3, 4, []])),
+    "no-text": packed(b"\x95\x01\x00\x00\x00\x91\x92\x08\xa2\xff\xfe"),
+    "deep": packed(b"\x96\x01\x00\x00\x00\x90" + b"\x91" * 100_000),
+    "long": (MAX_MESSAGE + 1).to_bytes(4, "big"),
+}
+
+
+@pytest.mark.parametrize("data", BAD.values(), ids=BAD.keys())
+def test_a_frame_that_can_not_be_read_is_told_with_its_sender(data: bytes) -> None:
+    link, handler, transport = connect()
+    greet(link)
+    link.data_received(data)
+    assert [(one.word, one.sender) for one in handler.refusals] == [(Word.FRAME, "t1")]
+    assert transport.aborted
+    assert handler.frames == []
+
+
+@pytest.mark.parametrize("data", BAD.values(), ids=BAD.keys())
+def test_a_greeting_that_can_not_be_read_is_told_with_its_host(data: bytes) -> None:
+    link, handler, transport = connect()
+    link.data_received(data)
+    assert [(one.word, one.sender) for one in handler.refusals] == [(Word.GREETING, "10.0.0.9")]
+    assert transport.aborted
+    assert handler.hellos == []
+
+
+def test_a_greeting_without_a_name_is_refused() -> None:
+    link, handler, transport = connect()
+    nameless = msgspec.msgpack.encode(msgspec.structs.replace(HELLO, name=""))
+    link.data_received(packed(nameless))
+    assert [one.problem for one in handler.refusals] == ["no name"]
+    assert transport.aborted
+
+
+def test_what_comes_behind_a_frame_that_can_not_be_read_is_not_taken() -> None:
+    link, handler, _ = connect()
+    greet(link)
+    good = packed(msgspec.msgpack.encode(FRAME))
+    link.data_received(good + BAD["text"] + good)
+    assert handler.frames == [FRAME]
+
+
+leaves = st.one_of(
+    st.none(), st.booleans(), st.integers(-(2**63), 2**64 - 1), st.text(max_size=5), st.floats()
+)
+values = st.recursive(leaves, lambda inner: st.lists(inner, max_size=4), max_leaves=8)
+
+
+@settings(max_examples=150, derandomize=True, database=None, deadline=None)
+@given(message=values, cut=st.integers(0, 3), greeted=st.booleans())
+def test_whatever_comes_is_a_message_or_a_refusal(message: object, cut: int, greeted: bool) -> None:
+    link, handler, transport = connect()
+    if greeted:
+        greet(link)
+    raw = msgspec.msgpack.encode(message)
+    link.data_received(packed(raw[: max(0, len(raw) - cut)]))
+    taken = handler.frames if greeted else handler.hellos
+    assert len(taken) + len(handler.refusals) == 1
+    assert transport.aborted is bool(handler.refusals)
+
+
+@settings(max_examples=150, derandomize=True, database=None, deadline=None)
+@given(place=st.integers(0, 4), odd=values)
+def test_a_field_of_another_type_is_refused(place: int, odd: object) -> None:
+    link, handler, _ = connect()
+    greet(link)
+    fields = [1, 0, 5, 5, [[8, 3]]]
+    fields[place] = odd  # type: ignore[call-overload]
+    link.data_received(packed(msgspec.msgpack.encode(fields)))
+    assert len(handler.frames) + len(handler.refusals) == 1
