Read all that comes from outside through one place, and refuse what names nothing to use

Cause, each seen by a test that fails on the code before: a heartbeat without capacity was a runner of size 0, `state` of "warming" was ready, room of -5 and 10^19 was taken, a word without sequence was never late; a caller's job with a number beyond 2^64 ended the entry (it can't be packed into a frame); one item of another shape made the store's page unreadable, one odd route the configuration, and neither left a line; a runner's row of odd length or name ended the target (IndexError, ValueError), and an answer that could not be read was taken to list nothing, so that all runs counted as lost while they ran; an item that named a revision of years to come kept the operator's next words unheard.

A heartbeat must give what a runner is used by: service, zone, state, capacity, sequence from 1. The stand-ins of runners send a sequence, as the users' page has it. Store.unreadable, which nothing read, is gone: its test now checks the refusal's reason, as strict.

--- a/testing/council/councilsystem.py
+++ b/testing/council/councilsystem.py
@@ -40,6 +40,7 @@
         "zone": "hall",
         "state": "ready",
         "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+        "sequence": 1,
     }
 ).encode()
 
@@ -111,8 +112,8 @@
             EntryConfig(
                 "e1", "hall", self.callers, self.ready, self.peers, self._free(), (), self.bounds
             ),
-            Callers(),
-            Store(self.store.address, 1000),
+            Callers(self.entry_around.refuse),
+            Store(self.store.address, 1000, self.entry_around.refuse),
             self.entry_around,
         )
         self.target = TargetService(
@@ -125,9 +126,9 @@
                 (self.peers,),
                 self.bounds,
             ),
-            Registration(),
-            self.port(Runner(self.runner.address)),
-            Store(self.store.address, 1000),
+            Registration(self.target_around.refuse),
+            self.port(Runner(self.runner.address, self.target_around.refuse)),
+            Store(self.store.address, 1000, self.target_around.refuse),
             self.target_around,
         )
         self.entry_run = asyncio.ensure_future(self.entry.run())
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -215,6 +215,7 @@
     def _live_anew(self) -> None:
         self._lives += 1
         self.life = f"i-{self.name}-{self._lives}"
+        self._sequence = 0
         self._born = monotonic()
         self._clock_base = self._rng.randrange(10_000, 900_000)
         self._rate = self._rng.choice([1.0, 0.98])
@@ -228,11 +229,13 @@
         self._highest: dict[str, int] = {}
 
     async def _beat(self) -> bool:
+        self._sequence += 1
         body = {
             "service": "svc",
             "zone": self._hall,
             "state": "ready",
             "capacity": {"cpu": self._capacity, "mem_mb": 64000, "gpu": 0},
+            "sequence": self._sequence,
         }
         path = f"/paddleshunt/Instances.Heartbeat/{self.life}"
         try:
--- a/testing/council/test_callers.py
+++ b/testing/council/test_callers.py
@@ -4,6 +4,7 @@
 import pytest
 from paddleshunt_core.leased.catalog import Catalog, Queue
 from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, JobOutcome, Refused
+from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_council.callers import Callers
 from paddleshunt_node.aio.httpserver import Request, Response
@@ -111,3 +112,53 @@
     answer = Callers().answer(outcome)
     assert answer.status == status
     assert dict(answer.headers).get("Retry-After") == retry
+
+
+def raw(body: bytes, deadline: str = "2500") -> Request:
+    return Request("POST", f"/q/{KEY}", {"host": "a.example", "x-deadline-ms": deadline}, body)
+
+
+GOOD = msgspec.json.encode(job())
+
+
+@pytest.mark.parametrize(
+    "asked",
+    [
+        request(body=job(cpu=10**19)),
+        raw(GOOD.replace(b'"cpu":500', b'"cpu":' + b"9" * 30)),
+        raw(GOOD.replace(b'"estimated_ms":900', b'"estimated_ms":' + b"9" * 400)),
+        raw(GOOD, "9" * 400),
+        raw(GOOD, "1_000"),
+        raw(GOOD.replace(b'"text"', b'"\xff\xfe"')),
+        raw(GOOD[:-1] + b',"more":' + b"[" * 100_000),
+        raw(GOOD[:-9]),
+        raw(b""),
+        request(body=job(affinity="r" * 5000)),
+        request(body=job(mem_mb="256")),
+    ],
+    ids=[
+        "huge",
+        "no-number-of-a-frame",
+        "endless-task",
+        "endless-deadline",
+        "odd-deadline",
+        "no-text",
+        "deep",
+        "cut",
+        "empty",
+        "long-rack",
+        "other-type",
+    ],
+)
+def test_a_request_that_can_not_be_read_is_refused(asked: Request) -> None:
+    read = Callers().read(asked, CATALOG)
+    assert isinstance(read, Response)
+    assert read.status == 400
+
+
+def test_a_refused_request_is_told_with_its_queue() -> None:
+    refused: list[Refusal] = []
+    callers = Callers(refused.append)
+    for asked in (raw(b"{"), raw(GOOD, "soon"), request(body=job(count=0))):
+        callers.read(asked, CATALOG)
+    assert [(one.word, one.sender) for one in refused] == 3 * [(Word.REQUEST, "short")]
--- a/testing/council/test_registration.py
+++ b/testing/council/test_registration.py
@@ -1,9 +1,12 @@
 """A runner's heartbeats."""
 
+import json
+
 import pytest
 from paddleshunt_core.leased.orders import RunnerAccount
+from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.resources import Resources
-from paddleshunt_council.registration import Registration
+from paddleshunt_council.registration import DEREGISTER, HEARTBEAT, Registration
 from paddleshunt_node.aio.httpserver import Request, Response
 from paddleshunt_node.aio.ports import RunnerEnds
 
@@ -47,3 +50,80 @@
     answer = read(path, body, method)
     assert isinstance(answer, Response)
     assert answer.status == status
+
+
+def beat(**fields: object) -> bytes:
+    """Return a heartbeat with some fields changed, or left out (None)."""
+    told = {**json.loads(BEAT), **fields}
+    return json.dumps({name: value for name, value in told.items() if value is not None}).encode()
+
+
+ROOM = {"cpu": 16000, "mem_mb": 32768, "gpu": 1}
+BAD_BEATS = {
+    "unnamed-state": beat(state="warming"),
+    "no-state": beat(state=None),
+    "no-capacity": beat(capacity=None),
+    "empty-capacity": beat(capacity={}),
+    "no-memory": beat(capacity={"cpu": 1}),
+    "negative-room": beat(capacity=ROOM | {"cpu": -5}),
+    "huge-room": beat(capacity=ROOM | {"cpu": 10**19}),
+    "huge-memory": beat(capacity=ROOM | {"mem_mb": 10**40}),
+    "room-of-another-type": beat(capacity=[16000, 32768, 1]),
+    "empty-service": beat(service=""),
+    "no-service": beat(service=None),
+    "long-service": beat(service="s" * 5000),
+    "service-of-another-type": beat(service=["s"]),
+    "empty-zone": beat(zone=""),
+    "no-zone": beat(zone=None),
+    "no-sequence": beat(sequence=None),
+    "sequence-zero": beat(sequence=0),
+    "negative-sequence": beat(sequence=-4),
+    "huge-sequence": beat(sequence=10**30),
+    "negative-remaining": beat(remaining_ms=-1),
+    "huge-remaining": beat(remaining_ms=10**400),
+    "many-labels": beat(labels=["a"] * 5000),
+    "label-of-another-type": beat(labels=["a", 1]),
+    "long-label": beat(labels=["a" * 5000]),
+    "cut": BEAT[:-20],
+    "no-bytes": b"",
+    "no-text": BEAT.replace(b'"s"', b'"\xff\xfe"'),
+    "deep": BEAT[:-1] + b',"more":' + b"[" * 100_000,
+}
+
+
+@pytest.mark.parametrize("body", BAD_BEATS.values(), ids=BAD_BEATS.keys())
+def test_a_word_that_names_no_runner_to_use_is_refused(body: bytes) -> None:
+    answer = read(HEARTBEAT + "i-7", body)
+    assert isinstance(answer, Response)
+    assert answer.status == 400
+
+
+def test_fields_that_may_be_added_later_are_passed_over() -> None:
+    account = read(HEARTBEAT + "i-7", beat(tomorrow={"cpu": [1, None]}, slots="8"))
+    assert account == read(HEARTBEAT + "i-7", BEAT)
+
+
+def test_a_runner_may_say_that_it_has_no_room() -> None:
+    account = read(HEARTBEAT + "i-7", beat(capacity={"cpu": 0, "mem_mb": 0}))
+    assert isinstance(account, RunnerAccount)
+    assert account.capacity == Resources()
+
+
+@pytest.mark.parametrize("path", [HEARTBEAT, DEREGISTER], ids=["heartbeat", "end"])
+@pytest.mark.parametrize(
+    "runner",
+    ["", "i" * 5000, "i-7/x", "i\x857", "i\xe97", "%0d%0aX: y"],
+    ids=["empty", "long", "path", "unprintable", "no-ascii", "encoded"],
+)
+def test_an_id_that_no_header_can_carry_is_refused(path: str, runner: str) -> None:
+    answer = read(path + runner, BEAT)
+    assert isinstance(answer, Response)
+    assert answer.status == 400
+
+
+def test_a_refusal_names_the_runner_and_what_is_wrong() -> None:
+    refused: list[Refusal] = []
+    request = Request("POST", HEARTBEAT + "i-7", {}, beat(state="warming"))
+    Registration(refused.append).read(request)
+    assert [(one.word, one.sender) for one in refused] == [(Word.HEARTBEAT, "i-7")]
+    assert "warming" in refused[0].problem and "state" in refused[0].problem
--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -16,9 +16,11 @@
     StartRun,
     StopRun,
 )
+from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.wire import RunId, TaskId
 from paddleshunt_council.runner import Runner
 from paddleshunt_node.aio import clock
+from paddleshunt_node.aio.httpserver import Exchange, Response
 from paddleshunt_node.aio.ports import OtherLife, Superseded
 from standins import RunnerStandIn
 
@@ -267,3 +269,118 @@
         assert int(str(standin.calls[-1][1]["deadline_ms"])) <= 5000 + 500 + 100
 
     play(scene)
+
+
+ODD_ROWS: dict[str, list[object]] = {
+    "short": [NAME],
+    "empty": [],
+    "no-list": 5,  # type: ignore[dict-item]
+    "run-of-another-type": [NAME, "x", "", 41],
+    "negative-run": [NAME, -2, "", 41],
+    "huge-percent": [NAME, 2, "", 10**30],
+    "name-of-another-type": [[], 2, "", 41],
+}
+OTHER = RunId(TaskId("5c0e7a21d94b36f8", 0, 8), 1)
+OTHER_ROW: list[object] = ["5c0e7a21d94b36f8.0.0.8", 1, "", 5]
+
+
+@pytest.mark.parametrize("row", ODD_ROWS.values(), ids=ODD_ROWS.keys())
+def test_an_odd_row_hides_no_other_and_is_not_taken_for_a_run_that_is_gone(
+    row: list[object],
+) -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        standin.running = [row, OTHER_ROW]
+        answer = await runner.look(FIRST_LOOK)
+        assert isinstance(answer, LookAnswer)
+        assert answer.running == [RunningRun(OTHER, 5)]
+        assert answer.partial
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    "row",
+    [[58], [], ["x", NAME, 1, "done"], [-1, NAME, 1, "done"], [58, NAME, None, "done"]],
+    ids=["short", "empty", "number", "negative", "run"],
+)
+def test_an_odd_end_hides_no_other(row: list[object]) -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        standin.finished = [row, [59, NAME, 1, "done", ""]]
+        answer = await runner.look(FIRST_LOOK)
+        assert isinstance(answer, LookAnswer)
+        assert answer.finished == [FinishedRun(59, RunId(RUN.task, 1), RunEnd.DONE)]
+        assert answer.partial
+
+    play(scene)
+
+
+@pytest.mark.parametrize("name", ["a.b.c.d", "a.0.0.-1", "a.0.0.1_0", "a.0.0." + "9" * 5000, "..."])
+def test_a_name_that_no_order_of_ours_gave_is_passed_over(name: str) -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        standin.running = [[name, 1, "", 5], OTHER_ROW]
+        standin.finished = [[7, name, 1, "done", ""]]
+        answer = await runner.look(FIRST_LOOK)
+        assert isinstance(answer, LookAnswer)
+        assert (answer.running, answer.finished) == ([RunningRun(OTHER, 5)], [])
+        assert (answer.partial, answer.listed) == (False, 7)
+
+    play(scene)
+
+
+BODIES = {
+    "cut": b'{"clock_ms":5000,"running":[["5c0e7a21d94b36f8.0.0.8",1,"",5',
+    "no-bytes": b"",
+    "no-lists": b'{"clock_ms":5000}',
+    "one-list": b'{"clock_ms":5000,"running":[]}',
+    "no-list": b'{"clock_ms":5000,"running":5,"finished":[]}',
+    "null": b'{"clock_ms":5000,"running":null,"finished":null}',
+    "another-type": b"[]",
+    "deep": b'{"clock_ms":5000,"finished":[],"running":' + b"[" * 100_000,
+}
+
+
+class RawRunner(RunnerStandIn):
+    """A runner whose answers are bytes."""
+
+    body = b""
+
+    def handle(self, exchange: Exchange) -> None:
+        exchange.respond(Response(200, self.body, "application/json"))
+
+
+@pytest.mark.parametrize("body", BODIES.values(), ids=BODIES.keys())
+def test_an_answer_without_its_lists_does_not_say_that_nothing_runs(body: bytes) -> None:
+    async def scene() -> None:
+        standin = RawRunner()
+        standin.body = body
+        await standin.start()
+        refused: list[Refusal] = []
+        runner = Runner(standin.address, refused.append)
+        runner.expect("i-1")
+        assert await runner.look(FIRST_LOOK) is None
+        assert {(one.word, one.sender) for one in refused} == {(Word.RUNNER_ANSWER, "i-1")}
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+@pytest.mark.parametrize("clock_ms", [-5, 10**30, "5000", [], 1.5])
+def test_a_clock_that_can_not_be_read_is_not_gone_by(clock_ms: object) -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        standin.clock = clock_ms  # type: ignore[assignment]
+        assert isinstance(await runner.look(FIRST_LOOK), LookAnswer)
+        assert await runner.start(order(), always) is StartAnswer.NOT_SENT
+        standin.clock = 5000
+        await runner.look(FIRST_LOOK)
+        assert await runner.start(order(), always) is StartAnswer.STARTED
+
+    play(scene)
+
+
+def test_an_end_that_is_not_named_is_an_end() -> None:
+    async def scene(runner: Runner, standin: RunnerStandIn) -> None:
+        standin.finished = [[58, NAME, 1, "evaporated", ""]]
+        answer = await runner.look(FIRST_LOOK)
+        assert isinstance(answer, LookAnswer)
+        assert answer.finished == [FinishedRun(58, RunId(RUN.task, 1), RunEnd.STOPPED)]
+
+    play(scene)
--- a/testing/council/test_store.py
+++ b/testing/council/test_store.py
@@ -1,14 +1,18 @@
 """The store's client, against its stand-in."""
 
 import asyncio
+import base64
 import json
 from collections.abc import Awaitable, Callable
 
 import pytest
+from paddleshunt_core.leased.catalog import RequestLimits
 from paddleshunt_core.leased.evacuation import EvacuatedHalls
+from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.wire import EntryAddress
 from paddleshunt_council.catalog import CatalogError, read_catalog
 from paddleshunt_council.store import Store
+from paddleshunt_node.aio.httpserver import Exchange, Response
 from paddleshunt_node.aio.ports import OperatorWord, StoreUnavailableError
 from standins import StoreStandIn
 
@@ -116,13 +120,17 @@
     play(scene)
 
 
-def test_an_unreadable_configuration_is_passed_over() -> None:
-    async def scene(store: Store, standin: StoreStandIn) -> None:
+def test_an_unreadable_configuration_is_passed_over_with_its_reason() -> None:
+    async def scene() -> None:
+        standin = StoreStandIn()
+        await standin.start()
+        refused: list[Refusal] = []
+        store = Store(standin.address, 1000, refused.append)
         standin.put("op/config", b"{}")
         assert (await store.next_word()).catalog is None
-        assert "routes" in store.unreadable or "version" in store.unreadable
+        assert "routes" in refused[0].problem or "version" in refused[0].problem
 
-    play(scene)
+    asyncio.run(asyncio.wait_for(scene(), 20))
 
 
 @pytest.mark.parametrize("status", [429, 503])
@@ -162,3 +170,304 @@
         assert len(standin.calls) <= 5
 
     play(scene)
+
+
+def raw_store(page: bytes) -> type[StoreStandIn]:
+    """Return a store whose ranges and watches answer with these bytes."""
+
+    class RawStore(StoreStandIn):
+        def handle(self, exchange: Exchange) -> None:
+            exchange.respond(Response(200, page, "application/json"))
+
+    return RawStore
+
+
+def listed(*items: object, **fields: object) -> bytes:
+    return json.dumps({"items": items, "more": False, "at": 7, **fields}).encode()
+
+
+def item(key: str, value: bytes) -> dict[str, object]:
+    return {"key": key, "value": base64.b64encode(value).decode(), "revision": 5}
+
+
+ODD_ITEMS: dict[str, object] = {
+    "no-item": 5,
+    "null": None,
+    "no-key": {"value": "e30="},
+    "key-of-another-type": {"key": 5},
+    "value-of-another-type": {"key": "op/x", "value": 5},
+    "gone-of-another-type": {"key": "op/x", "gone": "no"},
+    "huge-revision": {"key": "op/x", "revision": 10**30},
+    "negative-revision": {"key": "op/x", "revision": -1},
+    "long-key": {"key": "op/" + "x" * 5000},
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ITEMS.values(), ids=ODD_ITEMS.keys())
+def test_an_odd_item_hides_no_other(odd: object) -> None:
+    async def scene() -> None:
+        page = listed(odd, item("op/config", config(3)), item("op/evacuate/hall", b"{}"))
+        standin = raw_store(page)()
+        await standin.start()
+        refused: list[Refusal] = []
+        word = await Store(standin.address, 1000, refused.append).next_word()
+        assert word.catalog is not None and word.catalog.version == 3
+        assert word.evacuated == EvacuatedHalls(7, ("hall",))
+        assert [one.word for one in refused] == [Word.STORE_ITEM]
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        b"",
+        b"[]",
+        listed()[:-9],
+        listed(at=-7),
+        listed(at=10**30),
+        listed(at="7"),
+        b'{"items":5,"at":7}',
+        b'{"at":7,"items":[' + b"[" * 100_000,
+        b'{"at":7,"items":["\xff',
+    ],
+    ids=["empty", "type", "cut", "negative", "huge", "text", "no-list", "deep", "bytes"],
+)
+def test_a_page_that_can_not_be_read_is_a_store_that_is_away(page: bytes) -> None:
+    async def scene() -> None:
+        standin = raw_store(page)()
+        await standin.start()
+        store = Store(standin.address, 1000)
+        with pytest.raises(StoreUnavailableError, match="unreadable"):
+            await store.next_word()
+        with pytest.raises(StoreUnavailableError, match="unreadable"):
+            await store.entries()
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+ODD_ADDRESSES = {
+    "no-port": b'["e9","10.0.0.9"]',
+    "no-number": b'["e9","10.0.0.9:port"]',
+    "huge-port": b'["e9","10.0.0.9:77200"]',
+    "no-host": b'["e9",":7720"]',
+    "blank": b'["e9","10.0.0.9 :7720"]',
+    "long-part": b'["e9","' + b"a" * 100 + b':7720"]',
+    "no-name": b'["","10.0.0.9:7720"]',
+    "another-type": b'{"e9":5}',
+    "cut": b'["e9","10.0',
+    "deep": b"[" * 100_000,
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ADDRESSES.values(), ids=ODD_ADDRESSES.keys())
+def test_an_address_that_can_not_be_dialled_is_refused_and_the_others_hold(odd: bytes) -> None:
+    async def scene() -> None:
+        standin = StoreStandIn()
+        await standin.start()
+        refused: list[Refusal] = []
+        store = Store(standin.address, 1000, refused.append)
+        standin.put("paddleshunt/entries/e9", odd)
+        await store.announce(ENTRY, 12.0)
+        assert await store.entries() == [ENTRY]
+        expected = [(Word.ADDRESS, "paddleshunt/entries/e9")]
+        assert [(one.word, one.sender) for one in refused] == expected
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+def configured(**fields: object) -> bytes:
+    return json.dumps({**json.loads(config(9)), **fields}).encode()
+
+
+def route(name: str, **fields: object) -> dict[str, object]:
+    return {"name": name, "host": "h", "path_prefix": f"/{name}/", "service": "s", **fields}
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        5,
+        {},
+        route("odd", service=7),
+        route("odd", priority="high"),
+        route("odd", stretch=-1),
+        route("odd", target_latency_ms=-1),
+        route("odd", service=""),
+    ],
+    ids=["type", "empty", "service", "priority", "stretch", "latency", "no-service"],
+)
+def test_a_route_that_can_not_be_read_takes_no_other_down(odd: object) -> None:
+    refused: list[Refusal] = []
+    catalog = read_catalog(configured(routes=[route("a"), odd, route("b")]), refused.append)
+    assert (catalog.version, [queue.name for queue in catalog.queues]) == (9, ["a", "b"])
+    assert [one.word for one in refused] == [Word.ROUTE]
+
+
+def test_limits_that_can_not_be_read_leave_the_usual_ones() -> None:
+    refused: list[Refusal] = []
+    catalog = read_catalog(configured(limits={"max_body_bytes": -1}), refused.append)
+    assert catalog.limits == RequestLimits()
+    assert [one.sender for one in refused] == ["limits"]
+
+
+def test_a_service_that_can_not_be_read_takes_no_other_down() -> None:
+    refused: list[Refusal] = []
+    catalog = read_catalog(configured(services=[5, {"name": "s"}]), refused.append)
+    assert [service.name for service in catalog.services] == ["s"]
+    assert [one.word for one in refused] == [Word.CONFIGURATION]
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        configured(version="9"),
+        configured(version=-9),
+        configured(version=10**30),
+        configured(version=None),
+        configured(routes={"a": 1}),
+        configured(routes=[5]),
+        config(9)[:-5],
+        b"\xff\xfe",
+        b"[" * 100_000,
+    ],
+    ids=["text", "negative", "huge", "none", "no-list", "no-route", "cut", "bytes", "deep"],
+)
+def test_a_configuration_that_can_not_be_read_leaves_the_one_in_force(raw: bytes) -> None:
+    async def scene() -> None:
+        standin = StoreStandIn()
+        await standin.start()
+        refused: list[Refusal] = []
+        store = Store(standin.address, 1000, refused.append)
+        standin.put("op/config", config(3))
+        await store.next_word()
+        standin.put("op/config", raw)
+        assert (await store.next_word()).catalog is None
+        assert (refused[-1].word, refused[-1].sender) == (Word.CONFIGURATION, "op/config")
+        standin.put("op/config", config(10))
+        word = await store.next_word()
+        assert word.catalog is not None and word.catalog.version == 10
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+def test_a_configuration_that_goes_back_is_refused() -> None:
+    async def scene() -> None:
+        standin = StoreStandIn()
+        await standin.start()
+        refused: list[Refusal] = []
+        store = Store(standin.address, 1000, refused.append)
+        standin.put("op/config", config(8))
+        await store.next_word()
+        standin.put("op/config", config(5))
+        assert (await store.next_word()).catalog is None
+        assert [one.problem for one in refused] == ["version 5 after 8"]
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+def test_an_evacuation_whose_item_can_not_be_read_holds() -> None:
+    async def scene() -> None:
+        standin = OddStore()
+        await standin.start()
+        store = Store(standin.address, 1000)
+        standin.put("op/config", config(3))
+        standin.put("op/evacuate/hall", b"{}")
+        await store.next_word()
+        standin.odd = "op/evacuate/hall"
+        standin.put("op/evacuate/depot", b"{}")
+        standin.history_gone = True
+        word = await store.next_word()
+        assert word.evacuated is not None and word.evacuated.halls == ("depot", "hall")
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+def test_an_evacuation_that_names_no_hall_is_refused() -> None:
+    async def scene() -> None:
+        standin = StoreStandIn()
+        await standin.start()
+        refused: list[Refusal] = []
+        store = Store(standin.address, 1000, refused.append)
+        standin.put("op/config", config(3))
+        standin.put("op/evacuate/", b"{}")
+        word = await store.next_word()
+        assert word.evacuated is not None and word.evacuated.halls == ()
+        assert [one.word for one in refused] == [Word.EVACUATION]
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+class OddStore(StoreStandIn):
+    """A store that gives one item in another shape."""
+
+    odd = ""
+
+    def _item(self, key: str) -> dict[str, object]:
+        told = super()._item(key)
+        return {**told, "value": 5} if key == self.odd else told
+
+
+def test_an_event_that_can_not_be_read_is_seen_by_reading_all() -> None:
+    async def scene() -> None:
+        standin = OddStore()
+        await standin.start()
+        store = Store(standin.address, 1000)
+        standin.put("op/config", config(3))
+        await store.next_word()
+        standin.odd = "op/evacuate/hall"
+        standin.put("op/evacuate/hall", b"{}")
+        await store.next_word()
+        standin.odd = ""
+        word = await store.next_word()
+        assert word.evacuated is not None and word.evacuated.halls == ("hall",)
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+class AheadStore(StoreStandIn):
+    """A store of which one item names a revision of years to come."""
+
+    def _item(self, key: str) -> dict[str, object]:
+        told = super()._item(key)
+        return {**told, "revision": 10**12} if key == "op/evacuate/ahead" else told
+
+
+def test_an_item_that_is_ahead_of_the_store_does_not_hide_what_comes() -> None:
+    async def scene() -> None:
+        standin = AheadStore()
+        await standin.start()
+        store = Store(standin.address, 1000)
+        standin.put("op/config", config(3))
+        await store.next_word()
+        standin.put("op/evacuate/ahead", b"{}")
+        await store.next_word()
+        standin.put("op/config", config(4))
+        word = await store.next_word()
+        assert word.catalog is not None and word.catalog.version == 4
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [{"events": [{}]}, {"events": [5], "at": 0}, {"events": [{"key": "op/x", "revision": 1}]}],
+    ids=["no-key", "no-item", "old"],
+)
+def test_events_without_a_revision_are_not_asked_for_all_the_time(
+    answer: dict[str, object],
+) -> None:
+    class StuckStore(StoreStandIn):
+        def _kv_watch(self, asked: dict[str, object], path: str) -> tuple[int, object]:
+            return 200, answer
+
+    async def scene() -> None:
+        standin = StuckStore()
+        await standin.start()
+        store = Store(standin.address, 1000)
+        standin.put("op/config", config(3))
+        await store.next_word()
+        with pytest.raises(StoreUnavailableError, match="revision"):
+            await store.next_word()
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
