--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -50,6 +50,9 @@
 TIMER_MARGIN = 0.001
 """Seconds that a timer may be early by the clock that it is checked with."""
 
+MOST_CLAIMS = 32
+"""Lives that the runner has not confirmed yet; a host sees some of them a day."""
+
 LAST_WORDS = 0.1
 """Seconds for the last frames to leave."""
 
@@ -178,6 +181,8 @@
             self._runner_ends(self._now(), read)
         elif self._worker.judge(read) is Claim.DOUBTFUL:
             self._claims[read.runner] = read
+            if len(self._claims) > MOST_CLAIMS:
+                del self._claims[next(iter(self._claims))]
             self._around.spawn(self._confirm(read))
         else:
             self._follow(read)
