--- a/testing/council/test_runner.py
+++ b/testing/council/test_runner.py
@@ -384,3 +384,26 @@
         assert answer.finished == [FinishedRun(58, RunId(RUN.task, 1), RunEnd.STOPPED)]
 
     play(scene)
+
+
+def test_what_a_removed_target_ordered_is_below_the_token_of_the_next_one() -> None:
+    """So a start that the runner carries out late, after the next target has met it, is none."""
+
+    async def scene() -> None:
+        standin = FencedRunner()
+        await standin.start()
+        removed, following = Runner(standin.address), Runner(standin.address)
+        while not isinstance(await removed.look(FIRST_LOOK), LookAnswer):
+            pass
+        await removed.start(order(), always)
+        late = standin.calls[-1][1]
+        standin.clock += 1
+        while not isinstance(await following.look(FIRST_LOOK), LookAnswer):
+            pass
+        assert standin.answer("/paddleshunt/run-start", late, {}) == (
+            409,
+            {"clock_ms": standin.clock, "reason": "fence"},
+        )
+        assert await following.start(order(), always) is StartAnswer.STARTED
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
