--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
@@ -20,11 +20,13 @@
 ANSWERS = "paddleshunt_job_answers_total"
 ENDS = "paddleshunt_run_ends_total"
 EVENTS = "paddleshunt_events_total"
+REFUSED = "paddleshunt_words_refused_total"
 
 COUNTERS = {
     ANSWERS: "Answers by outcome and reason.",
     ENDS: "Ends of runs by kind.",
     EVENTS: "Events of the log.",
+    REFUSED: "Words of others that were refused, by kind.",
 }
 """What each counter counts."""
 
@@ -61,6 +63,10 @@
         """Count an event."""
         self._counts[EVENTS, (("event", name),)] += 1
 
+    def refused(self, word: str) -> None:
+        """Count a refused word of somebody else."""
+        self._counts[REFUSED, (("word", word),)] += 1
+
     def page(self) -> bytes:
         """Return the page of all figures."""
         return self._hand_over().render(self._counts, self._gauges)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -10,6 +10,7 @@
 from paddleshunt_core.leased.entrychoice import EntryChoice
 from paddleshunt_core.leased.incarnations import Claim
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
+from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.runnercontrol import Effect
 from paddleshunt_core.leased.wire import Entries, EntryAddress, EntryChanges, Frame, Hello
 from paddleshunt_core.leased.worker import Worker
@@ -18,6 +19,7 @@
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.peerwords import readable
 from paddleshunt_node.aio.ports import (
     OtherLife,
     RegistrationCodec,
@@ -48,6 +50,9 @@
 TIMER_MARGIN = 0.001
 """Seconds that a timer may be early by the clock that it is checked with."""
 
+MOST_CLAIMS = 32
+"""Lives that the runner has not confirmed yet; a host sees some of them a day."""
+
 LAST_WORDS = 0.1
 """Seconds for the last frames to leave."""
 
@@ -174,6 +179,8 @@
             self._runner_ends(self._now(), read)
         elif self._worker.judge(read) is Claim.DOUBTFUL:
             self._claims[read.runner] = read
+            if len(self._claims) > MOST_CLAIMS:
+                del self._claims[next(iter(self._claims))]
             self._around.spawn(self._confirm(read))
         else:
             self._follow(read)
@@ -222,7 +229,8 @@
                 failures = 0
                 self._note_first_look()
                 self._act(self._worker.looked(now, answer))
-                if look.wait == 0:
+                # The runner doesn't wait either while an end that can't be read is listed.
+                if look.wait == 0 or answer.partial:
                     await asyncio.sleep(SHORT_PAUSE)
                 continue
             if isinstance(answer, Superseded):
@@ -323,15 +331,21 @@
         now = self._now()
         for body in frame.bodies:
             if isinstance(body, Entries):
-                self._choice.told(link.peer, body.entries)
-                self._note_addresses(now, body.entries)
+                entries = readable(body.entries, link.peer, self._around.refuse)
+                self._choice.told(link.peer, entries)
+                self._note_addresses(now, entries)
             elif isinstance(body, EntryChanges):
-                self._choice.changed(link.peer, body.joined, body.gone)
-                self._note_addresses(now, body.joined)
+                joined = readable(body.joined, link.peer, self._around.refuse)
+                self._choice.changed(link.peer, joined, body.gone)
+                self._note_addresses(now, joined)
         self._act(self._worker.heard(now, link.peer, frame))
         if self._worker.session(link.peer) is None:
             link.close()
 
+    def refused(self, link: PeerLink, refusal: Refusal) -> None:
+        """Take note of a message that can't be read."""
+        self._around.refuse(refusal)
+
     def closed(self, link: PeerLink) -> None:
         """Take the end of a connection; its session goes on for a while."""
         self._said.pop(link, None)
