Prefer warm runners while some are cold after their start

Cause: cold_remaining_ms was not decoded, so runners that are slow for a while after an evacuation got the same work as warm ones, and their slowness was taken for sickness and taught lengths. Change: the account and the report carry the time left; coldness.py chooses; health and progress are cold_overrun times as patient meanwhile; ends there teach nothing. The bound is a setting that may be missing.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -42,7 +42,8 @@
     `drain`: after it, a target that leaves may start nothing. `grace`: time from SIGTERM to
     SIGKILL. `config_apply`: in it, an accepted configuration is in force. `remote_factor`: how many
     times as long a task takes away from the rack where its data lies. `caller_delay`: the longest
-    way of a packet from a caller to an entry.
+    way of a packet from a caller to an entry. `cold_overrun`: how many times as long a task takes
+    on a runner that is cold after its start.
     """
 
     resend: float = 1.3
@@ -53,6 +54,7 @@
     config_apply: float = 2.0
     remote_factor: float = 1.5
     caller_delay: float = 0.004
+    cold_overrun: float = 1.5
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -93,11 +93,12 @@
         rng: Random,
         remote_factor: float = 1.0,
         caller_delay: float = 0.0,
+        cold_overrun: float = 1.5,
     ) -> None:
         self._times = times
         self._caller_delay = caller_delay
         self._retries = Retries()
-        self._placement = Placement(hall, rng, remote_factor)
+        self._placement = Placement(hall, rng, remote_factor, cold_overrun)
         self._assigner = Assigner(self._placement)
         self._jobs = JobBook()
         self._targets: dict[str, TargetRecord] = {}
@@ -507,7 +508,12 @@
         return [log, *self._check_retries(now, job)]
 
     def _learn(self, now: float, job: JobRecord, task: TaskRecord, target: TargetRecord) -> None:
-        """Learn from an end how long tasks take; one on a runner that is not well says nothing."""
+        """Learn from an end how long tasks take; one on a runner that is not well says nothing.
+
+        Nor does one that was sent to a cold runner.
+        """
+        if target.is_cold(task.placed_at):
+            return
         if target.report is not None and target.report.health is Health.GOOD:
             request = job.request
             took = now - task.placed_at
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
@@ -28,7 +28,9 @@
 class RunnerHealth:
     """Evidence about one life of a runner."""
 
-    def __init__(self) -> None:
+    def __init__(self, cold_overrun: float = 1.0) -> None:
+        self._cold_overrun = cold_overrun
+        self._cold_until = float("-inf")
         self._failed: deque[bool] = deque(maxlen=RECENT_ENDS)
         self._sick_until = 0.0
         self._proved = True
@@ -40,10 +42,22 @@
             return Health.SICK
         return Health.GOOD if self._proved else Health.PROBATION
 
-    def done(self, now: float, speed: float) -> None:
-        """Note a run that ended well, at `speed` against its estimate."""
+    def is_cold(self, now: float, cold: float) -> None:
+        """Note that the runner stays slow for `cold` seconds yet after its start; 0: it is warm."""
+        self._cold_until = now + cold if cold else min(self._cold_until, now)
+
+    def patience(self, then: float) -> float:
+        """Return how many times as long as of a warm runner work may take that began `then`."""
+        return self._cold_overrun if then < self._cold_until else 1.0
+
+    def is_slow(self, now: float) -> bool:
+        """Whether the runner has been slow lately, beyond what a cold one is."""
+        return self.speed(now) < SLOW / self.patience(now - SPEED_WINDOW)
+
+    def done(self, now: float, speed: float, began: float | None = None) -> None:
+        """Note a run that ended well, at `speed` against its estimate; it `began` then."""
         self._failed.append(False)
-        if not self._proved and speed < SLOW:
+        if not self._proved and speed < SLOW / self.patience(now if began is None else began):
             self.suspect(now)
             return
         self._proved = True
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -24,6 +24,8 @@
     """Kind and rack of its host."""
     sequence: int = 0
     """Rises with each account of one life; 0 if it is not told."""
+    cold: float = 0.0
+    """Seconds for which it stays slow yet, after its start."""
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import final
 
+from paddleshunt_core.leased.coldness import warm_first
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.targets import TargetRecord
 
@@ -21,13 +22,17 @@
 class Placement:
     """Chooses among an entry's targets; remembers when it last probed one.
 
-    Away from the rack where its data lies, a task takes `remote_factor` times as long.
+    Away from the rack where its data lies, a task takes `remote_factor` times as long; on a cold
+    runner, `cold_overrun` times.
     """
 
-    def __init__(self, hall: str, rng: Random, remote_factor: float) -> None:
+    def __init__(
+        self, hall: str, rng: Random, remote_factor: float, cold_overrun: float = 1.5
+    ) -> None:
         self._rng = rng
         self._hall = hall
         self._remote_factor = remote_factor
+        self._cold_overrun = cold_overrun
         self._probed: dict[str, float] = {}
         self.typical_slowness = 1.0
         """Slowness of a usual target; a job's length is meant for such a one."""
@@ -64,6 +69,7 @@
             near = [t for t in good if t.has_label(rack)]
             if near or (self._awaits_rack(now, job) and any(t.has_label(rack) for t in sound)):
                 good = near
+        good = warm_first(now, job, good, sound, self._cold_overrun)
         return self._least_loaded(self._in_time(now, job, good, sound))
 
     def _awaits_rack(self, now: float, job: JobRecord) -> bool:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
@@ -39,14 +39,17 @@
     run.seen = now
 
 
-def is_stuck(now: float, run: Run) -> bool:
-    """Whether a run has made no progress for so long that it is to run elsewhere."""
-    return _has_stood(now, run, min(STUCK_SECONDS, max(STUCK_LEAST, run.estimate)))
+def is_stuck(now: float, run: Run, patience: float = 1.0) -> bool:
+    """Whether a run has made no progress for so long that it is to run elsewhere.
 
+    `patience` is how many times as long as usual its runner may take, as it is cold.
+    """
+    return _has_stood(now, run, patience * min(STUCK_SECONDS, max(STUCK_LEAST, run.estimate)))
 
-def stands_still(now: float, run: Run) -> bool:
+
+def stands_still(now: float, run: Run, patience: float = 1.0) -> bool:
     """Whether a run has made no progress lately: if no run has, their runner hangs."""
-    return _has_stood(now, run, max(HUNG_SECONDS, HUNG_SHARE * run.estimate))
+    return _has_stood(now, run, patience * max(HUNG_SECONDS, HUNG_SHARE * run.estimate))
 
 
 def is_better_elsewhere(run: Run, speed: float) -> bool:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -6,7 +6,7 @@
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.evacuation import Evacuations
-from paddleshunt_core.leased.health import SLOW, RunnerHealth
+from paddleshunt_core.leased.health import RunnerHealth
 from paddleshunt_core.leased.incarnations import Claim, Incarnations
 from paddleshunt_core.leased.orders import (
     FinishedRun,
@@ -80,14 +80,16 @@
 class RunnerControl:
     """State of one runner. `take_ends` tells which runs have ended since it was asked last."""
 
-    def __init__(self, times: LeaseTimes, hall: str = "") -> None:
+    def __init__(self, times: LeaseTimes, hall: str = "", cold_overrun: float = 1.5) -> None:
         self._times = times
         self._hall = hall
+        self._cold_overrun = cold_overrun
+        self._cold_until = float("-inf")
         self.evacuations = Evacuations()
         self.lives = Incarnations()
         self.table = RunTable()
         self.account: RunnerAccount | None = None
-        self.health = RunnerHealth()
+        self.health = RunnerHealth(cold_overrun)
         self.level = Health.GOOD
         self.leaving = False
         self.clean = False
@@ -158,12 +160,27 @@
             self._met = now
         self.account = account
         self.lives.follow(account)
+        effects += self._note_cold(now, account)
         if known is not None and known.capacity != account.capacity:
             effects.append(resized_note(account, known.capacity))
         if account.leaving and not (known and known.leaving):
             effects.append(note("runner_leaving", runner=account.runner))
         return effects
 
+    def cold(self, now: float) -> float:
+        """Return for how many seconds the runner stays slow yet after its start."""
+        return max(0.0, self._cold_until - now)
+
+    def _note_cold(self, now: float, account: RunnerAccount) -> list[Effect]:
+        """Follow the runner's word on how long it stays slow; it runs down until the next."""
+        was_cold = self.cold(now) > 0
+        self._cold_until = now + account.cold
+        self.health.is_cold(now, account.cold)
+        if not account.cold or was_cold:
+            return []
+        left = round(account.cold * 1000)
+        return [note("runner_cold", runner=account.runner, left_ms=left)]
+
     def runner_left(self, now: float, runner: str) -> list[Effect]:
         """Take the runner's word that it ends now."""
         self.lives.has_ended(runner)
@@ -358,9 +375,9 @@
 
     def _leave_slow(self, now: float) -> list[Effect]:
         """Stop, to run elsewhere, what would take long on a runner that has turned slow."""
-        speed = self.health.speed(now)
-        if speed >= SLOW:
+        if not self.health.is_slow(now):
             return []
+        speed = self.health.speed(now)
         self.health.suspect(now)
         return [
             effect
@@ -372,7 +389,9 @@
     def _leave_hung(self, now: float, shown: float) -> list[Effect]:
         """Stop all runs, to run elsewhere, if none of them made progress any more when `shown`."""
         runs = [run for run in self.table if run.phase is Phase.RUNNING]
-        if len(runs) < HUNG_RUNS or not all(stands_still(shown, run) for run in runs):
+        if len(runs) < HUNG_RUNS or not all(
+            stands_still(shown, run, self.health.patience(run.moved)) for run in runs
+        ):
             return []
         self.health.suspect(now)
         return [
@@ -389,7 +408,8 @@
         if finished.end is RunEnd.DONE:
             work = run.estimate * (100 - run.percent) / 100
             self.health.progressed(now, work, now - run.seen)
-            self.health.done(now, run.estimate / max(now - run.ordered, MIN_SECONDS))
+            took = max(now - run.ordered, MIN_SECONDS)
+            self.health.done(now, run.estimate / took, run.ordered)
         elif finished.end is RunEnd.FAILED:
             self.health.failed(now)
         elif finished.end is RunEnd.STOPPED:
@@ -414,7 +434,7 @@
         run.doubted = None
         run.settled = now if run.phase is Phase.RUNNING else run.settled
         note_progress(now, run, percent, self.health)
-        if run.phase is Phase.RUNNING and is_stuck(shown, run):
+        if run.phase is Phase.RUNNING and is_stuck(shown, run, self.health.patience(run.moved)):
             self.health.suspect(now)
             return [*stop(now, run, End.STUCK, "no_progress")]
         return []
@@ -444,7 +464,8 @@
         effects += self.losses.replaced(now, self.account, self.table)
         for run in self.table:
             effects += self._ended(run, End.LOST, "runner_replaced")
-        self.health = RunnerHealth()
+        self.health = RunnerHealth(self._cold_overrun)
+        self._cold_until = float("-inf")
         self._last_seen = 0
         self.clean = False
         self._foreign = set()
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -48,11 +48,16 @@
     """Key of the waiting job that it was told of last; empty if it has none to go by."""
     told_need: Resources = NOTHING
     told_at: float = 0.0
+    cold_until: float = 0.0
+    """When its runner was, or will be, warm after its start."""
 
     def take_report(self, now: float, report: RunnerReport) -> None:
         """Adopt a report; another life of the runner may be of another kind."""
         if self.report is not None and self.report.runner != report.runner:
             self.slowness = 1.0
+        # One that says it is warm stays known to have been cold until now, at the latest.
+        cold_until = now + report.cold_ms / 1000
+        self.cold_until = cold_until if report.cold_ms else min(self.cold_until, now)
         self.report = report
         self.reported = now
 
@@ -122,6 +127,10 @@
             return 1.0
         return (self.report.capacity - self.free).share_of(self.report.capacity)
 
+    def is_cold(self, now: float) -> bool:
+        """Whether its runner is slow after its start, or was at an earlier `now`."""
+        return now < self.cold_until
+
     @property
     def on_probation(self) -> bool:
         """Whether it may have one task to prove itself with."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -125,7 +125,8 @@
 class RunnerReport(_Body, frozen=True, tag=5):
     """State of a runner.
 
-    `labels` say what kind of host the runner's is, and in which rack it stands.
+    `labels` say what kind of host the runner's is, and in which rack it stands. `cold_ms` is how
+    much longer it stays slow after its start; 0 once it is warm.
     """
 
     service: str
@@ -135,6 +136,7 @@
     capacity: Resources
     free: Resources
     labels: tuple[str, ...] = ()
+    cold_ms: int = 0
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from typing import final
 
+import msgspec
+
 from paddleshunt_core.events import note
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.evacuation import evacuation_note
@@ -44,6 +46,12 @@
 PLENTY = 0.3
 """Share of the runner's room that is free, above which changes are told with the next heartbeat."""
 
+COLD_STEP = 0.5
+"""Seconds by which a runner must stay cold longer than entries were told, for a new report.
+
+Entries let the time run down by themselves; heartbeats that are under way longer shift it a little.
+"""
+
 STILL_HEARTBEATS = 2.0
 """Heartbeats without a tick after which this process is taken to have stood still."""
 
@@ -74,9 +82,9 @@
 class Worker:
     """State of one target."""
 
-    def __init__(self, times: LeaseTimes, hall: str = "") -> None:
+    def __init__(self, times: LeaseTimes, hall: str = "", cold_overrun: float = 1.5) -> None:
         self._times = times
-        self._control = RunnerControl(times, hall)
+        self._control = RunnerControl(times, hall, cold_overrun)
         self._links: dict[str, _EntryLink] = {}
         self._offers = Offers()
         self._losses = LossBook()
@@ -110,6 +118,7 @@
             "health": control.health.level(now).name,
             "speed": round(control.health.speed(now), 2),
             "leaving": control.leaving,
+            "cold_s": round(control.cold(now), 2),
             "state": control.state().name,
             "evacuated_halls": control.evacuations.known.halls,
             "evacuations_revision": control.evacuations.known.revision,
@@ -272,7 +281,7 @@
             if link.session is None:
                 continue
             report = self._report(now, link, free if holder in (None, name) else NOTHING)
-            if report != link.report or link.report_due:
+            if link.report_due or _says_anew(now, report, link):
                 pause = self._times.heartbeat if plenty and link.plenty else REPORT_SECONDS
                 due = now if holder == name else link.reported + pause
                 if link.ends or now >= due:
@@ -383,6 +392,7 @@
             capacity=account.capacity if account else NOTHING,
             free=shown,
             labels=account.labels if account else (),
+            cold_ms=round(control.cold(now) * 1000),
         )
 
     def _collect(self, now: float) -> None:
@@ -398,6 +408,19 @@
                 link.ends.append((run.id, end))
 
 
+def _says_anew(now: float, report: RunnerReport, link: _EntryLink) -> bool:
+    """Whether a report says more than the last one: that a cold runner gets warmer needs none."""
+    last = link.report
+    if report == last:
+        return False
+    if last is None or not (report.cold_ms and last.cold_ms):
+        return True
+    later_ms = report.cold_ms + round((now - link.reported) * 1000) - last.cold_ms
+    if later_ms > COLD_STEP * 1000:
+        return True
+    return msgspec.structs.replace(report, cold_ms=last.cold_ms) != last
+
+
 def _run(now: float, entry: str, body: Assign, index: int, number: int) -> Run:
     return Run(
         RunId(TaskId(body.job, body.step, index), number),
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -80,7 +80,12 @@
         self._life = os.urandom(6).hex()
         bounds = config.bounds
         self._dispatcher = Dispatcher(
-            self._times, config.hall, Random(), bounds.remote_factor, bounds.caller_delay
+            self._times,
+            config.hall,
+            Random(),
+            bounds.remote_factor,
+            bounds.caller_delay,
+            bounds.cold_overrun,
         )
         self.catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -85,7 +85,7 @@
         self._around = surroundings
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
-        self._worker = Worker(self._times, config.hall)
+        self._worker = Worker(self._times, config.hall, config.bounds.cold_overrun)
         self._suspensions = clock.Suspensions()
         self._links: dict[str, PeerLink] = {}
         self._names: dict[str, str] = {}
--- /dev/null
+++ b/testing/core/leased/test_coldness.py
@@ -0,0 +1,256 @@
+"""Runners that are slow for a while after their start."""
+
+import pytest
+from leasedfleet import Fleet
+from leasedrunner import COLD_OVERRUN
+from paddleshunt_core.events import Log
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.coldness import warm_first
+from paddleshunt_core.leased.evacuation import EvacuatedHalls
+from paddleshunt_core.leased.health import SICK_SECONDS, SLOW, RunnerHealth
+from paddleshunt_core.leased.jobs import JobRecord, JobRequest, new_job
+from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, RunningRun, StopRun
+from paddleshunt_core.leased.outcomes import Completed
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.targets import TargetRecord
+from paddleshunt_core.leased.wire import (
+    Assign,
+    EvacuationNews,
+    Frame,
+    Health,
+    Hello,
+    RunId,
+    RunnerReport,
+    RunnerState,
+    TaskId,
+)
+from paddleshunt_core.leased.worker import Worker
+
+QUEUE = Queue("q", "host", "/q/", "svc", stretch=1.6, latency=0.06)
+ROOM = Resources(8000, 8000)
+NEED = Resources(1000, 10)
+RUN = RunId(TaskId("job", 0, 0), 1)
+
+
+def report(cold_ms: int = 0, runner: str = "i-1") -> RunnerReport:
+    return RunnerReport("svc", runner, RunnerState.READY, Health.GOOD, ROOM, ROOM, cold_ms=cold_ms)
+
+
+def target(name: str, cold_ms: int = 0) -> TargetRecord:
+    record = TargetRecord(name, "hall", "1")
+    record.take_report(10.0, report(cold_ms))
+    return record
+
+
+def job(length: float = 0.4) -> JobRecord:
+    return new_job(1, JobRequest("key", "spec", 1, NEED, length, 3.0), QUEUE, 10.0)
+
+
+WARM, FULL, COLD = target("warm"), target("full"), target("cold", 5000)
+
+
+@pytest.mark.parametrize(
+    ("after", "good", "sound", "expected"),
+    [
+        (0.0, [WARM, COLD], [WARM, COLD], [WARM]),
+        (0.05, [COLD], [FULL, COLD], [COLD]),
+        (0.12, [COLD], [FULL, COLD], []),
+        (0.4, [COLD], [FULL, COLD], [COLD]),
+        (0.12, [COLD], [COLD], [COLD]),
+        (0.0, [], [FULL, COLD], []),
+    ],
+    ids=["warm-first", "in-time-there", "waits-for-warm", "late-anyhow", "all-cold", "no-room"],
+)
+def test_a_task_goes_to_a_cold_runner_if_its_slack_bears_it(
+    after: float,
+    good: list[TargetRecord],
+    sound: list[TargetRecord],
+    expected: list[TargetRecord],
+) -> None:
+    assert warm_first(10.0 + after, job(), good, sound, 1.5) == expected
+
+
+def test_the_time_a_runner_stays_cold_runs_down_at_the_entry() -> None:
+    record = target("t", 2000)
+    assert record.is_cold(11.9)
+    assert not record.is_cold(12.1)
+
+
+def test_a_runner_that_says_it_is_warm_was_cold_before() -> None:
+    record = target("t", 5000)
+    record.take_report(11.0, report())
+    assert record.is_cold(10.9)
+    assert not record.is_cold(11.1)
+
+
+# The target.
+
+
+def account(cold: float, runner: str = "i-1") -> RunnerAccount:
+    return RunnerAccount(runner, "svc", "a", ROOM, False, None, cold=cold)
+
+
+def worker(cold: float, overrun: float = 1.5) -> Worker:
+    """Return a worker whose runner was cold for `cold` s yet at 0.9, in session with `e`."""
+    made = Worker(lease_times(Bounds()), "a", overrun)
+    made.runner_spoke(0.9, account(cold))
+    made.looked(0.95, LookAnswer(0.92, [], []))
+    made.opened(1.0, Hello("e", "life", True, "hall", "", 1, 0), 1.0)
+    return made
+
+
+def told(made: Worker, now: float) -> list[int]:
+    """Return the `cold_ms` of the reports that are due at `now`."""
+    made.prepare_frames(now)
+    session = made.session("e")
+    assert session is not None
+    bodies = session.frame(round(now * 1000)).bodies
+    return [body.cold_ms for body in bodies if isinstance(body, RunnerReport)]
+
+
+def test_a_cold_runner_is_told_of_once_and_again_once_it_is_warm() -> None:
+    made = worker(2.0)
+    assert told(made, 1.0) == [1900]
+    assert [told(made, 1.0 + n * 0.13) for n in range(1, 14)] == [[]] * 13
+    assert told(made, 2.95) == [0]
+    assert told(made, 3.2) == []
+
+
+@pytest.mark.parametrize(
+    ("cold", "expected"), [(1.6, []), (4.0, [4000]), (0.0, [0])], ids=["late", "longer", "warm"]
+)
+def test_a_heartbeat_changes_what_is_told_only_if_it_says_something_else(
+    cold: float, expected: list[int]
+) -> None:
+    made = worker(2.0)
+    told(made, 1.0)
+    made.runner_spoke(1.4, account(cold))
+    assert told(made, 1.4) == expected
+
+
+@pytest.mark.parametrize(("cold", "expected"), [(3.0, [3000]), (0.0, [0])], ids=["cold", "warm"])
+def test_a_runner_that_was_started_anew_says_itself_how_cold_it_is(
+    cold: float, expected: list[int]
+) -> None:
+    made = worker(2.0)
+    told(made, 1.0)
+    made.runner_spoke(1.4, account(cold, "i-2"))
+    made.looked(1.45, LookAnswer(1.42, [], []))
+    assert told(made, 1.5)[-1:] == [max(0, cold_ms - 100) for cold_ms in expected]
+
+
+def test_a_hall_taken_back_while_the_store_is_away_has_cold_runners_until_they_are_warm() -> None:
+    made = worker(0.0)
+    told(made, 1.0)
+    frame = Frame(1, 0, 1000, 1000, [EvacuationNews(EvacuatedHalls(20, ("a",)))])
+    made.heard(1.0, "e", frame)
+    # Heartbeats go on without the store; so does what another entry says of the hall.
+    made.runner_spoke(1.2, account(1.5))
+    back = Frame(2, 0, 1100, 1300, [EvacuationNews(EvacuatedHalls(21, ()))])
+    made.heard(1.3, "e", back)
+    made.prepare_frames(1.3)
+    session = made.session("e")
+    assert session is not None
+    reports = [b for b in session.frame(1300).bodies if isinstance(b, RunnerReport)]
+    assert [(r.state, r.cold_ms) for r in reports] == [(RunnerState.READY, 1400)]
+
+
+# Health.
+
+
+@pytest.mark.parametrize(
+    ("cold", "level"), [(2.0, Health.GOOD), (0.0, Health.SICK)], ids=["cold", "warm"]
+)
+def test_slow_ends_of_a_cold_runner_are_no_sickness(cold: float, level: Health) -> None:
+    health = RunnerHealth(4.0)
+    health.suspect(0.0)
+    later = SICK_SECONDS + 0.1
+    health.is_cold(later, cold)
+    health.done(later + 1.0, SLOW * 0.9, later)
+    assert health.level(later + 1.0) is level
+
+
+@pytest.mark.parametrize(("cold", "slow"), [(2.0, False), (0.0, True)], ids=["cold", "warm"])
+def test_slow_progress_of_a_cold_runner_is_no_sickness(cold: float, *, slow: bool) -> None:
+    health = RunnerHealth(4.0)
+    health.is_cold(1.0, cold)
+    health.progressed(1.5, 0.1, 0.5)
+    assert health.is_slow(1.6) is slow
+
+
+def test_a_runner_that_is_slow_long_after_it_got_warm_is_sick() -> None:
+    health = RunnerHealth(4.0)
+    health.is_cold(1.0, 2.0)
+    health.progressed(4.0, 0.1, 0.5)
+    assert health.is_slow(4.1)
+
+
+@pytest.mark.parametrize(("cold", "stopped"), [(3.0, False), (0.0, True)], ids=["cold", "warm"])
+def test_a_cold_runners_runs_may_stand_still_for_longer(cold: float, *, stopped: bool) -> None:
+    made = worker(cold, overrun=3.0)
+    assign = Assign("job", 0, "spec", NEED, 400, 4000, [(0, 1), (1, 1)])
+    made.heard(1.0, "e", Frame(1, 0, 1000, 1000, [assign]))
+    runs = [RunId(TaskId("job", 0, n), 1) for n in (0, 1)]
+    effects: list[object] = []
+    at = 1.01
+    while at < 1.25:
+        rows = [RunningRun(run, 5) for run in runs]
+        effects += made.looked(at + 0.001, LookAnswer(at, rows, []))
+        at += 0.05
+    assert any(isinstance(effect, StopRun) for effect in effects) is stopped
+
+
+# Entries and targets together.
+
+
+def test_all_runners_cold_are_used() -> None:
+    fleet = Fleet()
+    for runner in fleet.runners.values():
+        runner.cold_until = 20.0
+    fleet.settle()
+    caller = fleet.submit("e0", "job", count=4, length=0.4)
+    fleet.run(1.2)
+    assert fleet.answers[caller] == Completed()
+    assert fleet.answered_at[caller] < 0.6 + COLD_OVERRUN * 0.4 + 0.2
+
+
+def test_warm_runners_get_the_work_while_they_have_room() -> None:
+    fleet = Fleet()
+    fleet.runners["t0"].cold_until = 20.0
+    fleet.settle()
+    for n in range(5):
+        fleet.submit("e0", f"job{n}", count=2, length=0.4)
+    fleet.run(1.0)
+    assert sum(fleet.runners["t0"].starts.values()) == 0
+    assert len(fleet.answers) == 5
+
+
+def test_ends_on_cold_runners_teach_no_lengths() -> None:
+    """What was learned there would make entries refuse jobs that warm runners end in time."""
+    fleet = Fleet(entries=1, targets=1)
+    fleet.runners["t0"].cold_until = 20.0
+    fleet.settle()
+    for n in range(12):
+        fleet.submit("e0", f"job{n}", count=2, length=0.4)
+        fleet.run(0.8)
+    request = JobRequest("last", "spec", 1, NEED, 0.4, 4.0)
+    effects = fleet.dispatchers["e0"].submit(fleet.now, 99, request, QUEUE)
+    logs = [effect for effect in effects if isinstance(effect, Log)]
+    assert [log.fields["length_ms"] for log in logs if log.event == "job_admitted"] == [400]
+    assert fleet.dispatchers["e0"].targets()[0].slowness == 1.0
+
+
+def test_a_runner_that_crashes_and_is_back_cold_loses_no_job() -> None:
+    fleet = Fleet(targets=2)
+    fleet.settle()
+    callers = [fleet.submit("e0", f"a{n}", count=4, length=0.4) for n in range(2)]
+    fleet.run(0.1)
+    fleet.runners["t0"].crash()
+    fleet.run(0.5)
+    fleet.runners["t0"].restart()
+    fleet.runners["t0"].cold_until = fleet.now + 3.0
+    fleet.run(0.5)
+    callers += [fleet.submit("e1", f"b{n}", count=4, length=0.4) for n in range(3)]
+    fleet.run(4.0)
+    assert [fleet.answers.get(caller) for caller in callers] == [Completed()] * 5
--- a/testing/council/templates.py
+++ b/testing/council/templates.py
@@ -24,6 +24,7 @@
     "bounds.config_apply_ms": 2000,
     "bounds.grace_s": 6,
     "bounds.remote_factor": 1.5,
+    "bounds.cold_overrun": 2,
 }
 
 
@@ -35,5 +36,9 @@
         name, _, form = match[1].partition("|")
         return json.dumps(fields[name]) if form == "json" else str(fields[name])
 
+    def section(match: re.Match[str]) -> str:
+        return match[2] if fields.get(match[1]) else ""
+
     template = (ROOT / "deploy" / f"{role}.toml").read_text()
+    template = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.DOTALL)
     return re.sub(r"\{\{([^}]+)\}\}", value, template)
--- a/testing/council/test_settings.py
+++ b/testing/council/test_settings.py
@@ -5,7 +5,7 @@
 import pytest
 from click.testing import CliRunner
 from paddleshunt_council.__main__ import main
-from paddleshunt_platform.leasedsettings import load_leased
+from paddleshunt_platform.leasedsettings import bounds_of, load_leased
 from paddleshunt_platform.settings import SettingsError
 from templates import filled
 
@@ -19,6 +19,16 @@
     assert (result.exit_code, result.output) == (0, f"{file}: ok\n")
 
 
+@pytest.mark.parametrize(("given", "expected"), [(2, 2.0), (None, 1.5)], ids=["given", "not-given"])
+@pytest.mark.parametrize("role", ["entry", "target"])
+def test_the_bound_of_cold_runners_may_be_missing(
+    role: str, given: int | None, expected: float, tmp_path: Path
+) -> None:
+    file = tmp_path / "local.toml"
+    file.write_text(filled(role, **{"bounds.cold_overrun": given}))
+    assert bounds_of(load_leased(file)).cold_overrun == expected
+
+
 @pytest.mark.parametrize(
     ("text", "problem"),
     [
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -307,7 +307,13 @@
         if runner.up and self.now >= self._beats.get(name, 0.0):
             self._beats[name] = self.now + 0.3
             account = RunnerAccount(
-                f"{name}-{runner.life}", "svc", "hall", runner.capacity, False, None
+                f"{name}-{runner.life}",
+                "svc",
+                "hall",
+                runner.capacity,
+                runner.leaving,
+                None,
+                cold=max(0.0, runner.cold_until - self.now),
             )
             self._act_target(name, worker.runner_spoke(self.now, account))
         self._act_target(name, worker.tick(self.now))
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -14,6 +14,9 @@
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.wire import RunId, TaskId
 
+COLD_OVERRUN = 1.5
+"""How many times as long a task takes on a cold runner."""
+
 SHRUNK_SECONDS = 0.4
 """Seconds until a room that has shrunk counts: a heartbeat of the fleet, and a little."""
 
@@ -74,6 +77,10 @@
         self.up = True
         self.life = 1
         self.speed = 1.0
+        self.cold_until = 0.0
+        """Until when it works at 1 / `COLD_OVERRUN` of its speed, as after a start."""
+        self.leaving = False
+        """Whether its heartbeats say that its end is planned."""
         self.fails = False
         self.mute = False
         self.refuses = False
@@ -108,6 +115,7 @@
     def restart(self) -> None:
         self.clear()
         self.up = True
+        self.leaving = False
         self.life += 1
         self.crashed_at = None
 
@@ -123,7 +131,7 @@
             for run in list(self.running):
                 self._end(run, RunEnd.LAPSED)
         for run, task in list(self.running.items()):
-            task.done += seconds * self.speed
+            task.done += seconds * self.speed / (COLD_OVERRUN if now < self.cold_until else 1.0)
             if task.done >= self.crashes.after.get(run.task, float("inf")):
                 self.crashes.crashed[run.task] += 1
                 self.crash()
