Shed what can wait, then callers, while a host's own link is pressed

Cause: nothing measured a host's own link. An entry whose link had narrowed went on taking jobs and being ready until its sessions fell silent. Change: LinkPressure tells a level from bytes held, the rate of draining and late echoes; LinkMeter samples connections five times a second and asks the kernel only on suspicion. An entry sheds gossip and the large part of its dump, then refuses new jobs truly not run and is not ready; a target sends reports with heartbeats.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -75,6 +75,11 @@
         """Shortest time between two frames of an entry that only answer a heartbeat."""
         return self.heartbeat / 2
 
+    @property
+    def usual_echo(self) -> float:
+        """Age in seconds that a peer's newest echo rarely exceeds while nothing holds it up."""
+        return 2 * self.heartbeat
+
     @property
     def redial(self) -> float:
         """Seconds of silence after which a target makes the connection of a session anew."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -113,6 +113,8 @@
         self._pauses = StandStill(times.session)
         self._ends: float | None = None
         """When this process ends, if it is leaving."""
+        self.turned_away: Refused | None = None
+        """What new jobs are told while this host's link is pressed; None to take them."""
 
     @property
     def jobs(self) -> int:
@@ -123,6 +125,15 @@
         """Return all known targets."""
         return list(self._targets.values())
 
+    def echo_age(self, now: float) -> float | None:
+        """Return how old the newest echo of a good quarter of the targets is; None without any."""
+        ages = sorted(
+            now - target.session.confirmed_ms / 1000
+            for target in self._targets.values()
+            if target.session is not None and target.connected
+        )
+        return ages[len(ages) // 4] if ages else None
+
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
         return {
@@ -152,6 +163,8 @@
         held = self._jobs.of_key(request.key)
         if held is not None:
             return [*effects, self._hand_over(now, caller, held)]
+        if self.turned_away is not None:
+            return [*effects, AnswerJob(caller, request.key, self.turned_away, 0.0)]
         expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
         job = new_job(caller, request, queue, now, expected)
         job.place_from = now + self._caller_delay
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -90,6 +90,8 @@
         self._losses = LossBook()
         """What this target saw of its own runner, for entries that it meets later."""
         self._pauses = StandStill(STILL_HEARTBEATS * times.heartbeat)
+        self.sheds = False
+        """Whether this host's link is pressed, so that reports that can wait go with heartbeats."""
 
     # What others ask about this target.
 
@@ -108,6 +110,12 @@
         """Runs at work here."""
         return len(self._control.table)
 
+    def echo_age(self, now: float) -> float | None:
+        """Return how old the newest echo of a good quarter of the entries is; None without any."""
+        sessions = [link.session for link in self._links.values() if link.session is not None]
+        ages = sorted(now - session.confirmed_ms / 1000 for session in sessions)
+        return ages[len(ages) // 4] if ages else None
+
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
         control = self._control
@@ -282,7 +290,8 @@
                 continue
             report = self._report(now, link, free if holder in (None, name) else NOTHING)
             if link.report_due or _says_anew(now, report, link):
-                pause = self._times.heartbeat if plenty and link.plenty else REPORT_SECONDS
+                can_wait = self.sheds or (plenty and link.plenty)
+                pause = self._times.heartbeat if can_wait else REPORT_SECONDS
                 due = now if holder == name else link.reported + pause
                 if link.ends or now >= due:
                     link.session.send(report)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -26,6 +26,10 @@
 GOSSIP_SECONDS = 0.4
 """Seconds between two messages to each other entry."""
 
+SHED_GOSSIP_SECONDS = 0.7
+"""The same while the own link is pressed: two rounds fit into the time for which an entry counts
+as alive."""
+
 ENTRY_FRESH = 1.5
 """Seconds since an entry was heard for which it counts as alive."""
 
@@ -78,12 +82,18 @@
         """The entries that targets have been told of."""
         self._telling = False
         self._turn = 0
+        self.sheds = False
+        """Whether this host's link is pressed, so that what can wait is left out."""
         self._dialer = Dialer(self, own.address, silence, lambda _: True)
 
     def seeds(self, addresses: set[str]) -> None:
         """Try these addresses for ever."""
         self._dialer.seeds(addresses)
 
+    def links(self) -> list[PeerLink]:
+        """Return the connections to other entries that this one has made."""
+        return self._dialer.links()
+
     def names(self) -> list[str]:
         """Return the names of all entries that were met."""
         return sorted(self._known)
@@ -142,10 +152,10 @@
                 EvacuationNews(self._owner.evacuations.known),
             )
             links = self._dialer.links()
-            if links:
+            if links and not self.sheds:
                 self._turn = (self._turn + 1) % len(links)
                 links[self._turn].send(_loose(Entries(self.live())))
-            await asyncio.sleep(GOSSIP_SECONDS)
+            await asyncio.sleep(SHED_GOSSIP_SECONDS if self.sheds else GOSSIP_SECONDS)
 
     def _send_all(self, *bodies: Body) -> None:
         frame = _loose(*bodies)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -11,7 +11,8 @@
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
-from paddleshunt_core.leased.outcomes import AnswerJob, Completed, HandOn
+from paddleshunt_core.leased.linkpressure import PressureLevel
+from paddleshunt_core.leased.outcomes import AnswerJob, Completed, HandOn, Refused
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import (
     Entries,
@@ -27,6 +28,7 @@
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.linkmeter import LinkMeter, Metered
 from paddleshunt_node.aio.ports import CallerCodec, StorePort
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
 from paddleshunt_node.aio.sockets import split_address
@@ -46,6 +48,9 @@
 
 RETRY_AFTER = "Retry-After"
 
+PRESSED_RETRY = 1.0
+"""Seconds after which a caller may come back to an entry that is pressed and knows no other."""
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -95,10 +100,18 @@
         self._peers = EntryPeers(self, own, self._hello(0, 0), self._times.session)
         self._peers.seeds(set(config.seeds))
         self._follower = StoreFollower(store, surroundings, own, self)
+        self._meter = LinkMeter(
+            surroundings,
+            self._connections,
+            lambda: self._dispatcher.echo_age(self._now()),
+            self._times.usual_echo,
+        )
         self._loop: asyncio.AbstractEventLoop
         self._flushing = False
         self._leaving = False
         self._began = self._now()
+        self._unready_since = float("inf")
+        """Since when new connections are sent elsewhere, as the own link is pressed."""
 
     # The process.
 
@@ -110,14 +123,18 @@
 
     def describe(self) -> dict[str, object]:
         """Return a dump of the state."""
-        now = self._now()
+        whole = self._dispatcher.describe(self._now())
+        if self._peers.sheds:
+            # By far the largest part; it may be asked for again once the link is free.
+            whole["targets"] = "left out while the link is pressed"
         return {
             "name": self._config.name,
             "life": self._life,
             "catalog_version": self.catalog.version,
             "leaving": self._leaving,
             "entries": self._peers.names(),
-            **self._dispatcher.describe(now),
+            "link": self._meter.describe(),
+            **whole,
         }
 
     async def _start(self) -> None:
@@ -138,6 +155,7 @@
         self._around.spawn(self._peers.gossip_for_ever())
         self._around.spawn(self._follower.follow())
         self._around.spawn(self._follower.announce())
+        self._around.spawn(self._meter.run())
 
     async def _leave(self) -> None:
         began = self._now()
@@ -188,6 +206,8 @@
         """Whether new connections may come here."""
         if self.catalog.version == 0 or self._leaving:
             return False
+        if self._is_turning_away(self._now()):
+            return False
         return bool(self._links) or self._now() > self._began + LONELY_SECONDS
 
     def handle(self, exchange: Exchange) -> None:
@@ -344,11 +364,45 @@
         self._around.event("catalog_adopted", version=catalog.version, before=before, source=source)
         self._peers.tell_catalog(catalog)
 
+    # The own link.
+
+    def _connections(self) -> list[Metered]:
+        return [*self._links.values(), *self._peers.links(), *self._callers.open]
+
+    def _is_turning_away(self, now: float) -> bool:
+        return self._meter.pressure.turns_away(now) and self._knows_another()
+
+    def _knows_another(self) -> bool:
+        """Whether another entry is alive that may take what this one turns away."""
+        return len(self._peers.live()) > 1
+
+    def _follow_pressure(self) -> None:
+        """Leave undone what the level of the own link says; answers under way always go out.
+
+        Callers whose connections the balancer no longer gives this entry are sent off with their
+        next answers.
+        """
+        now = self._now()
+        level = self._meter.pressure.level
+        self._peers.sheds = level is not PressureLevel.NORMAL
+        pressed = level is PressureLevel.PRESSED
+        elsewhere = pressed and self._knows_another()
+        if self._is_turning_away(now):
+            self._unready_since = min(self._unready_since, now)
+        else:
+            self._unready_since = float("inf")
+        noticed = now >= self._unready_since + NOTICED_SECONDS
+        self._callers.closing = self._leaving or noticed
+        retry_after = 0.0 if elsewhere else PRESSED_RETRY
+        refused = Refused("link_pressed", retry_after, elsewhere=elsewhere)
+        self._dispatcher.turned_away = refused if pressed else None
+
     # Time and sending.
 
     async def _tick_for_ever(self) -> None:
         due = self._now()
         while True:
+            self._follow_pressure()
             self._act(self._dispatcher.tick(self._now()))
             self._flush()
             self._close_silent()
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/framing.py
@@ -47,6 +47,8 @@
         self.peer = ""
         self.made = clock.now()
         """When it was dialled or taken."""
+        self.written = 0
+        """Bytes that were handed to it."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection."""
@@ -80,8 +82,14 @@
         if self._transport is None or self._transport.is_closing():
             return
         packed = _encoder.encode(message)
+        self.written += LENGTH_BYTES + len(packed)
         self._transport.write(len(packed).to_bytes(LENGTH_BYTES, "big") + packed)
 
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Where it writes; None once it has ended."""
+        return self._transport
+
     @property
     def is_open(self) -> bool:
         """Whether messages can be sent."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/httpserver.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/httpserver.py
@@ -121,6 +121,8 @@
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
+        self.written = 0
+        """Bytes that were handed to it."""
         self._target = b""
         self._headers: dict[str, str] = {}
         self._head_bytes = 0
@@ -160,6 +162,11 @@
     def eof_received(self) -> bool:
         return False
 
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Where it writes; None once it has ended."""
+        return self._transport
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._server.open.discard(self)
@@ -253,7 +260,9 @@
         if self._server.closing or self._last:
             headers.append(("Connection", "close"))
         head = response_head(response.status, headers)
-        self._transport.write(head + response.body if with_body else head)
+        answer = head + response.body if with_body else head
+        self.written += len(answer)
+        self._transport.write(answer)
 
     def _wait_for(self, seconds: float) -> None:
         self._stop_timer()
--- /dev/null
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/linkmeter.py
@@ -0,0 +1,155 @@
+"""Samples what the connections of a process hold unsent, for its `LinkPressure`.
+
+What asyncio holds is read each time. What the kernel holds costs a system call a connection, so it
+is asked for only while there is a suspicion, and of a few connections at a time.
+"""
+
+import asyncio
+import fcntl
+import struct
+import termios
+from collections.abc import Callable, Iterable
+from itertools import islice
+from typing import Protocol, final
+
+from paddleshunt_core.leased.linkpressure import LinkPressure, LinkSample
+
+from paddleshunt_node.aio import clock
+from paddleshunt_node.aio.process import Surroundings
+
+SAMPLE_SECONDS = 0.2
+"""Seconds between two samples: a session bears 0.4 s of silence, and a sample costs up to 1 ms."""
+
+ASKED = 64
+"""Connections that the kernel is asked about in one sample; what they hold stands for the rest."""
+
+_COUNT = struct.Struct("i")
+
+
+class Metered(Protocol):
+    """A connection whose sends are watched."""
+
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Where it writes; None once it has ended."""
+
+    @property
+    def written(self) -> int:
+        """Bytes that were handed to it."""
+
+
+@final
+class LinkMeter:
+    """Watches the connections of one process.
+
+    `connections` are those that stand; `echo` is told as in `LinkSample`, and is at most
+    `usual_echo` while nothing waits.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        connections: Callable[[], Iterable[Metered]],
+        echo: Callable[[], float | None],
+        usual_echo: float = float("inf"),
+    ) -> None:
+        self.pressure = LinkPressure(usual_echo)
+        self._around = surroundings
+        self._connections = connections
+        self._echo = echo
+        self._written: dict[Metered, int] = {}
+        """Bytes that were handed to each connection until the last sample."""
+        self._total = 0
+        self._turn = 0
+        self._kernel_tells = True
+        """Whether the kernel can be asked; on some systems it can't."""
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        self.show()
+        while True:
+            await asyncio.sleep(SAMPLE_SECONDS)
+            self.sample(clock.now())
+
+    def show(self) -> None:
+        """Add the gauges to the metrics page."""
+        measures = self._around.measures
+        measures.gauge(
+            "paddleshunt_link_wait_seconds",
+            "Time that bytes wait at the own link.",
+            lambda: self.pressure.wait,
+        )
+        measures.gauge(
+            "paddleshunt_link_level",
+            "0 normal, 1 sheds what can wait, 2 takes no jobs.",
+            lambda: self.pressure.level,
+        )
+
+    def describe(self) -> dict[str, object]:
+        """Return a summary for a dump."""
+        pressure = self.pressure
+        return {"level": pressure.level.name.lower(), "wait_ms": round(pressure.wait * 1000)}
+
+    def sample(self, now: float) -> None:
+        """Take a sample, and log what follows from it."""
+        echo = self._echo()
+        held = self._held()
+        thorough = any(held.values()) or self.pressure.is_suspicious(echo)
+        counts = list(held.values())
+        share = 1.0
+        if thorough and self._kernel_tells and held:
+            counts = self._ask_kernel(held)
+            share = len(held) / len(counts)
+        sample = LinkSample(
+            unsent=round(sum(counts) * share),
+            largest=max(counts, default=0),
+            written=self._total,
+            holding=round(sum(count > 0 for count in counts) * share),
+            active=len(held),
+            echo=echo,
+        )
+        for log in self.pressure.sampled(now, sample):
+            self._around.log(log)
+            self._around.measures.event(log.event)
+
+    def _held(self) -> dict[Metered, int]:
+        """Return the bytes that asyncio holds, of the connections in use."""
+        held: dict[Metered, int] = {}
+        before, self._written = self._written, {}
+        for connection in self._connections():
+            transport = connection.transport
+            if transport is None:
+                continue
+            news = connection.written - before.get(connection, 0)
+            self._written[connection] = connection.written
+            self._total += news
+            count = transport.get_write_buffer_size()
+            if count or news:
+                held[connection] = count
+        return held
+
+    def _ask_kernel(self, held: dict[Metered, int]) -> list[int]:
+        """Return what some of the connections hold, with the kernel's part; others' turn is next.
+
+        Those that asyncio holds bytes of are always among them.
+        """
+        asked = [connection for connection, count in held.items() if count][:ASKED]
+        others = [connection for connection, count in held.items() if not count]
+        self._turn = (self._turn + ASKED) % max(1, len(others))
+        turned = others[self._turn :] + others[: self._turn]
+        asked += islice(turned, ASKED - len(asked))
+        return [held[connection] + self._kernel_bytes(connection) for connection in asked]
+
+    def _kernel_bytes(self, connection: Metered) -> int:
+        transport = connection.transport
+        sock = transport.get_extra_info("socket") if transport else None
+        if sock is None or not self._kernel_tells or sock.fileno() < 0:
+            return 0
+        try:
+            answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
+        except OSError as problem:
+            self._kernel_tells = False
+            self._around.event("kernel_bytes_unknown", problem=str(problem))
+            return 0
+        count: int = _COUNT.unpack(answer)[0]
+        return count
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -9,6 +9,7 @@
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.entrychoice import EntryChoice
 from paddleshunt_core.leased.incarnations import Claim
+from paddleshunt_core.leased.linkpressure import PressureLevel
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
 from paddleshunt_core.leased.runnercontrol import Effect
 from paddleshunt_core.leased.wire import Entries, EntryAddress, EntryChanges, Frame, Hello
@@ -18,6 +19,7 @@
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.linkmeter import LinkMeter, Metered
 from paddleshunt_node.aio.ports import (
     OtherLife,
     RegistrationCodec,
@@ -87,6 +89,9 @@
         self._life = os.urandom(6).hex()
         self._worker = Worker(self._times, config.hall, config.bounds.cold_overrun)
         self._suspensions = clock.Suspensions()
+        self._meter = LinkMeter(
+            surroundings, self._connections, self._echo_age, self._times.usual_echo
+        )
         self._links: dict[str, PeerLink] = {}
         self._names: dict[str, str] = {}
         """Entries by the address at which they were met."""
@@ -120,6 +125,7 @@
         return {
             "name": self._config.name,
             "life": self._life,
+            "link": self._meter.describe(),
             **self._worker.describe(self._now()),
         }
 
@@ -139,6 +145,7 @@
         self._around.spawn(self._dialer.run())
         self._around.spawn(self._tick_for_ever())
         self._around.spawn(self._find_entries())
+        self._around.spawn(self._meter.run())
 
     async def _leave(self) -> None:
         began = self._now()
@@ -153,6 +160,12 @@
             "stopped", after_ms=round((self._now() - began) * 1000), runs=self._worker.runs
         )
 
+    def _connections(self) -> list[Metered]:
+        return list(self._links.values())
+
+    def _echo_age(self) -> float | None:
+        return self._worker.echo_age(self._now())
+
     def _gauges(self) -> None:
         measures = self._around.measures
         measures.gauge("paddleshunt_runs", "Runs at work.", lambda: self._worker.runs)
@@ -389,6 +402,7 @@
         due = self._now()
         while True:
             now = self._now()
+            self._worker.sheds = self._meter.pressure.level is not PressureLevel.NORMAL
             self._act(self._worker.tick(now))
             self._retire(now)
             self._dialer.keep(now, [entry.address for entry in self._wanted()])
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -135,6 +135,18 @@
     assert (calm, full) == (1.0 + times.heartbeat, 1.0 + REPORT_SECONDS)
 
 
+def test_at_a_pressed_link_reports_go_with_heartbeats_and_ends_at_once() -> None:
+    times = lease_times(Bounds())
+    worker = working()
+    worker.sheds = True
+    reports(worker, 1.0)
+    worker.heard(1.02, "e", assignment(2, 1020, 6))
+    assert worker.prepare_frames(1.02) == 1.0 + times.heartbeat
+    worker.start_answered(1.025, RUN, StartAnswer.STARTED)
+    worker.looked(1.03, LookAnswer(1.028, [], [FinishedRun(1, RUN, RunEnd.DONE)]))
+    assert len(reports(worker, 1.03)) == 1
+
+
 def test_a_session_with_an_entry_that_is_not_preferred_ends_once_its_runs_have() -> None:
     worker = working()
     reports(worker, 1.0)
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -125,6 +125,23 @@
     assert all(lists)
 
 
+def test_at_a_pressed_link_rounds_are_rarer_and_carry_no_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = [Link() for _ in range(4)]
+    monkeypatch.setattr(entrypeers, "SHED_GOSSIP_SECONDS", 4 * ROUND)
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        peers.sheds = True
+        gossip = asyncio.ensure_future(peers.gossip_for_ever())
+        await asyncio.sleep(3.5 * ROUND)
+        gossip.cancel()
+
+    play(monkeypatch, links, scene)
+    assert [len(link.frames) for link in links] == [1] * 4
+    assert not any(isinstance(b, Entries) for link in links for b in link.frames[0].bodies)
+
+
 def test_targets_are_told_changes_only_and_several_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- /dev/null
+++ b/testing/node/aio/test_linkmeter.py
@@ -0,0 +1,336 @@
+"""What real connections hold unsent, and what an entry does while its link is pressed."""
+
+import asyncio
+import fcntl
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+from paddleshunt_core.events import Log
+from paddleshunt_core.leased.bounds import Bounds
+from paddleshunt_core.leased.catalog import Catalog, Queue
+from paddleshunt_core.leased.jobs import JobRequest
+from paddleshunt_core.leased.linkpressure import LinkSample, PressureLevel
+from paddleshunt_core.leased.outcomes import JobOutcome, Refused
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.wire import EntryAddress
+from paddleshunt_node.aio import entryservice, linkmeter
+from paddleshunt_node.aio.entryservice import EntryConfig, EntryService
+from paddleshunt_node.aio.httpclient import HttpClient
+from paddleshunt_node.aio.httpserver import Request, Response
+from paddleshunt_node.aio.linkmeter import ASKED, LinkMeter
+from paddleshunt_node.aio.logline import LogLines
+from paddleshunt_node.aio.measures import Measures
+from paddleshunt_node.aio.ports import OperatorWord, Submission
+from paddleshunt_node.aio.process import Surroundings
+from paddleshunt_platform.standins.ports import free_port
+
+BUFFER = 4096
+"""Bytes of the kernel's buffers in these tests, so that little fills them."""
+
+
+class Connection:
+    """A watched connection to a peer of this test."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self.written = 0
+
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        transport = self._writer.transport
+        assert isinstance(transport, asyncio.Transport)
+        return transport
+
+    def write(self, size: int) -> None:
+        self.written += size
+        self._writer.write(bytes(size))
+
+
+class Recorder:
+    """Notes the samples that a meter takes."""
+
+    def __init__(self, *, suspicious: bool = False) -> None:
+        self.level = PressureLevel.NORMAL
+        self.wait = 0.0
+        self.samples: list[LinkSample] = []
+        self.suspicious = suspicious
+
+    def is_suspicious(self, echo: float | None) -> bool:
+        return self.suspicious
+
+    def sampled(self, now: float, sample: LinkSample) -> list[Log]:
+        self.samples.append(sample)
+        return []
+
+
+def play(peers: int, scene: Callable[[list[Connection]], Awaitable[None]]) -> None:
+    """Connect to so many peers that read nothing."""
+
+    async def run() -> None:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(peers)
+        connections: list[Connection] = []
+        accepted: list[socket.socket] = []
+        for _ in range(peers):
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
+            sock.connect(listener.getsockname())
+            accepted.append(listener.accept()[0])
+            _, writer = await asyncio.open_connection(sock=sock)
+            connections.append(Connection(writer))
+        await scene(connections)
+        for connection in connections:
+            assert connection.transport is not None
+            connection.transport.abort()
+        for sock in (listener, *accepted):
+            sock.close()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+def meter(connections: list[Connection], echo: float | None = None) -> LinkMeter:
+    around = Surroundings(LogLines("error"), Measures())
+    return LinkMeter(around, lambda: connections, lambda: echo)
+
+
+def test_a_peer_that_does_not_read_is_no_pressure_and_several_are() -> None:
+    async def scene(connections: list[Connection]) -> None:
+        alone = meter(connections[:1])
+        several = meter(connections)
+        connections[0].write(1_000_000)
+        for n in range(6):
+            for connection in connections[1:]:
+                connection.write(1_000_000 if n == 0 else 1000)
+            await asyncio.sleep(0)
+            alone.sample(float(n))
+            several.sample(float(n))
+        assert alone.pressure.level is PressureLevel.NORMAL
+        assert several.pressure.level is PressureLevel.PRESSED
+        assert several.describe()["level"] == "pressed"
+
+    play(6, scene)
+
+
+def sampled(
+    monkeypatch: pytest.MonkeyPatch,
+    connections: list[Connection],
+    *,
+    suspicious: bool,
+    samples: int = 1,
+) -> Recorder:
+    recorder = Recorder(suspicious=suspicious)
+    monkeypatch.setattr(linkmeter, "LinkPressure", lambda _: recorder)
+    watched = meter(connections)
+    for n in range(samples):
+        watched.sample(float(n))
+    return recorder
+
+
+@pytest.mark.parametrize(("suspicious", "holding"), [(True, 1), (False, 0)], ids=["asks", "calm"])
+def test_what_the_kernel_holds_is_asked_for_only_on_suspicion(
+    monkeypatch: pytest.MonkeyPatch, *, suspicious: bool, holding: int
+) -> None:
+    calls: list[int] = []
+    real = fcntl.ioctl
+
+    def counted(fd: int, request: int, argument: bytes) -> bytes:
+        calls.append(fd)
+        return real(fd, request, argument)
+
+    async def scene(connections: list[Connection]) -> None:
+        # The first fills the peer's buffer, so that the second stays in this host's kernel.
+        for size in (2 * BUFFER, 500):
+            connections[0].write(size)
+            await asyncio.sleep(0.05)
+        transport = connections[0].transport
+        assert transport is not None
+        monkeypatch.setattr(linkmeter.fcntl, "ioctl", counted)
+        assert transport.get_write_buffer_size() == 0
+        found = sampled(monkeypatch, connections, suspicious=suspicious)
+        assert found.samples[0].holding == holding
+        assert len(calls) == holding
+
+    play(1, scene)
+
+
+def test_a_kernel_that_cannot_tell_is_asked_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    calls: list[int] = []
+
+    def failing(fd: int, request: int, argument: bytes) -> bytes:
+        calls.append(fd)
+        raise OSError(25, "Inappropriate ioctl for device")
+
+    async def scene(connections: list[Connection]) -> None:
+        monkeypatch.setattr(linkmeter.fcntl, "ioctl", failing)
+        for connection in connections:
+            connection.write(1_000_000)
+        recorder = sampled(monkeypatch, connections, suspicious=True, samples=3)
+        assert len(calls) == 1
+        assert [sample.holding for sample in recorder.samples] == [3, 3, 3]
+        assert min(sample.unsent for sample in recorder.samples) > 2_000_000
+
+    play(3, scene)
+
+
+def test_the_kernel_is_asked_about_a_few_of_many_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    asked: list[int] = []
+
+    def telling(fd: int, request: int, argument: bytes) -> bytes:
+        asked.append(fd)
+        return (100).to_bytes(4, "little")
+
+    async def scene(connections: list[Connection]) -> None:
+        monkeypatch.setattr(linkmeter.fcntl, "ioctl", telling)
+        for connection in connections:
+            connection.written += 10
+        recorder = sampled(monkeypatch, connections, suspicious=True)
+        assert len(asked) == ASKED
+        (sample,) = recorder.samples
+        assert (sample.unsent, sample.holding, sample.active) == (20_000, 200, 200)
+
+    play(200, scene)
+
+
+# An entry at a pressed link.
+
+CATALOG = Catalog(3, [Queue("q", "host", "/q/", "svc")], [])
+
+
+class Store:
+    """A store with one configuration."""
+
+    async def next_word(self) -> OperatorWord:
+        await asyncio.sleep(0.05)
+        return OperatorWord(CATALOG)
+
+    async def announce(self, entry: EntryAddress, seconds: float) -> None:
+        pass
+
+    async def withdraw(self) -> None:
+        pass
+
+    async def entries(self) -> list[EntryAddress]:
+        return []
+
+
+class Codec:
+    """Takes any request for a job, and tells outcomes by their reason."""
+
+    def read(self, request: Request, catalog: Catalog) -> Submission | Response:
+        job = JobRequest(request.path, "spec", 1, Resources(1000, 10), 0.4, 3.0)
+        return Submission(catalog.queues[0], job)
+
+    def answer(self, outcome: JobOutcome) -> Response:
+        assert isinstance(outcome, Refused)
+        after = f"{outcome.retry_after:.0f}"
+        return Response(503, outcome.reason.encode(), headers=[("Retry-After", after)])
+
+
+class Pressure:
+    """A level that a test sets, in place of one that is measured."""
+
+    def __init__(self) -> None:
+        self.level = PressureLevel.NORMAL
+        self.wait = 0.0
+
+    def is_suspicious(self, echo: float | None) -> bool:
+        return False
+
+    def turns_away(self, now: float) -> bool:
+        return self.level is PressureLevel.PRESSED
+
+    def sampled(self, now: float, sample: LinkSample) -> list[Log]:
+        return []
+
+
+class Entry:
+    """An entry that runs in this test, with clients of its addresses."""
+
+    def __init__(self, name: str, seeds: tuple[str, ...]) -> None:
+        ports = [free_port() for _ in range(4)]
+        callers, ready, self.peers, metrics = (f"127.0.0.1:{port}" for port in ports)
+        config = EntryConfig(name, "hall", callers, ready, self.peers, metrics, seeds, Bounds())
+        self.around = Surroundings(LogLines("error"), Measures())
+        self.service = EntryService(config, Codec(), Store(), self.around)
+        self.task = asyncio.ensure_future(self.service.run())
+        self._callers = HttpClient(callers)
+        self._ready = HttpClient(ready)
+
+    async def ready(self) -> int:
+        return (await self._ready.call("GET", "/ready", 1.0)).status
+
+    async def submit(self, key: str) -> tuple[int, bytes]:
+        answer = await self._callers.call("POST", key, 3.0)
+        return answer.status, answer.body
+
+    async def stop(self) -> None:
+        self.around.cancel()
+        self.task.cancel()
+
+
+def with_entries(
+    monkeypatch: pytest.MonkeyPatch,
+    count: int,
+    scene: Callable[[Entry, Pressure], Awaitable[None]],
+) -> None:
+    """Run so many entries that know one another; the last one's level is the scene's to set."""
+
+    async def run() -> None:
+        entries: list[Entry] = []
+        pressure = Pressure()
+        for n in range(count):
+            pressure = Pressure()
+            monkeypatch.setattr(linkmeter, "LinkPressure", lambda _, given=pressure: given)
+            entries.append(Entry(f"e{n}", tuple(entry.peers for entry in entries)))
+        await asyncio.sleep(1.0)
+        await scene(entries[-1], pressure)
+        for entry in entries:
+            await entry.stop()
+
+    monkeypatch.setattr(entryservice, "LONELY_SECONDS", 0.0)
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+def test_an_entry_at_a_pressed_link_sends_callers_elsewhere_until_it_is_free(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(entry: Entry, pressure: Pressure) -> None:
+        assert await entry.ready() == 200
+        pressure.level = PressureLevel.PRESSED
+        await asyncio.sleep(0.3)
+        assert await entry.ready() == 503
+        assert await entry.submit("/q/1") == (503, b"link_pressed")
+        pressure.level = PressureLevel.NORMAL
+        await asyncio.sleep(0.3)
+        assert await entry.ready() == 200
+        assert (await entry.submit("/q/2"))[1] != b"link_pressed"
+
+    with_entries(monkeypatch, 2, scene)
+
+
+def test_an_entry_that_knows_no_other_stays_ready(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(entry: Entry, pressure: Pressure) -> None:
+        pressure.level = PressureLevel.PRESSED
+        await asyncio.sleep(0.3)
+        assert await entry.ready() == 200
+        assert await entry.submit("/q/1") == (503, b"link_pressed")
+
+    with_entries(monkeypatch, 1, scene)
+
+
+def test_an_entry_that_sheds_takes_jobs_and_leaves_the_largest_part_out_of_its_dump(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(entry: Entry, pressure: Pressure) -> None:
+        pressure.level = PressureLevel.SHEDDING
+        await asyncio.sleep(0.3)
+        assert await entry.ready() == 200
+        assert (await entry.submit("/q/1"))[1] != b"link_pressed"
+        assert isinstance(entry.service.describe()["targets"], str)
+
+    with_entries(monkeypatch, 1, scene)
