--- a/testing/council/soakstore.py
+++ b/testing/council/soakstore.py
@@ -76,6 +76,15 @@
             self._revision += 1
             self._gone.append((self._revision, key))
 
+    def end_leases(self) -> None:
+        """Take all keys away that are under a lease, at once."""
+        for lease in list(self._leases):
+            self._end_lease(lease)
+
+    def has(self, key: str) -> bool:
+        """Whether there is an item."""
+        return key in self._items
+
     def forget_history(self) -> None:
         """Answer watches from before now with 410."""
         self._oldest = self._revision + 1
--- a/testing/council/standins.py
+++ b/testing/council/standins.py
@@ -82,11 +82,20 @@
         self.history_gone = False
         self.status = 200
         self.leases: set[int] = set()
+        self.grants_over = False
+        """Whether a lease is over as soon as it was granted."""
 
     def put(self, key: str, value: bytes) -> None:
         self.items[key] = value
         self.revision += 1
 
+    def take_keys(self, *, lease_too: bool) -> None:
+        """Take the keys of the lease away, as from a host that is turned away."""
+        for key in [key for key in self.items if not key.startswith("op/")]:
+            self.remove(key)
+        if lease_too:
+            self.leases.clear()
+
     def remove(self, key: str) -> None:
         del self.items[key]
         self.revision += 1
@@ -133,7 +142,8 @@
         return 200, {"events": events, "at": self.revision}
 
     def _kv_lease(self, asked: dict[str, object], path: str) -> tuple[int, object]:
-        self.leases.add(77)
+        if not self.grants_over:
+            self.leases.add(77)
         return 200, {"lease": 77, "ttl_ms": asked["ttl_ms"]}
 
     def _kv_keep(self, asked: dict[str, object], path: str) -> tuple[int, object]:
@@ -146,6 +156,8 @@
     def _kv_txn(self, asked: dict[str, object], path: str) -> tuple[int, object]:
         puts = asked["put"]
         assert isinstance(puts, list)
+        if any(put.get("lease", 0) not in (0, *self.leases) for put in puts):
+            return 404, {}
         for put in puts:
             self.put(put["key"], base64.b64decode(put["value"]))
         return 200, {"revision": self.revision}
--- a/testing/council/test_store.py
+++ b/testing/council/test_store.py
@@ -148,6 +148,76 @@
     play(scene)
 
 
+def writes(standin: StoreStandIn) -> int:
+    return sum(
+        path in ("/paddleshunt/kv-txn", "/paddleshunt/kv-lease") for path, _ in standin.calls
+    )
+
+
+@pytest.mark.parametrize("lease_too", [True, False], ids=["lease-revoked", "keys-alone"])
+def test_an_address_that_was_taken_away_unseen_is_back_with_the_next_call(
+    *, lease_too: bool
+) -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        await store.announce(ENTRY, 12.0)
+        standin.take_keys(lease_too=lease_too)
+        assert await store.entries() == []
+        await store.announce(ENTRY, 12.0)
+        assert await store.entries() == [ENTRY]
+
+    play(scene)
+
+
+def test_an_address_is_put_anew_after_any_call_that_failed() -> None:
+    """A stale read may still show a key that went while this host was turned away."""
+
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.put("op/config", config(3))
+        await store.next_word()
+        await store.announce(ENTRY, 12.0)
+        standin.status = 503
+        with pytest.raises(StoreUnavailableError):
+            await store.next_word()
+        standin.status = 200
+        before = writes(standin)
+        await store.announce(ENTRY, 12.0)
+        assert writes(standin) == before + 1
+        await store.announce(ENTRY, 12.0)
+        assert writes(standin) == before + 1
+
+    play(scene)
+
+
+def test_keeping_an_address_costs_no_write_and_no_dear_read() -> None:
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        await store.announce(ENTRY, 12.0)
+        standin.calls.clear()
+        for _ in range(5):
+            await store.announce(ENTRY, 12.0)
+        assert writes(standin) == 0
+        reads = [
+            asked for path, asked in standin.calls if not path.startswith("/paddleshunt/kv-keep")
+        ]
+        assert len(standin.calls) == 10
+        assert all(asked["stale"] == "1" for asked in reads)
+
+    play(scene)
+
+
+def test_an_address_that_could_not_be_put_is_told() -> None:
+    """The lease may be over before its key is put: the caller then tries again soon."""
+
+    async def scene(store: Store, standin: StoreStandIn) -> None:
+        standin.grants_over = True
+        with pytest.raises(StoreUnavailableError):
+            await store.announce(ENTRY, 12.0)
+        standin.grants_over = False
+        await store.announce(ENTRY, 12.0)
+        assert await store.entries() == [ENTRY]
+
+    play(scene)
+
+
 def test_an_unreadable_catalog_says_why() -> None:
     with pytest.raises(CatalogError, match="version"):
         read_catalog(b'{"routes": [], "services": []}')
