Follow a runner that registers while the last one on its host drains

Cause: such a life was asked for at the address that the old one still had, was denied, and counted as ended for ever; so did one whose first look still found the old one. Its host got no work again. Change: a denied life is heard again once the followed one has ended; a life that never answered may come yet.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -2,7 +2,9 @@
 
 A cut can hold a heartbeat back until its sender has crashed and another life has registered at the
 same address. So only a life that is not known to have ended is followed, and one that would replace
-a known life is followed once the runner itself has said which of them it is.
+a known life is followed once the runner itself has said which of them it is. One that is denied so
+may be the next life all the same, which registers while the last one drains: it is heard again once
+that has ended.
 """
 
 from collections import deque
@@ -36,6 +38,8 @@
         self._current = ""
         self._sequence = 0
         self._past: deque[str] = deque(maxlen=PAST_LIVES)
+        self._denied: deque[str] = deque(maxlen=PAST_LIVES)
+        """Lives that the runner has denied to be while the followed one lives."""
 
     def judge(self, account: RunnerAccount) -> Claim:
         """Return what an account that has just come is worth."""
@@ -44,7 +48,7 @@
         if not self._current:
             return Claim.NEW
         if account.runner != self._current:
-            return Claim.DOUBTFUL
+            return Claim.LATE if account.runner in self._denied else Claim.DOUBTFUL
         late = 0 < account.sequence <= self._sequence
         return Claim.LATE if late else Claim.CURRENT
 
@@ -55,12 +59,18 @@
         self._current = account.runner
         self._sequence = max(self._sequence, account.sequence)
 
-    def end(self) -> None:
-        """Note that the life that was followed has ended."""
-        if self._current:
+    def end(self, *, answered: bool = True) -> None:
+        """Note that the followed life has ended; one that never `answered` may yet come."""
+        if self._current and answered:
             self.has_ended(self._current)
         self._current = ""
         self._sequence = 0
+        self._denied.clear()
+
+    def deny(self, runner: str) -> None:
+        """Note that the runner says it is not this life: it may be the one after the followed."""
+        if runner not in self._denied:
+            self._denied.append(runner)
 
     def has_ended(self, runner: str) -> None:
         """Note that a life has ended; it is never followed again."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -240,7 +240,8 @@
     def look_failed(self, now: float, *, other_life: bool = False) -> list[Effect]:
         """Take a renewal that got no answer, or the answer that another life runs there."""
         if other_life:
-            return self._runner_replaced(now, "")
+            # A life that has never answered may be the next one, which the last one makes wait.
+            return self._runner_replaced(now, "", answered=self.clean)
         effects: list[Effect] = []
         self.losses.unanswered(now)
         self._failed_looks += 1
@@ -457,7 +458,7 @@
             effects.append(StopRun(id_))
         return effects
 
-    def _runner_replaced(self, now: float, runner: str) -> list[Effect]:
+    def _runner_replaced(self, now: float, runner: str, *, answered: bool = True) -> list[Effect]:
         """End all that an earlier life of the runner had: it died with it."""
         was = self.account.runner if self.account else ""
         effects: list[Effect] = [note("runner_replaced", was=was, now=runner)]
@@ -469,7 +470,7 @@
         self._last_seen = 0
         self.clean = False
         self._foreign = set()
-        self.lives.end()
+        self.lives.end(answered=answered)
         if not runner:
             self.account = None
         return effects
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -196,9 +196,9 @@
         """Return what an account of the runner is worth."""
         return self._control.lives.judge(account)
 
-    def life_ended(self, runner: str) -> None:
-        """Note that a life of the runner has ended, whatever still comes from it."""
-        self._control.lives.has_ended(runner)
+    def life_denied(self, runner: str) -> None:
+        """Note that the runner says it is not this life: it has ended, or is yet to come."""
+        self._control.lives.deny(runner)
 
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
         """Take the runner's account of itself."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -205,15 +205,15 @@
     async def _confirm(self, account: RunnerAccount) -> None:
         """Follow another life than the known one if the runner says that it is this one.
 
-        Without an answer the claim stays, until the known life is found to have ended.
+        Without an answer, or if it is denied, the claim stays until the known life is found to have
+        ended: it may be the next one, which registers while this one drains.
         """
         answer = await self._runner.lives(account.runner)
         claim = self._worker.judge(account)
         event = {True: "life_confirmed", False: "life_denied", None: "life_unanswered"}[answer]
         self._around.event(event, runner=account.runner)
         if answer is False:
-            self._worker.life_ended(account.runner)
-            self._claims.pop(account.runner, None)
+            self._worker.life_denied(account.runner)
         elif claim is Claim.NEW or (answer and claim is Claim.DOUBTFUL):
             self._follow(account)
 
--- a/testing/core/leased/test_incarnations.py
+++ b/testing/core/leased/test_incarnations.py
@@ -5,7 +5,7 @@
 import pytest
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.incarnations import Claim, Incarnations
-from paddleshunt_core.leased.orders import RunnerAccount
+from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.runnercontrol import RunnerControl
 from paddleshunt_core.leased.wire import RunnerState
@@ -48,6 +48,30 @@
     assert lives.judge(replace(FIRST, sequence=9)) is Claim.LATE
 
 
+def test_a_life_that_is_denied_is_not_asked_about_again_until_the_followed_one_has_ended() -> None:
+    """It may register while the one before drains; one that has ended is found out by a look."""
+    lives = Incarnations()
+    lives.follow(FIRST)
+    lives.deny(NEXT.runner)
+    assert lives.judge(replace(NEXT, sequence=2)) is Claim.LATE
+    lives.end()
+    assert lives.judge(replace(NEXT, sequence=3)) is Claim.NEW
+    assert lives.judge(replace(FIRST, sequence=9)) is Claim.LATE
+
+
+@pytest.mark.parametrize(
+    ("looked_at", "expected"), [(False, Claim.NEW), (True, Claim.LATE)], ids=["never", "answered"]
+)
+def test_a_life_that_never_answered_may_be_yet_to_come(*, looked_at: bool, expected: Claim) -> None:
+    """It registered before it had its address: the look found the life before."""
+    found = RunnerControl(lease_times(Bounds()))
+    found.runner_spoke(1.0, FIRST)
+    if looked_at:
+        found.looked(1.1, LookAnswer(1.05, [], []))
+    found.look_failed(1.2, other_life=True)
+    assert found.lives.judge(replace(FIRST, sequence=6)) is expected
+
+
 def control() -> RunnerControl:
     """Return the control of a runner that is in its second life."""
     found = RunnerControl(lease_times(Bounds()))
--- /dev/null
+++ b/testing/core/leased/test_release.py
@@ -0,0 +1,136 @@
+"""The runners of a service are replaced one after the other: no job is lost, none starts late.
+
+The new runner comes first, at another host or at the same one; the old one says that it drains,
+and leaves once its drain time is over.
+"""
+
+from collections.abc import Callable
+
+import pytest
+from leasedfleet import STEP, Fleet
+from paddleshunt_core.leased.outcomes import Completed
+
+HEARD_SECONDS = 0.32
+"""Seconds until a fake runner's next heartbeat has been heard."""
+
+DRAIN_SECONDS = 1.0
+PAUSE = 0.1
+"""Seconds between two jobs."""
+
+
+class Release:
+    """A fleet of which the first half of the targets is replaced by the second, under load."""
+
+    def __init__(self, size: int) -> None:
+        self.fleet = Fleet(entries=2, targets=2 * size)
+        self.old = [f"t{n}" for n in range(size)]
+        self.new = [f"t{n}" for n in range(size, 2 * size)]
+        for name in self.new:
+            self.stop(name)
+        self.fleet.settle()
+        self.callers: list[int] = []
+        self.late_starts: list[str] = []
+        self._next_job = 0.0
+
+    def stop(self, name: str) -> None:
+        """Take a host away with its target and its runner."""
+        self.fleet.kill(name)
+        self.fleet.runners[name].crash()
+
+    def start(self, name: str) -> None:
+        """Start a host with its target and its runner."""
+        self.fleet.start(name)
+        self.fleet.runners[name].restart()
+
+    def run(self, seconds: float, watched: str = "") -> None:
+        """Hand in jobs meanwhile; note what starts on the `watched` runner."""
+        for _ in range(round(seconds / STEP)):
+            if self.fleet.now >= self._next_job:
+                self._next_job = self.fleet.now + PAUSE
+                number = len(self.callers)
+                caller = self.fleet.submit(f"e{number % 2}", f"job{number}", length=0.4)
+                self.callers.append(caller)
+            before = self._starts(watched)
+            self.fleet.step()
+            if self._starts(watched) > before:
+                self.late_starts.append(watched)
+
+    def drain(self, name: str) -> None:
+        """Let a runner say that it drains, and leave after its drain time."""
+        self.fleet.runners[name].leaving = True
+        self.run(HEARD_SECONDS)
+        self.run(DRAIN_SECONDS, watched=name)
+        life = f"{name}-{self.fleet.runners[name].life}"
+        worker = self.fleet.workers[name]
+        self.fleet._act_target(name, worker.runner_left(self.fleet.now, life))
+
+    def end(self) -> None:
+        """Let all jobs end."""
+        for _ in range(round(5.0 / STEP)):
+            self.fleet.step()
+
+    def _starts(self, name: str) -> int:
+        return sum(self.fleet.runners[name].starts.values()) if name else 0
+
+
+def at_other_hosts(release: Release) -> None:
+    for old, new in zip(release.old, release.new, strict=True):
+        release.start(new)
+        release.run(0.5)
+        release.drain(old)
+        release.stop(old)
+
+
+def at_the_same_hosts(release: Release) -> None:
+    for name in release.old:
+        release.drain(name)
+        release.fleet.runners[name].crash()
+        release.fleet.runners[name].restart()
+        release.run(0.5)
+
+
+def nothing_cut(fleet: Fleet) -> None:
+    pass
+
+
+def host_cut(*names: str) -> Callable[[Fleet], None]:
+    def cut(fleet: Fleet) -> None:
+        for name in names:
+            for other in (*fleet.entries, *fleet.targets):
+                fleet.cut(name, other)
+                fleet.cut(other, name)
+
+    return cut
+
+
+@pytest.mark.parametrize(
+    "cut",
+    [nothing_cut, host_cut("t2"), host_cut("t0"), host_cut("t3")],
+    ids=["links-whole", "other-host-cut", "draining-host-cut", "new-host-cut"],
+)
+@pytest.mark.parametrize("way", [at_other_hosts, at_the_same_hosts])
+def test_a_release_by_turns_loses_no_job_and_starts_nothing_on_a_draining_runner(
+    way: Callable[[Release], None], cut: Callable[[Fleet], None]
+) -> None:
+    release = Release(3)
+    fleet = release.fleet
+    release.run(0.7)
+    cut(fleet)
+    release.run(0.3)
+    way(release)
+    fleet.heal()
+    release.run(0.5)
+    release.end()
+    outcomes = [fleet.answers.get(caller) for caller in release.callers]
+    lost = [outcome for outcome in outcomes if outcome != Completed()]
+    assert lost == []
+    assert release.late_starts == []
+
+
+def test_what_runs_on_a_draining_runner_ends_there() -> None:
+    release = Release(2)
+    release.run(0.5)
+    at_other_hosts(release)
+    release.end()
+    starts = sum(sum(runner.starts.values()) for runner in release.fleet.runners.values())
+    assert starts == 2 * len(release.callers)
