--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -58,7 +58,8 @@
     `drain`: after it, a target that leaves may start nothing. `grace`: time from SIGTERM to
     SIGKILL. `config_apply`: in it, an accepted configuration is in force. `remote_factor`: how many
     times as long a task takes away from the rack where its data lies. `caller_delay`: the longest
-    way of a packet from a caller to an entry.
+    way of a packet from a caller to an entry. `cold_overrun`: how many times as long a task takes
+    on a runner that is cold after its start.
     """
 
     resend: float = 1.3
@@ -69,6 +70,7 @@
     config_apply: float = 2.0
     remote_factor: float = 1.5
     caller_delay: float = 0.004
+    cold_overrun: float = 1.5
 
 
 @final
@@ -89,6 +91,11 @@
         """Shortest time between two frames of an entry that only answer a heartbeat."""
         return self.heartbeat / 2
 
+    @property
+    def usual_echo(self) -> float:
+        """Age in seconds that a peer's newest echo rarely exceeds while nothing holds it up."""
+        return 2 * self.heartbeat
+
     @property
     def redial(self) -> float:
         """Seconds of silence after which a target makes the connection of a session anew."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -94,11 +94,12 @@
         rng: Random,
         remote_factor: float = 1.0,
         caller_delay: float = 0.0,
+        cold_overrun: float = 1.5,
     ) -> None:
         self._times = times
         self._caller_delay = caller_delay
         self._retries = Retries()
-        self._placement = Placement(hall, rng, remote_factor)
+        self._placement = Placement(hall, rng, remote_factor, cold_overrun)
         self._assigner = Assigner(self._placement)
         self._jobs = JobBook()
         self._targets: dict[str, TargetRecord] = {}
@@ -114,6 +115,8 @@
         self._pauses = StandStill(times.session)
         self._ends: float | None = None
         """When this process ends, if it is leaving."""
+        self.turned_away: Refused | None = None
+        """What new jobs are told while this host's link is pressed; None to take them."""
 
     @property
     def jobs(self) -> int:
@@ -124,6 +127,18 @@
         """Return all known targets."""
         return list(self._targets.values())
 
+    def echo_age(self, now: float) -> float | None:
+        """Return how old the newest echo of a good quarter of the targets is; None without any.
+
+        Only sessions that are held are renewed all the time.
+        """
+        ages = sorted(
+            now - target.session.confirmed_ms / 1000
+            for target in self._targets.values()
+            if target.session is not None and target.connected and target.placed
+        )
+        return ages[len(ages) // 4] if ages else None
+
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
         return {
@@ -155,6 +170,8 @@
         held = self._jobs.of_key(request.key)
         if held is not None:
             return [*effects, self._hand_over(now, caller, held)]
+        if self.turned_away is not None:
+            return [*effects, AnswerJob(caller, request.key, self.turned_away, 0.0)]
         expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
         job = new_job(caller, request, queue, now, expected)
         job.place_from = now + self._caller_delay
@@ -531,7 +548,12 @@
         return [log, *self._check_retries(now, job)]
 
     def _learn(self, now: float, job: JobRecord, task: TaskRecord, target: TargetRecord) -> None:
-        """Learn from an end how long tasks take; one on a runner that is not well says nothing."""
+        """Learn from an end how long tasks take; one on a runner that is not well says nothing.
+
+        Nor does one that was sent to a cold runner.
+        """
+        if target.is_cold(task.placed_at):
+            return
         if target.report is not None and target.report.health is Health.GOOD:
             request = job.request
             took = now - task.placed_at
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import final
 
+import msgspec
+
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.entrylink import EntryLink
 from paddleshunt_core.leased.offers import Offers
@@ -10,6 +12,12 @@
 from paddleshunt_core.leased.runnercontrol import RunnerControl
 from paddleshunt_core.leased.wire import Health, RunnerReport, RunnerState
 
+COLD_STEP = 0.5
+"""Seconds by which a runner must stay cold longer than entries were told, for a new report.
+
+Entries let the time run down by themselves; heartbeats that are under way longer shift it a little.
+"""
+
 PLENTY = 0.3
 """Share of the runner's room that is free, above which changes are told with the next heartbeat."""
 
@@ -23,8 +31,13 @@
         self._control = control
         self._offers = offers
 
-    def prepare(self, now: float, links: Mapping[str, EntryLink]) -> float | None:
-        """Put ends and reports that are due into the sessions; return when the next is due."""
+    def prepare(
+        self, now: float, links: Mapping[str, EntryLink], *, sheds: bool = False
+    ) -> float | None:
+        """Put ends and reports that are due into the sessions; return when the next is due.
+
+        `sheds`: reports that can wait go with heartbeats, as this host's link is pressed.
+        """
         next_due: float | None = None
         plenty = self._has_plenty()
         free = self._control.offered(now)
@@ -34,10 +47,12 @@
         for name, link in links.items():
             if link.session is None:
                 continue
-            report = self._report(link, free if holder in (None, name) else NOTHING)
-            if report != link.report or link.report_due:
+            report = self._report(now, link, free if holder in (None, name) else NOTHING)
+            if link.report_due or _says_anew(now, report, link):
                 held = link.is_held(has_runs=self._control.table.has_entry(name))
                 pause = link.report_pause(self._times, report, plenty=plenty, held=held)
+                if sheds:
+                    pause = max(pause, self._times.heartbeat)
                 due = now if holder == name else link.reported + pause
                 if link.ends or now >= due:
                     link.send_report(now, report, plenty=plenty)
@@ -58,7 +73,7 @@
             return None
         return self._offers.holder(now, free)
 
-    def _report(self, link: EntryLink, shown: Resources) -> RunnerReport:
+    def _report(self, now: float, link: EntryLink, shown: Resources) -> RunnerReport:
         control = self._control
         account = control.account
         return RunnerReport(
@@ -69,4 +84,18 @@
             capacity=account.capacity if account else NOTHING,
             free=shown,
             labels=account.labels if account else (),
+            cold_ms=round(control.cold(now) * 1000),
         )
+
+
+def _says_anew(now: float, report: RunnerReport, link: EntryLink) -> bool:
+    """Whether a report says more than the last one: that a cold runner gets warmer needs none."""
+    last = link.report
+    if report == last:
+        return False
+    if last is None or not (report.cold_ms and last.cold_ms):
+        return True
+    later_ms = report.cold_ms + round((now - link.reported) * 1000) - last.cold_ms
+    if later_ms > COLD_STEP * 1000:
+        return True
+    return msgspec.structs.replace(report, cold_ms=last.cold_ms) != last
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -51,15 +51,17 @@
 class Worker:
     """State of one target."""
 
-    def __init__(self, times: LeaseTimes, hall: str = "") -> None:
+    def __init__(self, times: LeaseTimes, hall: str = "", cold_overrun: float = 1.5) -> None:
         self._times = times
-        self._control = RunnerControl(times, hall)
+        self._control = RunnerControl(times, hall, cold_overrun)
         self._links: dict[str, EntryLink] = {}
         self._offers = Offers()
         self._reporter = Reporter(times, self._control, self._offers)
         self._losses = LossBook()
         """What this target saw of its own runner, for entries that it meets later."""
         self._pauses = StandStill(STILL_HEARTBEATS * times.heartbeat)
+        self.sheds = False
+        """Whether this host's link is pressed, so that reports that can wait go with heartbeats."""
 
     # What others ask about this target.
 
@@ -78,6 +80,15 @@
         """Runs at work here."""
         return len(self._control.table)
 
+    def echo_age(self, now: float) -> float | None:
+        """Return how old the newest echo of a good quarter of the entries is; None without any.
+
+        Only sessions that are held are renewed all the time.
+        """
+        held = (link.session for name, link in self._links.items() if self._is_held(name))
+        ages = sorted(now - session.confirmed_ms / 1000 for session in held if session is not None)
+        return ages[len(ages) // 4] if ages else None
+
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
         control = self._control
@@ -88,6 +99,7 @@
             "health": control.health.level(now).name,
             "speed": round(control.health.speed(now), 2),
             "leaving": control.leaving,
+            "cold_s": round(control.cold(now), 2),
             "state": control.state().name,
             "evacuated_halls": control.evacuations.known.halls,
             "evacuations_revision": control.evacuations.known.revision,
@@ -204,9 +216,9 @@
         """Return what an account of the runner is worth."""
         return self._control.lives.judge(account)
 
-    def life_ended(self, runner: str) -> None:
-        """Note that a life of the runner has ended, whatever still comes from it."""
-        self._control.lives.has_ended(runner)
+    def life_denied(self, runner: str) -> None:
+        """Note that the runner says it is not this life: it has ended, or is yet to come."""
+        self._control.lives.deny(runner)
 
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
         """Take the runner's account of itself."""
@@ -291,7 +303,7 @@
     def prepare_frames(self, now: float) -> float | None:
         """Put ends and reports that are due into the sessions; return when the next is due."""
         self._collect(now)
-        return self._reporter.prepare(now, self._links)
+        return self._reporter.prepare(now, self._links, sheds=self.sheds)
 
     # Inside.
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -9,6 +9,7 @@
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.entrychoice import EntryChoice
 from paddleshunt_core.leased.incarnations import Claim
+from paddleshunt_core.leased.linkpressure import PressureLevel
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
 from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.runnercontrol import Effect
@@ -19,6 +20,7 @@
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
+from paddleshunt_node.aio.linkmeter import LinkMeter, Metered
 from paddleshunt_node.aio.peerwords import readable
 from paddleshunt_node.aio.ports import (
     OtherLife,
@@ -90,8 +92,11 @@
         self._around = surroundings
         self._times = lease_times(config.bounds)
         self._life = os.urandom(6).hex()
-        self._worker = Worker(self._times, config.hall)
+        self._worker = Worker(self._times, config.hall, config.bounds.cold_overrun)
         self._suspensions = clock.Suspensions()
+        self._meter = LinkMeter(
+            surroundings, self._connections, self._echo_age, self._times.usual_echo
+        )
         self._links: dict[str, PeerLink] = {}
         self._names: dict[str, str] = {}
         """Entries by the address at which they were met."""
@@ -123,6 +128,7 @@
         return {
             "name": self._config.name,
             "life": self._life,
+            "link": self._meter.describe(),
             **self._worker.describe(self._now()),
         }
 
@@ -137,6 +143,7 @@
         pages = OperatorPages(self._around.measures, self.describe)
         await serve_pages(pages, self._config.metrics, self._around)
         self._gauges()
+        self._meter.show()
         self._around.event("started", role="target", node=self._config.name, life=self._life)
         self._around.spawn(self._look_for_ever())
         self._around.spawn(self._dialer.run())
@@ -156,6 +163,12 @@
             "stopped", after_ms=round((self._now() - began) * 1000), runs=self._worker.runs
         )
 
+    def _connections(self) -> list[Metered]:
+        return list(self._links.values())
+
+    def _echo_age(self) -> float | None:
+        return self._worker.echo_age(self._now())
+
     def _gauges(self) -> None:
         measures = self._around.measures
         measures.gauge("paddleshunt_runs", "Runs at work.", lambda: self._worker.runs)
@@ -197,15 +210,15 @@
     async def _confirm(self, account: RunnerAccount) -> None:
         """Follow another life than the known one if the runner says that it is this one.
 
-        Without an answer the claim stays, until the known life is found to have ended.
+        Without an answer, or if it is denied, the claim stays until the known life is found to have
+        ended: it may be the next one, which registers while this one drains.
         """
         answer = await self._runner.lives(account.runner)
         claim = self._worker.judge(account)
         event = {True: "life_confirmed", False: "life_denied", None: "life_unanswered"}[answer]
         self._around.event(event, runner=account.runner)
         if answer is False:
-            self._worker.life_ended(account.runner)
-            self._claims.pop(account.runner, None)
+            self._worker.life_denied(account.runner)
         elif claim is Claim.NEW or (answer and claim is Claim.DOUBTFUL):
             self._follow(account)
 
@@ -405,6 +418,8 @@
         due = self._now()
         while True:
             now = self._now()
+            self._meter.sample_when_due(now)
+            self._worker.sheds = self._meter.pressure.level is not PressureLevel.NORMAL
             self._act(self._worker.tick(now))
             self._retire(now)
             self._dialer.keep(now, [entry.address for entry in self._wanted()])
