Let an entry's echo ride on the frame that carries what it places; count wake-ups

Cause: an entry answered a target's ends with a frame, and then sent what it had placed there in another.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := $(VENV)/.ready
 SOURCES := packages platform testing examples benchmarks
 
-.PHONY: demo test lint format fuzz soak evacuation-times bench slopes docs-check plots clean
+.PHONY: demo test lint format fuzz soak evacuation-times wakeups bench slopes docs-check plots clean
 
 $(READY): constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -63,5 +63,8 @@
 		--seeds $(SEEDS) --seconds $(SECONDS) --at-once $(AT_ONCE) $(ARGS)
 
 # How long the last start in an evacuated hall comes after the operator's word.
+wakeups: $(READY)
+	PYTHONPATH=testing:testing/council:testing/soak:platform $(BIN)/python testing/soak/wakeups.py
+
 evacuation-times: $(READY)
 	PYTHONPATH=testing:testing/council:testing/soak:platform $(BIN)/python testing/soak/evacuationtimes.py
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -299,7 +299,8 @@
     def owes_answer(self, now: float, name: str, frame: Frame) -> bool:
         """Whether a target's frame is to be answered at once, which renews its lease.
 
-        Not if it has just been renewed. What an idle target only reports is answered less often.
+        Not if it has just been renewed; a frame that carried no later echo renewed nothing, as the
+        first over a new connection. What an idle target only reports is answered less often.
         """
         target = self._targets.get(name)
         if target is None or target.session is None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -86,6 +86,8 @@
         self._waiting: dict[int, Exchange] = {}
         self._callers = HttpServer(self)
         self._links: dict[str, PeerLink] = {}
+        self._owed: set[str] = set()
+        """Targets that a frame is due to, whether there is something to say or not."""
         own = EntryAddress(config.name, config.peers, self._life, config.hall)
         self._peers = EntryPeers(self, own, self._hello(0, 0), self._times.session)
         self._peers.seeds(set(config.seeds))
@@ -271,8 +273,10 @@
     def target_heard(self, link: PeerLink, frame: Frame) -> None:
         """Take a frame of a target, or of another entry."""
         if self._links.get(link.peer) is link:
-            self._act(self._dispatcher.heard(self._now(), link.peer, frame))
-            self._reply(link, frame)
+            now = self._now()
+            self._act(self._dispatcher.heard(now, link.peer, frame))
+            if self._dispatcher.owes_answer(now, link.peer, frame):
+                self._owed.add(link.peer)
         else:
             self._peers.heard(link, frame)
 
@@ -370,8 +374,9 @@
         self._act(self._dispatcher.place_waiting(self._now()), flush=False)
         for link in list(self._links.values()):
             session = self._dispatcher.session(link.peer)
-            if session is not None and session.pending:
+            if session is not None and (session.pending or link.peer in self._owed):
                 self._send(link, session)
+        self._owed.clear()
         self._await_answers()
 
     def _await_answers(self) -> None:
@@ -385,15 +390,6 @@
         self._answers_timer = None
         self._act(self._dispatcher.check_answers(self._now()))
 
-    def _reply(self, link: PeerLink, frame: Frame) -> None:
-        """Answer a heartbeat, which renews the target's lease, unless one has just been renewed.
-
-        A frame that carried no later echo renewed nothing, as the first over a new connection.
-        """
-        session = self._dispatcher.session(link.peer)
-        if session is not None and self._dispatcher.owes_answer(self._now(), link.peer, frame):
-            self._send(link, session)
-
     def _send(self, link: PeerLink, session: Session) -> None:
         now = self._now()
         link.send(session.frame(int(now * 1000)))
