--- a/testing/core/leased/test_idle_sessions.py
+++ b/testing/core/leased/test_idle_sessions.py
@@ -23,20 +23,26 @@
 from paddleshunt_core.leased.entrylink import EntryLink
 from paddleshunt_core.leased.outcomes import GivenUp
 from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import Body, Frame, Stop
 from paddleshunt_core.leased.worker import Worker
 
-EXAMPLES = int(os.environ.get("PADDLESHUNT_FUZZ", "40"))
-PLANTED_EXAMPLES = 200
+EXAMPLES = int(os.environ.get("PADDLESHUNT_FUZZ", "0"))
 
-SHARED = {
+_shared = {
     "deadline": None,
     "suppress_health_check": list(HealthCheck),
-    "derandomize": True,
-    "stateful_step_count": 4,
     "database": None,
+    # Shrinking a fleet's history takes minutes; the seeds are fixed, so it can be played again.
+    "phases": [Phase.generate],
 }
-"""Shrinking a fleet's history takes minutes; the seeds are fixed, so it can be played again."""
+FIXED = settings(max_examples=40, stateful_step_count=4, derandomize=True, **_shared)
+PLANTED = settings(FIXED, max_examples=200)
+PROFILE = (
+    settings(max_examples=EXAMPLES, stateful_step_count=12, print_blob=True, **_shared)
+    if EXAMPLES
+    else FIXED
+)
 
 FAULTS = ("cut_both", "cut_out", "cut_back", "freeze", "kill", "break", "lose", "none")
 Plant = Callable[[pytest.MonkeyPatch], None]
@@ -241,9 +247,7 @@
 
 
 def test_no_task_runs_twice_around_idle_sessions() -> None:
-    run_state_machine_as_test(
-        IdleMachine, settings=settings(max_examples=EXAMPLES, phases=[Phase.generate], **SHARED)
-    )
+    run_state_machine_as_test(IdleMachine, settings=PROFILE)
 
 
 def start_unconfirmed(patch: pytest.MonkeyPatch) -> None:
@@ -301,8 +305,6 @@
 
 def withdraw_what_may_have_begun(patch: pytest.MonkeyPatch) -> None:
     """An entry takes any target that says nothing for one that has started nothing."""
-    from paddleshunt_core.leased.targets import TargetRecord
-
     patch.setattr(TargetRecord, "may_begin", lambda self, times, placed_at: False)
 
 
@@ -321,7 +323,4 @@
 def test_the_machine_finds_a_planted_bug(plant: Plant, monkeypatch: pytest.MonkeyPatch) -> None:
     plant(monkeypatch)
     with pytest.raises(AssertionError, match="twice at once"):
-        run_state_machine_as_test(
-            IdleMachine,
-            settings=settings(max_examples=PLANTED_EXAMPLES, phases=[Phase.generate], **SHARED),
-        )
+        run_state_machine_as_test(IdleMachine, settings=PLANTED)
