Start nothing under a lease that is over before a heartbeat can renew it

Cause: a first assignment that came late in the lease that a slow heartbeat had brought could start and be stopped some ms later, as the lease ran out before the next heartbeat. Seen to fail before: test_nothing_starts_under_a_lease_that_no_heartbeat_can_renew_in_time[short].

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
@@ -105,9 +105,13 @@
 
     def is_confirmed(self, now: float, times: LeaseTimes) -> bool:
         """Whether the session's lease is in force: runs may start, and go on."""
+        return self.lease_left(now, times) >= 0.0
+
+    def lease_left(self, now: float, times: LeaseTimes) -> float:
+        """Return the seconds that are left of the lease; less than 0 if it is over."""
         if self.session is None:
-            return False
-        return now * 1000 <= self.session.confirmed_ms + times.session * 1000
+            return float("-inf")
+        return (self.session.confirmed_ms + times.session * 1000 - now * 1000) / 1000
 
     # What is pending.
 
@@ -124,10 +128,13 @@
         self.pending = [item for item in self.pending if item[0].id not in runs]
 
     def take_confirmed(self, now: float, times: LeaseTimes) -> tuple[list[Run], list[Run]]:
-        """Return the pending runs that may start now, and those that have waited too long."""
+        """Return the pending runs that may start now, and those that have waited too long.
+
+        None starts under a lease that would be over before a heartbeat can renew it.
+        """
         stale = [run for run, until in self.pending if now > until]
         waiting = [item for item in self.pending if now <= item[1]]
-        if not self.is_confirmed(now, times):
+        if self.lease_left(now, times) < times.heartbeat:
             self.pending = waiting
             return [], stale
         self.pending = []
