Check in the soak that nothing of a job is at work long after its caller has left

A run may not last three seconds beyond its caller's end, or beyond its own late start. Most of the soak's tasks are shorter, so the rule seldom has a case; test_record.py shows that it bites.

--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -12,6 +12,10 @@
 """Seconds from the operator's word after which nothing may start in an evacuated hall."""
 
 
+GONE_SECONDS = 3.0
+"""Seconds after which nothing of a job is at work whose caller has left or was answered, or after
+a late start of it: the least `cancel_ms` and `contact_ms` of the users' pages."""
+
 COUNTED_CRASHES = 3
 """Runners that a task may crash before its further starts are counted."""
 
@@ -128,6 +132,7 @@
                 self._broken("REFUSED", tries[0].sent, f"{job}: every try was refused, and it ran")
             if any(seen.outcome == "completed" for seen in tries):
                 self._check_complete(job, tries)
+            self._check_gone(job, tries)
         return self.violations
 
     def version_seen(self, entry: str, life: str, version: int) -> None:
@@ -164,6 +169,17 @@
             ways = "; ".join(seen.describe(run.began) for seen in runs)
             self._broken("BUDGET", run.began, f"{run.task}: {ways}")
 
+    def _check_gone(self, job: str, tries: list[TrySeen]) -> None:
+        if not all(seen.outcome for seen in tries):
+            return
+        over = max(seen.ended for seen in tries)
+        for task, runs in self.runs.items():
+            for run in runs if task.startswith(f"{job}.") else ():
+                last = min(run.lease_end, run.due if run.end is None else run.end)
+                if last > max(over, run.began) + GONE_SECONDS:
+                    text = f"{task}: {run.describe(over)} counted from its caller's end"
+                    self._broken("UNASKED", last, text)
+
     def _check_complete(self, job: str, tries: list[TrySeen]) -> None:
         done = {t for t, runs in self.runs.items() if any(r.how == "done" for r in runs)}
         count = sum(task.startswith(f"{job}.") for task in done)
--- a/testing/soak/test_record.py
+++ b/testing/soak/test_record.py
@@ -47,6 +47,28 @@
     assert rules(record) == ["UNASKED"]
 
 
+@pytest.mark.parametrize(
+    ("began", "length", "broken"),
+    [
+        pytest.param(1.0, 4.9, [], id="gone in time"),
+        pytest.param(1.0, 5.1, ["UNASKED"], id="still at work"),
+        pytest.param(4.0, 2.9, [], id="late, gone in time"),
+        pytest.param(4.0, 3.1, ["UNASKED"], id="late, still at work"),
+    ],
+)
+@pytest.mark.parametrize("stopped", [True, False])
+def test_a_run_that_outlives_its_caller_is_found(
+    record: Record, began: float, length: float, broken: list[str], stopped: bool
+) -> None:
+    seen = record.tries["job"][0]
+    seen.outcome, seen.ended = "left", 3.0
+    run_ = RunSeen("job.0.0.0", 1, "r1", began, began + 9.0, began + length)
+    if stopped:
+        run_.end, run_.due = began + length, began + 9.0
+    record.started(run_)
+    assert rules(record) == broken
+
+
 def test_a_start_of_a_job_whose_every_try_was_refused_is_found(record: Record) -> None:
     record.tries["job"][0].outcome = "refused"
     record.started(run(1, 1.0))
