--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
@@ -23,8 +23,8 @@
         return NO_TARGET_WAIT
     if any(job.request.need.fits(target.free) for target in able):
         return 0.0
-    reports = [target.report for target in able if target.report is not None]
-    capacity = sum(report.capacity.processor for report in reports)
+    usual = sum(target.kind_factor for target in able) / len(able)
+    capacity = sum(t.report.capacity.processor / t.kind_factor * usual for t in able if t.report)
     ahead = sum(
         other.request.need.processor * other.length * len(other.waiting())
         for other in held
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -7,6 +7,7 @@
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.room import RoomNow
+from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import Assign
 
@@ -15,8 +16,9 @@
 class Assigner:
     """Assigns tasks by a `Placement`."""
 
-    def __init__(self, placement: Placement) -> None:
+    def __init__(self, placement: Placement, speeds: Speeds) -> None:
         self._placement = placement
+        self._speeds = speeds
         self.heads: dict[str, JobRecord] = {}
         """By service, the first job in the order of starts that waits for room."""
         self.assigned: list[TargetRecord] = []
@@ -31,7 +33,8 @@
         logs: list[Log] = []
         for job in waiting:
             service = job.queue.service
-            if room.may_have(service, job.request.need):
+            may = room.may_have(service, job.request.need)
+            if may and not self._placement.awaits_kind(now, job, room):
                 logs += self._place_job(now, job, room.usable(service))
             if service not in self.heads and job.waiting():
                 self.heads[service] = job
@@ -53,10 +56,14 @@
             target.reserve(job.request.need)
             chosen.setdefault(target.name, []).append(task)
         self.assigned += [by_name[name] for name in chosen]
-        return [_send(now, job, by_name[name], tasks) for name, tasks in chosen.items()]
+        typical = self._speeds.typical(job.queue.service)
+        return [_send(now, job, by_name[name], tasks, typical) for name, tasks in chosen.items()]
 
 
-def _send(now: float, job: JobRecord, target: TargetRecord, tasks: list[TaskRecord]) -> Log:
+def _send(
+    now: float, job: JobRecord, target: TargetRecord, tasks: list[TaskRecord], typical: float
+) -> Log:
+    """Send tasks; a target judges its runner by what its kind of host usually takes."""
     assert target.session is not None  # noqa: S101
     request = job.request
     message = Assign(
@@ -64,7 +71,7 @@
         step=0,
         spec=request.spec,
         need=request.need,
-        estimate_ms=round(job.length * 1000),
+        estimate_ms=round(job.length * target.kind_factor / typical * 1000),
         expires_ms=round((job.expires - now) * 1000),
         runs=[(task.id.index, task.number) for task in tasks],
     )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -42,7 +42,8 @@
     `drain`: after it, a target that leaves may start nothing. `grace`: time from SIGTERM to
     SIGKILL. `config_apply`: in it, an accepted configuration is in force. `remote_factor`: how many
     times as long a task takes away from the rack where its data lies. `caller_delay`: the longest
-    way of a packet from a caller to an entry.
+    way of a packet from a caller to an entry. `hall_preference`: what the bytes of a way between
+    halls cost, as a share of a runner's room.
     """
 
     resend: float = 1.3
@@ -53,6 +54,7 @@
     config_apply: float = 2.0
     remote_factor: float = 1.5
     caller_delay: float = 0.004
+    hall_preference: float = 0.2
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -33,10 +33,11 @@
     JobOutcome,
     Refused,
 )
-from paddleshunt_core.leased.placement import Placement
+from paddleshunt_core.leased.placement import HALL_PREFERENCE, Placement
 from paddleshunt_core.leased.retries import Retries
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.speeds import Speeds, kind_note, work_of
 from paddleshunt_core.leased.standstill import THAW_SECONDS, StandStill
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wants import Wants
@@ -53,6 +54,7 @@
     RunnerReport,
     RunnerReturned,
     RunnerState,
+    SpeedNews,
     Stop,
 )
 
@@ -93,12 +95,14 @@
         rng: Random,
         remote_factor: float = 1.0,
         caller_delay: float = 0.0,
+        hall_preference: float = HALL_PREFERENCE,
     ) -> None:
         self._times = times
         self._caller_delay = caller_delay
         self._retries = Retries()
-        self._placement = Placement(hall, rng, remote_factor)
-        self._assigner = Assigner(self._placement)
+        self._speeds = Speeds()
+        self._placement = Placement(hall, rng, remote_factor, self._speeds, hall_preference)
+        self._assigner = Assigner(self._placement, self._speeds)
         self._jobs = JobBook()
         self._targets: dict[str, TargetRecord] = {}
         self._lengths = Lengths()
@@ -129,6 +133,7 @@
             "waiting_tasks": sum(len(job.waiting()) for job in self._jobs.all()),
             "evacuated_halls": self._evacuations.known.halls,
             "evacuations_revision": self._evacuations.known.revision,
+            "kinds": self._speeds.all(),
             "targets": {
                 target.name: {
                     "session": target.session.number if target.session else 0,
@@ -136,6 +141,7 @@
                     "report": target.report,
                     "placed": len(target.placed),
                     "held": len(target.held),
+                    "deviation": round(target.deviation, 2),
                 }
                 for target in self._targets.values()
             },
@@ -247,6 +253,20 @@
         why = self._retries.note_given_up(job, outcome)
         return [why, self._answer(now, job, outcome)]
 
+    # Speeds of hosts.
+
+    @property
+    def speeds(self) -> Speeds:
+        """What is known of how slow the kinds of hosts are."""
+        return self._speeds
+
+    def told_speeds(self, now: float, news: SpeedNews, source: str) -> list[Effect]:
+        """Take another entry's word on kinds of hosts that it knows much better."""
+        taken = self._speeds.told(news)
+        if taken:
+            self._speeds.compare(now, self._targets.values())
+        return [kind_note(word, source) for word in taken]
+
     # Targets.
 
     def greeted(self, now: float, hello: Hello) -> tuple[Session | None, list[Effect]]:
@@ -307,7 +327,7 @@
         effects = self._notice_pause(now)
         for target in list(self._targets.values()):
             effects += self._check_target(now, target)
-        self._placement.compare(self._targets.values())
+        self._speeds.compare(now, self._targets.values())
         for job in self._jobs.all():
             effects += self._check_job(now, job)
         return effects + self._place(now)
@@ -449,6 +469,7 @@
             case RunnerReport():
                 target.covered(frame)
                 target.take_report(now, body)
+                self._speeds.reported(target)
                 self._wants.reported(target)
                 self._check_evacuation(target, body)
             case EvacuationNews():
@@ -482,6 +503,7 @@
             task.phase = TaskPhase.DONE
             self._learn(now, job, task, target)
             if all(other.phase is TaskPhase.DONE for other in job.tasks):
+                self._compare_tasks(job)
                 return [self._answer(now, job, Completed())]
             return []
         task.phase = TaskPhase.WAITING
@@ -510,12 +532,22 @@
         """Learn from an end how long tasks take; one on a runner that is not well says nothing."""
         if target.report is not None and target.report.health is Health.GOOD:
             request = job.request
-            took = now - task.placed_at
-            target.took(took / job.length)
-            sound = took * self._placement.typical_slowness / target.slowness
+            work = work_of(now - task.placed_at) / self._placement.away_factor(job, target)
+            task.work, task.ran_on = work, target.runner
+            sound = work * self._speeds.typical(job.queue.service) / target.slowness
             lengths = self._lengths.of(job.queue.name)
             lengths.ended(request.estimate, request.deadline, sound)
 
+    def _compare_tasks(self, job: JobRecord) -> None:
+        """Learn from what the tasks of a job took how slow hosts are."""
+        done = [
+            (target, task.work)
+            for task in job.tasks
+            if task.work and (target := self._targets.get(task.target)) is not None
+            if target.runner == task.ran_on
+        ]
+        self._speeds.compare_tasks(job.length, done)
+
     def _failed(
         self, now: float, target: TargetRecord, job: JobRecord, task: TaskRecord
     ) -> list[Effect]:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -21,6 +21,9 @@
 ESTIMATE_ERROR = 0.25
 """Part of its estimate by which a job's start may be late, and it may yet end in time."""
 
+OVERHEAD_SECONDS = 0.02
+"""Time of a run besides its work, the same on any host: messages, and the look at its end."""
+
 USEFUL_OBJECTIVES = 3.0
 """How many times its objective a job may take and yet be of use, if less, to its caller.
 
@@ -80,6 +83,10 @@
     """Whether an earlier run of it may have started."""
     avoid: set[str] = field(default_factory=set)
     """Targets where it failed or stood still."""
+    work: float = 0.0
+    """Seconds that its run that ended well worked, were its data near; 0 if they say nothing."""
+    ran_on: str = ""
+    """The life of the runner where that was."""
 
     @property
     def run(self) -> RunId:
@@ -121,10 +128,18 @@
         """Seconds in which the job should end."""
         return self.queue.stretch * self.length + self.queue.latency
 
+    @property
+    def due(self) -> float:
+        """When its tasks must end to be in time."""
+        return self.first_sent + self.objective
+
     @property
     def start_by(self) -> float:
-        """When its tasks must start to end in time."""
-        return self.first_sent + self.objective - self.length
+        """When its tasks must start to end in time on a usual host.
+
+        A fast one is no reason to start later: what it saves is left for errors of the length.
+        """
+        return self.due - self.length
 
     def urgency(self, now: float) -> float:
         """Return its place in the order of starts at `now`; less goes first."""
@@ -140,8 +155,12 @@
     @property
     def useful_start(self) -> float:
         """When its tasks must start for its answer to be of any use."""
-        useful = self.first_sent + USEFUL_OBJECTIVES * self.objective
-        return min(useful, self.expires) - self.length
+        return self.useful_end - self.length
+
+    @property
+    def useful_end(self) -> float:
+        """When its answer must come to be of any use."""
+        return min(self.first_sent + USEFUL_OBJECTIVES * self.objective, self.expires)
 
     @property
     def expires(self) -> float:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -24,6 +24,8 @@
     """Kind and rack of its host."""
     sequence: int = 0
     """Rises with each account of one life; 0 if it is not told."""
+    kind: str = ""
+    """The label that says what kind of host it is; empty if none does."""
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -1,20 +1,107 @@
-"""Chooses a target for one task."""
+"""Chooses a target for one task.
 
-from collections.abc import Iterable
+First what serves the job: targets where the task ends in time, those with time to spare before
+others. Among them the least loaded, where a kind of host that is slow, and yet fast enough, goes
+first, and a target that no message needs to reach in another hall.
+"""
+
+from dataclasses import dataclass
 from random import Random
 from typing import final
 
-from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
+from paddleshunt_core.leased.jobs import OVERHEAD_SECONDS, JobRecord, TaskPhase, TaskRecord
+from paddleshunt_core.leased.room import RoomNow
+from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.targets import TargetRecord
 
-LOAD_STEPS = 12
-"""Loads that differ by less than one part in so many count as equal."""
+LOAD_STEP = 1 / 12
+"""Loads that differ by less count as equal, so that entries that know the same choose differently.
+"""
+
+HALL_PREFERENCE = 0.2
+"""Share of a runner's room that it is given to save the bytes of a way between halls."""
+
+SPARE_FAST = 0.25
+"""Share of its room by which a fast runner counts as fuller for a task that need not be fast."""
 
 PROBE_PERIOD = 1.0
 """Seconds between two tasks that an entry gives to a runner on probation."""
 
-OVERHEAD_SECONDS = 0.02
-"""Time that a run takes besides its work: messages, and the look that shows its end."""
+LENGTH_MARGIN = 1.2
+"""How many times its expected length a task may take; learned lengths err by 0.2 at the median."""
+
+WIDTH_MARGIN = 0.06
+"""By how much more for each doubling of a job's tasks: it ends with the longest of them.
+
+Of n equal tasks that differ by 0.15 the longest is longer by about 0.06 for each doubling of n.
+"""
+
+LIKELY = 0.5
+"""Part of a job's margin that must be left where it is sent rather than held.
+
+A job waits for room on a fast host while it has that much there; once it has it nowhere, any host
+where it ends in time by its expected length will do.
+"""
+
+FAST = 0.95
+"""Slowness against a usual host below which a kind counts as fast."""
+
+ALIKE = 1.1
+"""Targets count as equally fast up to this factor; a deviation is known no better."""
+
+LATE_MARGIN = 0.8
+"""Part of its expected length that a task may take at the least: it may be in time after all."""
+
+
+@final
+@dataclass(slots=True)
+class _Candidate:
+    """A target for the tasks of one job, with what is the same for all of them."""
+
+    target: TargetRecord
+    slowness: float
+    """How many times the job's length a task takes there, its data's way included."""
+    kind: float
+    """The same for any runner of the kind."""
+    way: float
+    """What the way there costs, as a load."""
+    has_room: bool = False
+    load: float = 0.0
+
+    def look(self, job: JobRecord) -> None:
+        """See how full the target is now."""
+        self.has_room = job.request.need.fits(self.target.free)
+        self.load = self.target.load if self.has_room else 1.0
+
+
+@final
+class _Plan:
+    """What holds for all tasks of a job that are placed at one moment."""
+
+    def __init__(
+        self, now: float, job: JobRecord, able: list[TargetRecord], sound: list[_Candidate]
+    ) -> None:
+        self.now = now
+        self.job = job
+        self.able = able
+        self.sound = sound
+        self.probes = [target for target in able if target.on_probation]
+        self.last: _Candidate | None = None
+        self.due = job.due
+        """When a task must end to be in time: not before the job's slowest task does."""
+        by_name = {each.target.name: each for each in sound}
+        for task in job.tasks:
+            if task.phase is TaskPhase.PLACED and task.target in by_name:
+                self.placed(task.placed_at, by_name[task.target])
+
+    def has_other(self, task: TaskRecord) -> bool:
+        """Whether there is a target where the task has not failed."""
+        return any(target.name not in task.avoid for target in self.able)
+
+    def placed(self, at: float, candidate: _Candidate) -> None:
+        """Note that a task of the job was sent there: others need not end before it does."""
+        ends = at + self.job.length * candidate.slowness + OVERHEAD_SECONDS
+        self.due = max(self.due, ends)
 
 
 @final
@@ -22,20 +109,24 @@
     """Chooses among an entry's targets; remembers when it last probed one.
 
     Away from the rack where its data lies, a task takes `remote_factor` times as long.
+    `hall_preference` is what a way between halls costs, as a share of a runner's room.
     """
 
-    def __init__(self, hall: str, rng: Random, remote_factor: float) -> None:
+    def __init__(
+        self,
+        hall: str,
+        rng: Random,
+        remote_factor: float,
+        speeds: Speeds | None = None,
+        hall_preference: float = HALL_PREFERENCE,
+    ) -> None:
         self._rng = rng
         self._hall = hall
         self._remote_factor = remote_factor
+        self._speeds = speeds or Speeds()
+        self._hall_preference = hall_preference
         self._probed: dict[str, float] = {}
-        self.typical_slowness = 1.0
-        """Slowness of a usual target; a job's length is meant for such a one."""
-
-    def compare(self, targets: Iterable[TargetRecord]) -> None:
-        """Note how slow targets usually are."""
-        known = sorted(target.slowness for target in targets if target.report is not None)
-        self.typical_slowness = known[len(known) // 2] if known else 1.0
+        self._plan: _Plan | None = None
 
     def able(self, job: JobRecord, targets: list[TargetRecord]) -> list[TargetRecord]:
         """Return the targets whose runner may run the job's tasks; none if none has room."""
@@ -45,60 +136,166 @@
             able = [t for t in able if t.has_label(request.label)]
         return able if any(request.need.fits(t.free) for t in able) else []
 
+    def away_factor(self, job: JobRecord, target: TargetRecord) -> float:
+        """Return how many times as long a task takes at a target, by where its data lies."""
+        rack = job.request.rack
+        return self._remote_factor if rack and not target.has_label(rack) else 1.0
+
+    def awaits_kind(self, now: float, job: JobRecord, room: RoomNow) -> bool:
+        """Whether a job that has not begun waits for room on a kind of host that has none.
+
+        It says cheaply what `choose` would find by looking at each target.
+        """
+        if job.request.rack or job.begun:
+            return False
+        kinds = room.kinds(job.queue.service)
+        slowest = (job.due - OVERHEAD_SECONDS - now) / job.length
+        likely = slowest / (1 + LIKELY * (_margin(job) - 1))
+        likely *= self._speeds.typical(job.queue.service)
+        fit = [free for factor, free in kinds if factor <= likely]
+        return bool(fit) and not any(job.request.need.fits(free) for free in fit)
+
     def choose(
         self, now: float, job: JobRecord, task: TaskRecord, able: list[TargetRecord]
     ) -> TargetRecord | None:
         """Return the target to send the task to, or None to hold it."""
-        need = job.request.need
-        usable = [t for t in able if t.name not in task.avoid] or able
-        if job.request.spread:
-            usable = [t for t in usable if _tasks_at(job, t) < job.request.spread]
-        probe = self._probe(now, usable)
-        if probe is not None and need.fits(probe.free):
+        plan = self._planned(now, job, able)
+        probe = self._probe(now, plan, task)
+        if probe is not None:
             self._probed[probe.name] = now
             return probe
-        sound = [t for t in usable if not t.on_probation]
-        good = [t for t in sound if need.fits(t.free)]
-        rack = job.request.rack
-        if rack:
-            near = [t for t in good if t.has_label(rack)]
-            if near or (self._awaits_rack(now, job) and any(t.has_label(rack) for t in sound)):
-                good = near
-        return self._least_loaded(self._in_time(now, job, good, sound))
+        sound = plan.sound
+        if task.avoid:
+            sound = [c for c in sound if c.target.name not in task.avoid] or sound
+        if job.request.spread:
+            sound = [c for c in sound if _tasks_at(job, c.target) < job.request.spread]
+        chosen = self._best(now, plan, sound)
+        plan.last = chosen
+        if chosen is None:
+            return None
+        plan.placed(now, chosen)
+        return chosen.target
 
-    def _awaits_rack(self, now: float, job: JobRecord) -> bool:
-        """Whether a task had better wait for room near its data.
+    # What holds for a job.
 
-        It does as long as it would end in time elsewhere too, and again from when it would only
-        end in time near its data.
-        """
-        work = job.length
-        elsewhere = job.arrived + job.objective - self._remote_factor * work - OVERHEAD_SECONDS
-        return now < elsewhere or elsewhere + 2 * OVERHEAD_SECONDS < now < job.start_by
+    def _planned(self, now: float, job: JobRecord, able: list[TargetRecord]) -> _Plan:
+        """Return the job's plan; between two tasks of it only the last one's target has changed."""
+        plan = self._plan
+        if plan is None or plan.able is not able or plan.job is not job or plan.now != now:
+            sound = [self._candidate(job, t) for t in able if not t.on_probation]
+            for candidate in sound:
+                candidate.look(job)
+            plan = self._plan = _Plan(now, job, able, sound)
+        elif plan.last is not None:
+            plan.last.way = 0.0
+            plan.last.look(job)
+            plan.last = None
+        return plan
+
+    def _candidate(self, job: JobRecord, target: TargetRecord) -> _Candidate:
+        factor = self.away_factor(job, target) / self._speeds.typical(job.queue.service)
+        way = 0.0 if target.hall == self._hall else self._hall_preference
+        return _Candidate(target, target.slowness * factor, target.kind_factor * factor, way)
 
-    def _probe(self, now: float, targets: list[TargetRecord]) -> TargetRecord | None:
-        for target in targets:
-            if target.on_probation and now > self._probed.get(target.name, 0.0) + PROBE_PERIOD:
+    def _probe(self, now: float, plan: _Plan, task: TaskRecord) -> TargetRecord | None:
+        job = plan.job
+        for target in plan.probes:
+            if (
+                now > self._probed.get(target.name, 0.0) + PROBE_PERIOD
+                and (target.name not in task.avoid or not plan.has_other(task))
+                and job.request.need.fits(target.free)
+                and not (job.request.spread and _tasks_at(job, target) >= job.request.spread)
+            ):
                 return target
         return None
 
-    def _in_time(
-        self, now: float, job: JobRecord, good: list[TargetRecord], sound: list[TargetRecord]
-    ) -> list[TargetRecord]:
-        """Return the targets with room where the task ends in time; all if it does nowhere."""
-        due = job.first_sent + job.objective
-        slowest = (due - now) / job.length * self.typical_slowness
-        if any(target.slowness <= slowest for target in sound):
-            return [target for target in good if target.slowness <= slowest]
-        return good
+    # The choice.
 
-    def _least_loaded(self, targets: list[TargetRecord]) -> TargetRecord | None:
-        """Return a target of little load; entries that know the same choose differently."""
+    def _best(self, now: float, plan: _Plan, sound: list[_Candidate]) -> _Candidate | None:
+        job = plan.job
+        good = [c for c in sound if c.has_room]
+        if not good:
+            return None
+        slowest = (plan.due - OVERHEAD_SECONDS - now) / job.length
+        if job.request.rack and any(c.target.has_label(job.request.rack) for c in sound):
+            return self._by_rack(now, plan, good, sound)
+        margin = _margin(job)
+        likely = slowest / (1 + LIKELY * (margin - 1))
+        if any(c.kind <= likely for c in sound):
+            hopeful = [c for c in good if c.kind <= likely and c.slowness <= slowest]
+            return self._least_loaded(hopeful, slowest, margin)
+        if any(c.slowness <= slowest for c in sound):
+            return self._least_loaded([c for c in good if c.slowness <= slowest])
+        return self._late(now, job, good, slowest)
+
+    def _late(
+        self, now: float, job: JobRecord, good: list[_Candidate], slowest: float
+    ) -> _Candidate | None:
+        """Return a target for a task that is taken to be late anywhere: it may yet be in time."""
+        hopeful = [c for c in good if c.slowness * LATE_MARGIN <= slowest]
+        if hopeful:
+            return self._least_loaded(hopeful)
+        useful = [c for c in good if now + c.slowness * job.length <= job.useful_end]
+        return self._least_loaded(useful or good, float("inf"))
+
+    def _by_rack(
+        self, now: float, plan: _Plan, good: list[_Candidate], sound: list[_Candidate]
+    ) -> _Candidate | None:
+        """Return a target in the rack where the data lies; one elsewhere if that serves better."""
+        job = plan.job
+        near = [c for c in good if c.target.has_label(job.request.rack)]
+        timely = [c for c in near if now + c.slowness * job.length <= plan.due]
+        if timely:
+            return self._least_loaded(timely)
+        if self._awaits_rack(now, plan, sound):
+            return None
+        least = min(c.slowness for c in good)
+        return self._least_loaded([c for c in good if c.slowness <= least * ALIKE])
+
+    def _awaits_rack(self, now: float, plan: _Plan, sound: list[_Candidate]) -> bool:
+        """Whether a task had better wait for room near its data.
+
+        It does as long as it would end in time elsewhere too, and again from when it would only
+        end in time near its data. Once it is late anyway it goes where there is room, unless its
+        answer would come too late from there to be of any use.
+        """
+        job = plan.job
+        rack = job.request.rack
+        near = min(c.slowness for c in sound if c.target.has_label(rack)) * job.length
+        others = [c.slowness for c in sound if not c.target.has_label(rack)]
+        if not others:
+            return True
+        away = min(others) * job.length
+        elsewhere = plan.due - away - OVERHEAD_SECONDS
+        if now < elsewhere or elsewhere + 2 * OVERHEAD_SECONDS < now < plan.due - near:
+            return True
+        return now > elsewhere + 2 * OVERHEAD_SECONDS and now + away > job.useful_end
+
+    def _least_loaded(
+        self, candidates: list[_Candidate], slowest: float = 0.0, margin: float = 1.0
+    ) -> _Candidate | None:
+        """Return a target of little load and a short way; any of those that are alike.
+
+        With `slowest`, the most that a host may be slow, the chance to be late there counts too,
+        and hosts that are faster than usual are left to who needs them.
+        """
+        random = self._rng.random
+        best: _Candidate | None = None
+        least = float("inf")
+        for candidate in candidates:
+            cost = candidate.load + candidate.way + LOAD_STEP * random()
+            if slowest and candidate.kind < FAST:
+                cost += SPARE_FAST
+            if candidate.kind * margin > slowest > 0:
+                cost += (candidate.kind * margin - slowest) / (slowest * (margin - 1))
+            if cost < least:
+                best, least = candidate, cost
+        return best
 
-        def key(target: TargetRecord) -> tuple[int, bool, float]:
-            return int(target.load * LOAD_STEPS), target.hall != self._hall, self._rng.random()
 
-        return min(targets, key=key, default=None)
+def _margin(job: JobRecord) -> float:
+    """Return how many times its expected length the longest task of a job may take."""
+    return LENGTH_MARGIN + WIDTH_MARGIN * (job.request.count.bit_length() - 1)
 
 
 def _tasks_at(job: JobRecord, target: TargetRecord) -> int:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/room.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/room.py
@@ -22,6 +22,7 @@
         self._times = times
         self._usable: dict[str, list[TargetRecord]] = {}
         self._most: dict[str, Resources] = {}
+        self._kinds: dict[str, list[tuple[float, Resources]]] = {}
 
     def known(self, service: str) -> list[TargetRecord]:
         """Return the targets that have reported as ones of a service."""
@@ -38,10 +39,26 @@
     def may_have(self, service: str, need: Resources) -> bool:
         """Whether a target of a service may have room for a task; cheap, and never wrongly no."""
         if service not in self._most:
-            free = [t.free for t in self.usable(service)]
-            self._most[service] = Resources(
-                max((room.processor for room in free), default=-1),
-                max((room.memory for room in free), default=-1),
-                max((room.accelerators for room in free), default=-1),
-            )
+            self._most[service] = _most(t.free for t in self.usable(service))
         return need.fits(self._most[service])
+
+    def kinds(self, service: str) -> list[tuple[float, Resources]]:
+        """Return the factor of each kind of host there, and the most that may be free on one."""
+        if service not in self._kinds:
+            free: dict[float, list[Resources]] = {}
+            for target in self.usable(service):
+                free.setdefault(target.kind_factor, []).append(target.free)
+            self._kinds[service] = [(factor, _most(rooms)) for factor, rooms in free.items()]
+        return self._kinds[service]
+
+
+def _most(rooms: Iterable[Resources]) -> Resources:
+    """Return the largest of each kind of resource, from whichever room."""
+    most = Resources(-1, -1, -1)
+    for room in rooms:
+        most = Resources(
+            max(most.processor, room.processor),
+            max(most.memory, room.memory),
+            max(most.accelerators, room.accelerators),
+        )
+    return most
--- /dev/null
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/speeds.py
@@ -0,0 +1,291 @@
+"""How slow hosts are, by their kind: learned from ends, shared by entries, handed to new runners.
+
+A kind's factor says how many times as long a task takes there as elsewhere; what one runner
+differs by from its kind is its own deviation (`TargetRecord.deviation`). Both are learned by
+comparing the tasks of one job, which are alike, so that a wrong length says nothing of a host.
+That matters: the tasks that are thought to be short are those that slow hosts are given. Lengths
+are meant for a usual host (`typical`, the mean over the targets known).
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import exp, log
+from typing import final
+
+from paddleshunt_core.events import Log, note
+from paddleshunt_core.leased.jobs import OVERHEAD_SECONDS
+from paddleshunt_core.leased.targets import TargetRecord
+from paddleshunt_core.leased.wire import KindSpeed, SpeedNews
+
+MEMORY_ENDS = 200.0
+"""Ends that count in a kind's factor at most: a change of it is followed within about so many."""
+
+LENGTH_WEIGHT = 0.02
+"""Weight, in ends, of a task's time against its expected length, for its kind.
+
+It counts only where next to no job has run on two kinds: slow hosts are given what is thought too
+short, which makes them look slower still.
+"""
+
+COMPARED_ENOUGH = 4.0
+"""Ends behind a factor from which lengths say nothing of the kind any more."""
+
+LENGTH_WEIGHT_ALONE = 0.3
+"""The same for a runner's deviation, where a job has no other task to compare with."""
+
+BELIEF_ENDS = 1.0
+"""Weight, in ends, of the belief that a kind is like any other."""
+
+FARTHEST_STEP = 0.3
+"""Most that an end may differ from its kind's factor, as a logarithm, in what is learned from it.
+
+A few runners that turn slow then say little of their kind; their deviation takes it up.
+"""
+
+SURPRISE = 0.95
+"""What is left of the evidence after an end that differs by more than that.
+
+One runner that turned slow gives few of them; a factor that is wrong, or a kind that has changed,
+gives nothing else, and is so followed within some hundred ends however much evidence there was.
+"""
+
+FARTHEST_FACTOR = 8.0
+"""By which factor a kind may be slower or faster than a usual one, whoever says so."""
+
+FARTHEST_LOG = log(FARTHEST_FACTOR)
+
+HALF_LIFE = 300.0
+"""Seconds without an end after which half of the evidence on a kind is left.
+
+A factor fades to 1 with its evidence, so a kind that is avoided for it is tried again.
+"""
+
+LEAST_TOLD = 20.0
+"""Ends of its own below which an entry tells the others nothing of a kind."""
+
+TOLD_CHANGE = 0.05
+"""Change of a factor, as a logarithm, from which the others are told again."""
+
+TOLD_GROWTH = 2.0
+"""By how many times the ends behind a factor must have grown for the others to be told again."""
+
+TRUSTED_MORE = 2.0
+"""How many times an entry's own evidence another's must be for its word to be taken."""
+
+LEAST_SECONDS = 0.001
+"""Shortest time that a task is taken to need."""
+
+MOST_KINDS = 64
+"""Kinds that are remembered; a fleet has a few, and a name that is told may be nonsense."""
+
+LONGEST_NAME = 200
+"""Characters of a service's or kind's name that is taken from another entry."""
+
+Kind = tuple[str, str]
+"""A service and the kind of host on which its tasks run."""
+
+
+@final
+class _Sample:
+    """How long one task of a job worked, and the length that it tells of, as a logarithm."""
+
+    def __init__(self, target: TargetRecord, work: float) -> None:
+        assert target.report is not None  # noqa: S101
+        self.target = target
+        self.kind: Kind = (target.report.service, target.report.kind)
+        usual = log(max(LEAST_SECONDS, work) / target.kind_factor)
+        self.length = usual - log(target.deviation)
+        """By what is known of the runner itself."""
+        self.kind_length = usual
+        """By what is known of its kind: a factor must not lean on deviations, nor they on it."""
+
+
+@final
+@dataclass(slots=True)
+class _Evidence:
+    """What is known of one kind."""
+
+    log_factor: float = 0.0
+    weight: float = 0.0
+    """Ends that count; those that another entry saw included."""
+    own: float = 0.0
+    """Ends that this entry saw itself."""
+    paired: float = 0.0
+    """Ends that were compared with others of their job, or told."""
+    told: float = 0.0
+    """The logarithm that the others were told last."""
+    told_own: float = 0.0
+
+    @property
+    def factor(self) -> float:
+        """How many times as long tasks take there; close to 1 with little evidence."""
+        return exp(self.log_factor * self.weight / (self.weight + BELIEF_ENDS))
+
+    def compared(self, log_ratio: float, weight: float) -> None:
+        """Note how many times as long a task took as the factor says, as a logarithm."""
+        if abs(log_ratio) > FARTHEST_STEP:
+            self.weight *= SURPRISE
+        self.weight = min(self.weight + weight, MEMORY_ENDS)
+        self.own = min(self.own + weight, MEMORY_ENDS)
+        step = min(FARTHEST_STEP, max(-FARTHEST_STEP, log_ratio))
+        moved = self.log_factor + step * weight / (self.weight + BELIEF_ENDS)
+        self.log_factor = min(FARTHEST_LOG, max(-FARTHEST_LOG, moved))
+
+    def is_news(self) -> bool:
+        """Whether the others don't know yet what was learned here."""
+        if self.own < LEAST_TOLD:
+            return False
+        changed = abs(self.log_factor - self.told) > TOLD_CHANGE
+        return changed or self.own > TOLD_GROWTH * self.told_own
+
+
+@final
+class Speeds:
+    """The factors of all kinds that an entry knows."""
+
+    def __init__(self) -> None:
+        self._kinds: dict[Kind, _Evidence] = {}
+        self._typical: dict[str, float] = {}
+        self._faded: float | None = None
+
+    def typical(self, service: str) -> float:
+        """Return the slowness of a usual host; a job's length is meant for such a one."""
+        return self._typical.get(service, 1.0)
+
+    def factor(self, service: str, kind: str) -> float:
+        """Return how many times as long as expected tasks take on a kind of host."""
+        known = self._kinds.get((service, kind))
+        return known.factor if known is not None else 1.0
+
+    def reported(self, target: TargetRecord) -> None:
+        """Give a target the factor of the kind that its report names."""
+        report = target.report
+        if report is not None:
+            target.kind_factor = self.factor(report.service, report.kind)
+
+    def compare_tasks(self, length: float, done: Iterable[tuple[TargetRecord, float]]) -> None:
+        """Learn from a job that has ended: where each of its tasks worked for how many seconds.
+
+        `length` is what one was expected to take. Only tasks of runners that are well count.
+        """
+        samples = [_Sample(*each) for each in done if each[0].report is not None]
+        expected = log(max(LEAST_SECONDS, length))
+        for sample in samples:
+            others = [s.kind_length for s in samples if s.kind != sample.kind]
+            evidence = self._evidence(sample.kind)
+            if others:
+                usual = sum(others) / len(others)
+                weight = len(others) / (len(others) + 1)
+                evidence.compared(sample.kind_length - usual, weight)
+                evidence.paired = min(evidence.paired + weight, MEMORY_ENDS)
+            elif evidence.paired < COMPARED_ENOUGH:
+                evidence.compared(sample.kind_length - expected, LENGTH_WEIGHT)
+        for sample in samples:
+            others = [s.length for s in samples if s is not sample]
+            if others:
+                sample.target.took(exp(sample.length - sum(others) / len(others)), 1.0)
+            else:
+                sample.target.took(exp(sample.length - expected), LENGTH_WEIGHT_ALONE)
+            self.reported(sample.target)
+
+    def compare(self, now: float, targets: Iterable[TargetRecord]) -> None:
+        """Note how slow hosts usually are, and let go of what has not shown for a while."""
+        seconds = 0.0 if self._faded is None else max(0.0, now - self._faded)
+        self._faded = now
+        left = 0.5 ** (seconds / HALF_LIFE)
+        for evidence in self._kinds.values():
+            evidence.weight *= left
+            evidence.own *= left
+            evidence.paired *= left
+        factors: dict[str, list[float]] = {}
+        for target in targets:
+            if target.report is not None:
+                target.faded(seconds)
+                self.reported(target)
+                factors.setdefault(target.report.service, []).append(target.kind_factor)
+        self._typical = {name: sum(each) / len(each) for name, each in factors.items()}
+
+    def all(self) -> list[KindSpeed]:
+        """Return what is known of each kind, for operators; other entries are told less."""
+        return [self._word(kind, evidence) for kind, evidence in self._kinds.items()]
+
+    # Other entries.
+
+    def known(self) -> SpeedNews | None:
+        """Return all that was learned here, for an entry that was just met."""
+        kinds = [
+            self._word(kind, evidence)
+            for kind, evidence in self._kinds.items()
+            if evidence.own >= LEAST_TOLD
+        ]
+        return SpeedNews(kinds) if kinds else None
+
+    def news(self) -> SpeedNews | None:
+        """Return what was learned here since the last call; None if that is nothing."""
+        kinds = []
+        for kind, evidence in self._kinds.items():
+            if evidence.is_news():
+                evidence.told, evidence.told_own = evidence.log_factor, evidence.own
+                kinds.append(self._word(kind, evidence))
+        return SpeedNews(kinds) if kinds else None
+
+    def told(self, news: SpeedNews) -> list[KindSpeed]:
+        """Take another entry's word where it knows much more, and return what was taken.
+
+        What is taken counts for half, so that ends seen here soon weigh more, and is told to
+        nobody: no word comes back as another's.
+        """
+        return [word for word in news.kinds[:MOST_KINDS] if self._adopt(word)]
+
+    def _adopt(self, word: KindSpeed) -> bool:
+        kind = (word.service, word.kind)
+        known = self._kinds.get(kind)
+        ends = min(float(word.ends), MEMORY_ENDS)
+        if not _is_sensible(word) or ends <= TRUSTED_MORE * (known.weight if known else 0.0):
+            return False
+        if known is None:
+            if len(self._kinds) >= MOST_KINDS:
+                return False
+            known = self._kinds[kind] = _Evidence()
+        factor = word.slowness_thousandths / 1000 * self.typical(word.service)
+        known.log_factor = log(min(FARTHEST_FACTOR, max(1 / FARTHEST_FACTOR, factor)))
+        known.weight = known.paired = ends / TRUSTED_MORE
+        return True
+
+    def _word(self, kind: Kind, evidence: _Evidence) -> KindSpeed:
+        service, name = kind
+        slowness = evidence.factor / self.typical(service)
+        return KindSpeed(service, name, round(1000 * slowness), round(evidence.own))
+
+    def _evidence(self, kind: Kind) -> _Evidence:
+        """Return what is known of a kind; that with the least evidence is forgotten for a new."""
+        known = self._kinds.get(kind)
+        if known is None:
+            if len(self._kinds) >= MOST_KINDS:
+                least = min(self._kinds, key=lambda each: self._kinds[each].weight)
+                del self._kinds[least]
+            known = self._kinds[kind] = _Evidence()
+        return known
+
+
+def work_of(took: float) -> float:
+    """Return how long a run worked that took so many seconds from its sending to its end."""
+    return max(took / 2, took - OVERHEAD_SECONDS)
+
+
+def kind_note(word: KindSpeed, source: str) -> Log:
+    """Return the line that says what was taken from another entry."""
+    fields: dict[str, str | int | float] = {
+        "service": word.service,
+        "kind": word.kind,
+        "slowness": word.slowness_thousandths / 1000,
+        "ends": word.ends,
+        "source": source,
+    }
+    return note("kind_speed_taken", **fields)
+
+
+def _is_sensible(word: KindSpeed) -> bool:
+    """Whether another entry's word may be meant; its size is bounded where it is taken."""
+    named = max(len(word.service), len(word.kind)) <= LONGEST_NAME
+    return named and word.slowness_thousandths > 0 and word.ends > 0
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -9,11 +9,14 @@
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import Frame, Health, RunId, RunnerReport, RunnerState
 
-SLOWNESS_STEP = 0.05
-"""Weight of one end in a target's slowness: about the last 20 ends count."""
+DEVIATION_STEP = 0.05
+"""Weight of one end in a target's deviation from its kind: about the last 20 ends count."""
 
-SLOWNESS_LIMITS = (0.5, 3.0)
-"""Bounds of what one end may say of a target's slowness; beyond, the runner's health decides."""
+DEVIATION_LIMITS = (0.5, 3.0)
+"""Bounds of what one end may say of a deviation; beyond, the runner's health decides."""
+
+DEVIATION_SECONDS = 60.0
+"""Seconds in which a deviation fades to a third: a slow spell ends, and nobody tells of it."""
 
 FRESH_HEARTBEATS = 2.0
 """Heartbeats without a word after which a target is given nothing new."""
@@ -42,17 +45,22 @@
     held: set[RunId] = field(default_factory=set)
     backoff: float = 0.0
     """Until when nothing is sent there, as it gave a task back."""
-    slowness: float = 1.0
-    """How many times as long as expected its runner's tasks take, over the last ends."""
+    deviation: float = 1.0
+    """How many times as long its runner's tasks take as its kind's usually do."""
+    kind_factor: float = 1.0
+    """How many times as long as expected tasks take on its runner's kind of host."""
     told_want: str = ""
     """Key of the waiting job that it was told of last; empty if it has none to go by."""
     told_need: Resources = NOTHING
     told_at: float = 0.0
+    runner: str = ""
+    """The life of its runner that reported last."""
 
     def take_report(self, now: float, report: RunnerReport) -> None:
-        """Adopt a report; another life of the runner may be of another kind."""
-        if self.report is not None and self.report.runner != report.runner:
-            self.slowness = 1.0
+        """Adopt a report; another life of the runner has yet to show how it differs."""
+        if self.runner != report.runner:
+            self.deviation = 1.0
+            self.runner = report.runner
         self.report = report
         self.reported = now
 
@@ -78,10 +86,20 @@
             _, need = self.unseen.popleft()
             self.on_way -= need
 
-    def took(self, ratio: float) -> None:
-        """Note that a task took `ratio` times as long as was expected."""
-        least, most = SLOWNESS_LIMITS
-        self.slowness += SLOWNESS_STEP * (min(most, max(least, ratio)) - self.slowness)
+    @property
+    def slowness(self) -> float:
+        """How many times as long as expected its runner's tasks take."""
+        return self.kind_factor * self.deviation
+
+    def took(self, ratio: float, weight: float = 1.0) -> None:
+        """Note that a task took `ratio` times as long as was expected of this runner."""
+        least, most = DEVIATION_LIMITS
+        shown = min(most, max(least, ratio * self.deviation))
+        self.deviation += DEVIATION_STEP * weight * (shown - self.deviation)
+
+    def faded(self, seconds: float) -> None:
+        """Let the deviation fade by the passing of so many seconds."""
+        self.deviation += (1.0 - self.deviation) * min(1.0, seconds / DEVIATION_SECONDS)
 
     def is_fresh(self, now: float, times: LeaseTimes) -> bool:
         """Whether it was heard just now over a connection that stands."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -125,7 +125,8 @@
 class RunnerReport(_Body, frozen=True, tag=5):
     """State of a runner.
 
-    `labels` say what kind of host the runner's is, and in which rack it stands.
+    `labels` say what kind of host the runner's is, and in which rack it stands; `kind` is the one
+    of them that is no rack, empty if none is.
     """
 
     service: str
@@ -135,6 +136,7 @@
     capacity: Resources
     free: Resources
     labels: tuple[str, ...] = ()
+    kind: str = ""
 
 
 @final
@@ -211,6 +213,26 @@
     loss: LossId
 
 
+@final
+class KindSpeed(msgspec.Struct, frozen=True, array_like=True):
+    """How slow a kind of host runs a service's tasks, against a usual host, in thousandths.
+
+    `ends` is how many ends of tasks the sender has seen there itself that still count.
+    """
+
+    service: str
+    kind: str
+    slowness_thousandths: int
+    ends: int
+
+
+@final
+class SpeedNews(_Body, frozen=True, tag=17):
+    """What the sender has learned of how slow kinds of hosts are."""
+
+    kinds: list[KindSpeed]
+
+
 Body = (
     Assign
     | Stop
@@ -225,6 +247,7 @@
     | EvacuationNews
     | RunnerLost
     | RunnerReturned
+    | SpeedNews
 )
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -383,6 +383,7 @@
             capacity=account.capacity if account else NOTHING,
             free=shown,
             labels=account.labels if account else (),
+            kind=account.kind if account else "",
         )
 
     def _collect(self, now: float) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -5,6 +5,7 @@
 
 from paddleshunt_core.leased.catalog import Catalog
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
+from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.wire import (
     Body,
     CatalogNews,
@@ -17,6 +18,7 @@
     Hello,
     RunnerLost,
     RunnerReturned,
+    SpeedNews,
 )
 
 from paddleshunt_node.aio import clock
@@ -56,6 +58,13 @@
     def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
         """Take another entry's word on a lost runner."""
 
+    @property
+    def speeds(self) -> Speeds:
+        """What is known of how slow the kinds of hosts are."""
+
+    def told_speeds(self, news: SpeedNews, source: str) -> None:
+        """Take another entry's word on kinds of hosts."""
+
     def found(self, entry: EntryAddress) -> None:
         """Take note of an entry that is new, or has moved."""
 
@@ -133,7 +142,8 @@
 
         A round tells each entry no more than the versions, so that its bytes grow with the entries
         and not with their square. Who lives is told when an entry is met; one other entry a round
-        gets the whole list, in turn, in case it missed something.
+        gets the whole list, in turn, in case it missed something. How slow kinds of hosts are is
+        told when it has changed.
         """
         while True:
             self._tell_changes()
@@ -141,6 +151,9 @@
                 CatalogVersion(self._owner.catalog.version),
                 EvacuationNews(self._owner.evacuations.known),
             )
+            learned = self._owner.speeds.news()
+            if learned is not None:
+                self._send_all(learned)
             links = self._dialer.links()
             if links:
                 self._turn = (self._turn + 1) % len(links)
@@ -170,9 +183,11 @@
     # Connections that this entry has made.
 
     def opened(self, link: PeerLink) -> None:
-        """Greet an entry that was dialled, and tell it all others and which runners were lost."""
+        """Greet an entry that was dialled; tell it all others, lost runners and kinds of hosts."""
         link.send(self._greeting)
-        link.send(_loose(Entries(self.live()), *self._owner.known_losses()))
+        speeds = self._owner.speeds.known()
+        known: list[Body] = [*self._owner.known_losses(), *([speeds] if speeds else [])]
+        link.send(_loose(Entries(self.live()), *known))
 
     def greeted(self, link: PeerLink, hello: Hello) -> None:
         """Take the greeting of an entry that was dialled."""
@@ -197,6 +212,8 @@
                 self._owner.learn(body.evacuated, link.peer)
             case RunnerLost() | RunnerReturned():
                 self._owner.told_loss(body, link.peer)
+            case SpeedNews():
+                self._owner.told_speeds(body, link.peer)
             case CatalogNews():
                 self._owner.adopt(body.catalog, link.peer)
             case CatalogVersion():
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -13,6 +13,7 @@
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
 from paddleshunt_core.leased.outcomes import AnswerJob, Completed, HandOn
 from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.wire import (
     Entries,
     EntryAddress,
@@ -21,6 +22,7 @@
     Hello,
     RunnerLost,
     RunnerReturned,
+    SpeedNews,
 )
 
 from paddleshunt_node.aio import clock
@@ -80,7 +82,12 @@
         self._life = os.urandom(6).hex()
         bounds = config.bounds
         self._dispatcher = Dispatcher(
-            self._times, config.hall, Random(), bounds.remote_factor, bounds.caller_delay
+            self._times,
+            config.hall,
+            Random(),
+            bounds.remote_factor,
+            bounds.caller_delay,
+            bounds.hall_preference,
         )
         self.catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
@@ -168,6 +175,18 @@
             "paddleshunt_report_age_seconds", "Age of the oldest target's report.", self._report_age
         )
 
+        measures.family(
+            "paddleshunt_kind_slowness",
+            "How many times as long tasks take on a kind of host as on a usual one.",
+            self._kind_slowness,
+        )
+
+    def _kind_slowness(self) -> list[tuple[dict[str, str], float]]:
+        return [
+            ({"service": word.service, "kind": word.kind}, word.slowness_thousandths / 1000)
+            for word in self._dispatcher.speeds.all()
+        ]
+
     def _report_age(self) -> float:
         now = self._now()
         ages = [now - t.reported for t in self._dispatcher.targets() if t.report is not None]
@@ -311,6 +330,15 @@
         """Take another entry's word on a lost runner."""
         self._act(self._dispatcher.told_loss(self._now(), news, source))
 
+    @property
+    def speeds(self) -> Speeds:
+        """What is known of how slow the kinds of hosts are."""
+        return self._dispatcher.speeds
+
+    def told_speeds(self, news: SpeedNews, source: str) -> None:
+        """Take another entry's word on kinds of hosts."""
+        self._act(self._dispatcher.told_speeds(self._now(), news, source))
+
     # The operator's word.
 
     @property
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
@@ -9,6 +9,9 @@
 STAGE_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
 """Upper bounds of the latency histograms, in seconds."""
 
+Labelled = list[tuple[dict[str, str], float]]
+"""Values of one gauge, each with its labels."""
+
 
 @final
 class Measures:
@@ -34,6 +37,7 @@
             "paddleshunt_events_total", "Events of the log.", registry=self._registry
         )
         self._gauges: list[tuple[Gauge, Callable[[], float]]] = []
+        self._families: list[tuple[Gauge, Callable[[], Labelled]]] = []
 
     def answered(self, outcome: str, reason: str) -> None:
         """Count an answer to a caller."""
@@ -51,6 +55,10 @@
         """Add a gauge whose value is read for each page."""
         self._gauges.append((Gauge(name, doc, registry=self._registry), read))
 
+    def family(self, name: str, doc: str, read: Callable[[], Labelled]) -> None:
+        """Add a gauge with labels whose values are read for each page."""
+        self._families.append((Gauge(name, doc, registry=self._registry), read))
+
     def event(self, name: str) -> None:
         """Count an event."""
         self._events.inc({"event": name})
@@ -59,5 +67,8 @@
         """Return the page of all figures."""
         for gauge, read in self._gauges:
             gauge.set({}, read())
+        for gauge, read_all in self._families:
+            for labels, value in read_all():
+                gauge.set(labels, value)
         page: bytes = text.TextFormatter().marshall(self._registry)
         return page
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -74,6 +74,7 @@
     grace_s: SecondsBound = 6.0
     remote_factor: Annotated[float, Meta(ge=1, le=100)] = 1.5
     caller_delay_ms: Annotated[float, Meta(ge=0, le=1000)] = 4.0
+    hall_preference: Annotated[float, Meta(ge=0, le=1)] = 0.2
 
 
 @final
@@ -119,6 +120,7 @@
         config_apply=given.config_apply_ms / 1000,
         remote_factor=given.remote_factor,
         caller_delay=given.caller_delay_ms / 1000,
+        hall_preference=given.hall_preference,
     )
 
 
--- a/testing/council/test_registration.py
+++ b/testing/council/test_registration.py
@@ -27,6 +27,7 @@
         remaining=1.5,
         labels=("a",),
         sequence=4,
+        kind="a",
     )
 
 
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -23,12 +23,13 @@
 )
 from paddleshunt_core.leased.outcomes import HandOn, JobOutcome
 from paddleshunt_core.leased.resources import Resources
-from paddleshunt_core.leased.wire import Frame, Hello, TaskId
+from paddleshunt_core.leased.wire import Frame, Hello, SpeedNews, TaskId
 from paddleshunt_core.leased.worker import Worker
 
 STEP = 0.01
 LINK_DELAY = 0.002
 CONNECT_SECONDS = 0.25
+GOSSIP_SECONDS = 0.4
 
 AWAY_SECONDS = 3.4
 """Seconds after which a runner that a task has crashed is back, as another life."""
@@ -92,6 +93,7 @@
         self._next_dial: dict[tuple[str, str], float] = {}
         self._beats: dict[str, float] = {}
         self._callers = 0
+        self._gossip = 0.0
 
     def _dispatcher(self) -> Dispatcher:
         return Dispatcher(self.times, "hall", Random(7))
@@ -143,6 +145,9 @@
         node.life += 1
         if name in self.entries:
             self.dispatchers[name] = self._dispatcher()
+            for other, dispatcher in self.dispatchers.items():
+                if other != name and self.entries[other].moves:
+                    self._hear_speeds(name, dispatcher.speeds.known(), other)
         else:
             self.workers[name] = Worker(self.times)
 
@@ -176,11 +181,7 @@
 
     def step(self) -> None:
         self.now += STEP
-        for runner in self.runners.values():
-            if runner.up:
-                runner.step(self.now, STEP)
-            elif runner.crashed_at is not None and self.now > runner.crashed_at + AWAY_SECONDS:
-                runner.restart()
+        self._step_runners()
         self._carry_out_late()
         self._dial()
         for pair in list(self.links):
@@ -193,8 +194,18 @@
                 self._act_entry(name, self.dispatchers[name].tick(self.now))
         for pair in list(self.links):
             self._send(pair)
+        if self.now >= self._gossip:
+            self._gossip = self.now + GOSSIP_SECONDS
+            self._tell_speeds()
         self.check()
 
+    def _step_runners(self) -> None:
+        for runner in self.runners.values():
+            if runner.up:
+                runner.step(self.now, STEP)
+            elif runner.crashed_at is not None and self.now > runner.crashed_at + AWAY_SECONDS:
+                runner.restart()
+
     def check(self) -> None:
         """Hold the rules that must never break."""
         running: Counter[TaskId] = Counter()
@@ -307,7 +318,14 @@
         if runner.up and self.now >= self._beats.get(name, 0.0):
             self._beats[name] = self.now + 0.3
             account = RunnerAccount(
-                f"{name}-{runner.life}", "svc", "hall", runner.capacity, False, None
+                f"{name}-{runner.life}",
+                "svc",
+                "hall",
+                runner.capacity,
+                False,
+                None,
+                runner.labels,
+                kind=runner.kind,
             )
             self._act_target(name, worker.runner_spoke(self.now, account))
         self._act_target(name, worker.tick(self.now))
@@ -364,6 +382,18 @@
                 dispatcher = self.dispatchers[other]
                 self._act_entry(other, dispatcher.told_loss(self.now, effect.news, name))
 
+    def _tell_speeds(self) -> None:
+        for name, node in self.entries.items():
+            news = self.dispatchers[name].speeds.news() if node.moves else None
+            for other, theirs in self.entries.items():
+                if other != name and theirs.moves:
+                    self._hear_speeds(other, news, name)
+
+    def _hear_speeds(self, name: str, news: SpeedNews | None, source: str) -> None:
+        if news is not None:
+            dispatcher = self.dispatchers[name]
+            self._act_entry(name, dispatcher.told_speeds(self.now, news, source))
+
     def _note(self, log: object) -> None:
         self.events.append((self.now, log.event, log.submission))  # type: ignore[attr-defined]
 
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -74,6 +74,8 @@
         self.up = True
         self.life = 1
         self.speed = 1.0
+        self.kind = ""
+        self.labels: tuple[str, ...] = ()
         self.fails = False
         self.mute = False
         self.refuses = False
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -7,6 +7,7 @@
 import pytest
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
+from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.wire import (
     Entries,
     EntryAddress,
@@ -16,6 +17,7 @@
     LossId,
     RunnerLost,
     RunnerReturned,
+    SpeedNews,
     TaskId,
 )
 from paddleshunt_node.aio import entrypeers
@@ -37,6 +39,8 @@
         self.evacuations = Evacuations()
         self.told: list[EntryChanges] = []
         self.losses = [LOST]
+        self.speeds = Speeds()
+        self.told_kinds: list[tuple[SpeedNews, str]] = []
         self.heard: list[tuple[RunnerLost | RunnerReturned, str]] = []
 
     def adopt(self, catalog: Catalog, source: str) -> None:
@@ -54,6 +58,9 @@
     def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
         self.heard.append((news, source))
 
+    def told_speeds(self, news: SpeedNews, source: str) -> None:
+        self.told_kinds.append((news, source))
+
     def tell_targets(self, changes: EntryChanges) -> None:
         self.told.append(changes)
 
