--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -49,6 +49,9 @@
 ALIKE = 1.1
 """Targets count as equally fast up to this factor; a deviation is known no better."""
 
+ROUNDING = 0.001
+"""Slowness by which a host may be too slow: two hosts of a kind are equally slow."""
+
 LATE_MARGIN = 0.8
 """Part of its expected length that a task may take at the least: it may be in time after all."""
 
@@ -216,10 +219,11 @@
         good = [c for c in sound if c.has_room]
         if not good:
             return None
-        slowest = (plan.due - OVERHEAD_SECONDS - now) / job.length
+        slowest = (plan.due - OVERHEAD_SECONDS - now) / job.length + ROUNDING
         if job.request.rack and any(c.target.has_label(job.request.rack) for c in sound):
             return self._by_rack(now, plan, good, sound)
-        margin = _margin(job)
+        # Beside a task of the job that ends late it is enough to end no later: no margin is needed.
+        margin = _margin(job) if plan.due <= job.due else 1.0
         likely = slowest / (1 + LIKELY * (margin - 1))
         if any(c.kind <= likely for c in sound):
             hopeful = [c for c in good if c.kind <= likely and c.slowness <= slowest]
@@ -247,12 +251,14 @@
         timely = [c for c in near if now + c.slowness * job.length <= plan.due]
         if timely:
             return self._least_loaded(timely)
-        if self._awaits_rack(now, plan, sound):
+        if self._awaits_rack(now, plan, sound, has_room=bool(near)):
             return None
         least = min(c.slowness for c in good)
         return self._least_loaded([c for c in good if c.slowness <= least * ALIKE])
 
-    def _awaits_rack(self, now: float, plan: _Plan, sound: list[_Candidate]) -> bool:
+    def _awaits_rack(
+        self, now: float, plan: _Plan, sound: list[_Candidate], *, has_room: bool
+    ) -> bool:
         """Whether a task had better wait for room near its data.
 
         It does as long as it would end in time elsewhere too, and again from when it would only
@@ -264,12 +270,12 @@
         near = min(c.slowness for c in sound if c.target.has_label(rack)) * job.length
         others = [c.slowness for c in sound if not c.target.has_label(rack)]
         if not others:
-            return True
+            return not has_room
         away = min(others) * job.length
         elsewhere = plan.due - away - OVERHEAD_SECONDS
-        if now < elsewhere or elsewhere + 2 * OVERHEAD_SECONDS < now < plan.due - near:
-            return True
-        return now > elsewhere + 2 * OVERHEAD_SECONDS and now + away > job.useful_end
+        if now < plan.due - near:
+            return now < elsewhere or elsewhere + 2 * OVERHEAD_SECONDS < now
+        return now + away > job.useful_end and not has_room
 
     def _least_loaded(
         self, candidates: list[_Candidate], slowest: float = 0.0, margin: float = 1.0
