Prove heard speeds by own ends, and never judge a fast kind by less than the usual length

Found by the test of an entry that is told nonsense: a kind taken for eight times as fast as it is got estimates so short that its targets counted as sick, nothing was learned from them any more, and the word stayed for ever.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -63,7 +63,11 @@
 def _send(
     now: float, job: JobRecord, target: TargetRecord, tasks: list[TaskRecord], typical: float
 ) -> Log:
-    """Send tasks; a target judges its runner by what its kind of host usually takes."""
+    """Send tasks; a target judges its runner by the estimate, so a slow kind is given more time.
+
+    A fast one is not given less: nothing is learned from a runner that counts as sick, so a factor
+    that is wrong would stay.
+    """
     assert target.session is not None  # noqa: S101
     request = job.request
     message = Assign(
@@ -71,7 +75,7 @@
         step=0,
         spec=request.spec,
         need=request.need,
-        estimate_ms=round(job.length * target.kind_factor / typical * 1000),
+        estimate_ms=round(job.length * max(1.0, target.kind_factor / typical) * 1000),
         expires_ms=round((job.expires - now) * 1000),
         runs=[(task.id.index, task.number) for task in tasks],
     )
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -49,6 +49,9 @@
 ALIKE = 1.1
 """Targets count as equally fast up to this factor; a deviation is known no better."""
 
+COMPARING_SHARE = 0.1
+"""Part of the jobs that are spread over kinds of hosts whose speeds were not seen here yet."""
+
 ROUNDING = 0.001
 """Slowness by which a host may be too slow: two hosts of a kind are equally slow."""
 
@@ -185,7 +188,9 @@
         """Return the job's plan; between two tasks of it only the last one's target has changed."""
         plan = self._plan
         if plan is None or plan.able is not able or plan.job is not job or plan.now != now:
-            sound = [self._candidate(job, t) for t in able if not t.on_probation]
+            service = job.queue.service
+            even = self._speeds.is_unproven(service) and self._rng.random() < COMPARING_SHARE
+            sound = [self._candidate(job, t, even=even) for t in able if not t.on_probation]
             for candidate in sound:
                 candidate.look(job)
             plan = self._plan = _Plan(now, job, able, sound)
@@ -195,8 +200,10 @@
             plan.last = None
         return plan
 
-    def _candidate(self, job: JobRecord, target: TargetRecord) -> _Candidate:
-        factor = self.away_factor(job, target) / self._speeds.typical(job.queue.service)
+    def _candidate(self, job: JobRecord, target: TargetRecord, *, even: bool) -> _Candidate:
+        """Return a candidate; with `even`, as if hosts of all kinds were alike."""
+        usual = target.kind_factor if even else self._speeds.typical(job.queue.service)
+        factor = self.away_factor(job, target) / usual
         way = 0.0 if target.hall == self._hall else self._hall_preference
         return _Candidate(target, target.slowness * factor, target.kind_factor * factor, way)
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/speeds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/speeds.py
@@ -42,7 +42,7 @@
 A few runners that turn slow then say little of their kind; their deviation takes it up.
 """
 
-SURPRISE = 0.95
+SURPRISE = 0.9
 """What is left of the evidence after an end that differs by more than that.
 
 One runner that turned slow gives few of them; a factor that is wrong, or a kind that has changed,
@@ -60,9 +60,18 @@
 A factor fades to 1 with its evidence, so a kind that is avoided for it is tried again.
 """
 
-LEAST_TOLD = 20.0
+LEAST_TOLD = 5.0
 """Ends of its own below which an entry tells the others nothing of a kind."""
 
+PROVEN = 10.0
+"""Ends of its own below which an entry has yet to see for itself how slow a kind is.
+
+Ends that all surprise never come to so many: a tenth of the evidence goes with each.
+"""
+
+FARTHEST_WORD = 4.0
+"""By which factor a kind may differ from a usual one for another entry's word to be taken so."""
+
 TOLD_CHANGE = 0.05
 """Change of a factor, as a logarithm, from which the others are told again."""
 
@@ -125,6 +134,7 @@
         """Note how many times as long a task took as the factor says, as a logarithm."""
         if abs(log_ratio) > FARTHEST_STEP:
             self.weight *= SURPRISE
+            self.own *= SURPRISE
         self.weight = min(self.weight + weight, MEMORY_ENDS)
         self.own = min(self.own + weight, MEMORY_ENDS)
         step = min(FARTHEST_STEP, max(-FARTHEST_STEP, log_ratio))
@@ -146,6 +156,7 @@
     def __init__(self) -> None:
         self._kinds: dict[Kind, _Evidence] = {}
         self._typical: dict[str, float] = {}
+        self._unproven: set[str] = set()
         self._faded: float | None = None
 
     def typical(self, service: str) -> float:
@@ -157,6 +168,17 @@
         known = self._kinds.get((service, kind))
         return known.factor if known is not None else 1.0
 
+    def is_unproven(self, service: str) -> bool:
+        """Whether what is known of a service's kinds was not seen here: jobs must run on several.
+
+        A factor that is wrong keeps jobs from one of two kinds, and so from what would show it.
+        """
+        return service in self._unproven
+
+    def _is_proven(self, kind: Kind) -> bool:
+        known = self._kinds.get(kind)
+        return known is not None and known.own >= PROVEN
+
     def reported(self, target: TargetRecord) -> None:
         """Give a target the factor of the kind that its report names."""
         report = target.report
@@ -198,11 +220,18 @@
             evidence.own *= left
             evidence.paired *= left
         factors: dict[str, list[float]] = {}
+        kinds: dict[str, set[str]] = {}
         for target in targets:
             if target.report is not None:
                 target.faded(seconds)
                 self.reported(target)
                 factors.setdefault(target.report.service, []).append(target.kind_factor)
+                kinds.setdefault(target.report.service, set()).add(target.report.kind)
+        self._unproven = {
+            service
+            for service, names in kinds.items()
+            if len(names) > 1 and not all(self._is_proven((service, name)) for name in names)
+        }
         self._typical = {name: sum(each) / len(each) for name, each in factors.items()}
 
     def all(self) -> list[KindSpeed]:
@@ -247,9 +276,11 @@
             if len(self._kinds) >= MOST_KINDS:
                 return False
             known = self._kinds[kind] = _Evidence()
-        factor = word.slowness_thousandths / 1000 * self.typical(word.service)
-        known.log_factor = log(min(FARTHEST_FACTOR, max(1 / FARTHEST_FACTOR, factor)))
+        slowness = min(FARTHEST_WORD, max(1 / FARTHEST_WORD, word.slowness_thousandths / 1000))
+        moved = log(slowness * self.typical(word.service))
         known.weight = known.paired = ends / TRUSTED_MORE
+        believed = moved * (known.weight + BELIEF_ENDS) / known.weight
+        known.log_factor = min(FARTHEST_LOG, max(-FARTHEST_LOG, believed))
         return True
 
     def _word(self, kind: Kind, evidence: _Evidence) -> KindSpeed:
--- a/testing/core/leased/test_speeds.py
+++ b/testing/core/leased/test_speeds.py
@@ -246,6 +246,18 @@
     assert len(speeds.all()) == MOST_KINDS
 
 
+def test_what_was_only_heard_is_to_be_proved() -> None:
+    speeds = Speeds()
+    targets = fleet("a", "b")
+    speeds.told(TOLD)
+    speeds.compare(0.0, targets)
+    assert speeds.is_unproven("svc")
+    teach(speeds, targets, 50)
+    assert not speeds.is_unproven("svc")
+    speeds.compare(0.0, targets[:1])
+    assert not speeds.is_unproven("svc")
+
+
 def test_what_was_heard_is_not_told_on() -> None:
     speeds = Speeds()
     speeds.told(TOLD)
@@ -256,7 +268,7 @@
 def test_the_others_are_told_only_what_has_changed() -> None:
     speeds = Speeds()
     targets = fleet("a", "a", "b")
-    teach(speeds, targets, 5)
+    teach(speeds, targets, 1)
     assert speeds.news() is None
     teach(speeds, targets, 300)
     told = speeds.news()
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -7,16 +7,22 @@
 import pytest
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
+from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.speeds import Speeds
+from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import (
     Entries,
     EntryAddress,
     EntryChanges,
     Frame,
+    Health,
     Hello,
+    KindSpeed,
     LossId,
     RunnerLost,
+    RunnerReport,
     RunnerReturned,
+    RunnerState,
     SpeedNews,
     TaskId,
 )
@@ -26,6 +32,7 @@
 OWN = EntryAddress("e0", "127.0.0.1:1", "life")
 LOST = RunnerLost(LossId("i-1", 1000), [TaskId("job", 0, 0)])
 RETURNED = RunnerReturned(LOST.loss)
+READY, GOOD, ROOM = RunnerState.READY, Health.GOOD, Resources(8000, 8000, 0)
 ROUND = 0.05
 BEAT_BYTES = 60
 """Bytes that a round may bring another entry: two versions, and the frame around them."""
@@ -188,3 +195,59 @@
         assert owner.heard == [(news, "e7")]
 
     play(monkeypatch, [], scene)
+
+
+KINDS = SpeedNews([KindSpeed("svc", "b", 1700, 120)])
+
+
+def learned(speeds: Speeds) -> None:
+    """Let an entry learn that one kind is slower than another."""
+    targets = []
+    for number, kind in enumerate("ab"):
+        record = TargetRecord(f"t{number}", "hall", "1")
+        record.take_report(0.0, RunnerReport("svc", "i", READY, GOOD, ROOM, ROOM, (kind,), kind))
+        targets.append(record)
+    for _ in range(100):
+        speeds.compare_tasks(0.4, [(targets[0], 0.28), (targets[1], 0.68)])
+
+
+def test_an_entry_that_is_met_hears_how_slow_kinds_of_hosts_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    link = Link()
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        learned(owner.speeds)
+        peers.opened(link)  # type: ignore[arg-type]
+        assert owner.speeds.known() in link.frames[-1].bodies
+
+    play(monkeypatch, [], scene)
+
+
+def test_a_round_tells_of_kinds_of_hosts_only_what_has_changed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = [Link()]
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        learned(owner.speeds)
+        task = asyncio.create_task(peers.gossip_for_ever())
+        await asyncio.sleep(4.5 * ROUND)
+        task.cancel()
+
+    play(monkeypatch, links, scene)
+    told = [body for frame in links[0].frames for body in frame.bodies if type(body) is SpeedNews]
+    assert len(told) == 1
+
+
+def test_another_entrys_word_on_kinds_of_hosts_is_followed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    link = Link()
+    link.peer = "e7"
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        peers.heard(link, Frame(1, 0, 0, 0, [KINDS]))  # type: ignore[arg-type]
+        assert owner.told_kinds == [(KINDS, "e7")]
+
+    play(monkeypatch, [], scene)
