--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -59,7 +59,8 @@
     SIGKILL. `config_apply`: in it, an accepted configuration is in force. `remote_factor`: how many
     times as long a task takes away from the rack where its data lies. `caller_delay`: the longest
     way of a packet from a caller to an entry. `cold_overrun`: how many times as long a task takes
-    on a runner that is cold after its start.
+    on a runner that is cold after its start. `hall_preference`: what the bytes of a way between
+    halls cost, as a share of a runner's room.
     """
 
     resend: float = 1.3
@@ -71,6 +72,7 @@
     remote_factor: float = 1.5
     caller_delay: float = 0.004
     cold_overrun: float = 1.5
+    hall_preference: float = 0.2
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -26,6 +26,8 @@
     """Rises with each account of one life; 0 if it is not told."""
     cold: float = 0.0
     """Seconds for which it stays slow yet, after its start."""
+    kind: str = ""
+    """The label that says what kind of host it is; empty if none does."""
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
@@ -85,6 +85,7 @@
             free=shown,
             labels=account.labels if account else (),
             cold_ms=round(control.cold(now) * 1000),
+            kind=account.kind if account else "",
         )
 
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/measures.py
@@ -30,6 +30,9 @@
 }
 """What each counter counts."""
 
+Labelled = list[tuple[dict[str, str], float]]
+"""Values of one gauge, each with its labels."""
+
 
 @final
 class Measures:
@@ -40,6 +43,7 @@
         self._stages: list[tuple[str, float]] = []
         self._gauges: dict[str, tuple[str, Callable[[], float]]] = {}
         self._page: MetricsPage | None = None
+        self._families: dict[str, tuple[str, Callable[[], Labelled]]] = {}
 
     def answered(self, outcome: str, reason: str) -> None:
         """Count an answer to a caller."""
@@ -59,6 +63,10 @@
         """Add a gauge whose value is read for each page."""
         self._gauges[name] = (doc, read)
 
+    def family(self, name: str, doc: str, read: Callable[[], Labelled]) -> None:
+        """Add a gauge with labels whose values are read for each page."""
+        self._families[name] = (doc, read)
+
     def event(self, name: str) -> None:
         """Count an event."""
         self._counts[EVENTS, (("event", name),)] += 1
@@ -69,7 +77,7 @@
 
     def page(self) -> bytes:
         """Return the page of all figures."""
-        return self._hand_over().render(self._counts, self._gauges)
+        return self._hand_over().render(self._counts, self._gauges, self._families)
 
     def _hand_over(self) -> "MetricsPage":
         if self._page is None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/metricspage.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/metricspage.py
@@ -6,7 +6,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats import text
 
-from paddleshunt_node.aio.measures import Series
+from paddleshunt_node.aio.measures import Labelled, Series
 
 STAGE_BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
 """Upper bounds of the latency histograms, in seconds."""
@@ -38,13 +38,20 @@
         self,
         counts: Mapping[Series, int],
         gauges: Mapping[str, tuple[str, Callable[[], float]]],
+        families: Mapping[str, tuple[str, Callable[[], Labelled]]],
     ) -> bytes:
-        """Return the page for these counts and gauges."""
+        """Return the page for these counts, gauges, and gauges with labels."""
         for (name, labels), count in counts.items():
             self._counters[name].set(dict(labels), count)
         for name, (doc, read) in gauges.items():
-            if name not in self._gauges:
-                self._gauges[name] = Gauge(name, doc, registry=self._registry)
-            self._gauges[name].set({}, read())
+            self._gauge(name, doc).set({}, read())
+        for name, (doc, read_all) in families.items():
+            for series, value in read_all():
+                self._gauge(name, doc).set(series, value)
         page: bytes = text.TextFormatter().marshall(self._registry)
         return page
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        if name not in self._gauges:
+            self._gauges[name] = Gauge(name, doc, registry=self._registry)
+        return self._gauges[name]
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -75,6 +75,7 @@
     remote_factor: Annotated[float, Meta(ge=1, le=100)] = 1.5
     caller_delay_ms: Annotated[float, Meta(ge=0, le=1000)] = 4.0
     cold_overrun: Annotated[float, Meta(ge=1, le=100)] = 1.5
+    hall_preference: Annotated[float, Meta(ge=0, le=1)] = 0.2
 
 
 @final
@@ -121,6 +122,7 @@
         remote_factor=given.remote_factor,
         caller_delay=given.caller_delay_ms / 1000,
         cold_overrun=given.cold_overrun,
+        hall_preference=given.hall_preference,
     )
 
 
--- a/testing/council/test_registration.py
+++ b/testing/council/test_registration.py
@@ -32,6 +32,7 @@
         labels=("a",),
         sequence=4,
         cold=2.5,
+        kind="a",
     )
 
 
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -81,6 +81,8 @@
         """Until when it works at 1 / `COLD_OVERRUN` of its speed, as after a start."""
         self.leaving = False
         """Whether its heartbeats say that its end is planned."""
+        self.kind = ""
+        self.labels: tuple[str, ...] = ()
         self.fails = False
         self.mute = False
         self.refuses = False
