Bear frames that are typed well and name what nobody has

Cause, found by drawing frames (400 scenes): an end or a loss of a task that its job doesn't have raised IndexError in the entry's connection, and a negative index was taken for a task counted from the job's last (its run ended as the word said); amounts near 2^63 summed up to what no frame can carry, which ends the process at its next tick.

Change: JobBook.task knows only a job's own tasks; Resources are bounded to 10^12 either way in their type, so msgspec refuses the frame in the same pass.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
@@ -55,7 +55,7 @@
         A job that came again counts its runs anew, so number and target must both be right.
         """
         job = self._by_key.get(run.task.job)
-        if job is None:
+        if job is None or not 0 <= run.task.index < len(job.tasks):
             return None
         task = job.tasks[run.task.index]
         return task if task.number == run.number and task.target == target else None
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/resources.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/resources.py
@@ -1,17 +1,25 @@
 """What a task needs and a runner has: processor, memory and accelerators."""
 
-from typing import final
+from typing import Annotated, final
 
 import msgspec
 
+MOST_AMOUNT = 10**12
+"""Of anything, in a frame: far above any host, and sums of it still fit into a frame.
+
+What is free may be negative: a runner's capacity can shrink below what runs there.
+"""
+
+Amount = Annotated[int, msgspec.Meta(ge=-MOST_AMOUNT, le=MOST_AMOUNT)]
+
 
 @final
 class Resources(msgspec.Struct, frozen=True, array_like=True):
     """Processor in thousandths of a core, memory in MB, and whole accelerators."""
 
-    processor: int = 0
-    memory: int = 0
-    accelerators: int = 0
+    processor: Amount = 0
+    memory: Amount = 0
+    accelerators: Amount = 0
 
     def __add__(self, other: "Resources") -> "Resources":
         return Resources(
--- a/testing/core/leased/test_jobbook.py
+++ b/testing/core/leased/test_jobbook.py
@@ -35,6 +35,13 @@
     assert book.of_caller(7) is book.of_key("job") is None
 
 
+@pytest.mark.parametrize("index", [-1, -2, 2, 2**63, -(2**63)])
+def test_a_run_of_a_task_that_the_job_does_not_have_is_none(book: JobBook, index: int) -> None:
+    run = RunId(TaskId("job", 0, index), 3)
+    assert book.task(run, "t0") is None
+    assert book.run_again([run], "t0", "lost") == []
+
+
 def test_a_job_that_is_handed_over_is_its_new_callers(book: JobBook, job: JobRecord) -> None:
     assert book.hand_over(job, 8) == 7
     assert book.of_caller(7) is None
