Let a session that goes on over a new connection not be about to end

Cause: while an idle session had no connection, others were preferred; as it went on, its entry was told for a tick that the target was leaving. Seen to fail before: test_a_session_that_goes_on_over_a_new_connection_is_not_about_to_end. A test of both programs shows that what an idle target does not answer for is withdrawn and runs once.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrylink.py
@@ -65,7 +65,6 @@
         self.life = life
         self.session = session
         self._newest = session.number
-        self.retired = None
         self._last_end = 0
         self.resumed(now)
 
@@ -81,6 +80,7 @@
     def resumed(self, now: float) -> None:
         """Note that a connection stands anew: what left over an earlier one may be lost."""
         self.heard = now
+        self.retired = None
         self.report_due = True
         self._beat = float("-inf")
 
--- a/testing/core/leased/test_entrylink.py
+++ b/testing/core/leased/test_entrylink.py
@@ -163,3 +163,12 @@
     assert worker.next_look(1.1).until is None
     worker.heard(1.1, "e", frame(1, 1.1, ASSIGN))
     assert worker.next_look(1.11).until is not None
+
+
+def test_a_session_that_goes_on_over_a_new_connection_is_not_about_to_end(worker: Worker) -> None:
+    """Without a connection, other sessions were preferred for a moment."""
+    told(worker, 1.01)
+    worker.retire(1.1, set())
+    worker.opened(1.2, Hello("e", "life", True, "hall", "", 1, 0), 1.19)
+    reports = [body for body in told(worker, 1.5) if isinstance(body, RunnerReport)]
+    assert [report.state for report in reports] == [RunnerState.READY]
--- a/testing/council/test_silence.py
+++ b/testing/council/test_silence.py
@@ -78,6 +78,33 @@
     play(scene)
 
 
+def test_what_an_idle_target_does_not_answer_for_is_withdrawn_and_runs_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    silence = Silence(monkeypatch)
+
+    def is_lapsed(system: System) -> bool:
+        leases = system.target.describe()["leases"]
+        return isinstance(leases, dict) and not leases["e1"]["confirmed"]
+
+    def is_unanswered(system: System) -> bool:
+        targets = system.entry.describe()["targets"]
+        return isinstance(targets, dict) and not targets["t1"]["answered"]
+
+    async def scene(system: System) -> None:
+        await system.open()
+        await until_true(lambda: is_lapsed(system))
+        await asyncio.sleep(0.03)
+        silence.fall()
+        job = asyncio.ensure_future(system.submit(KEY, 100))
+        await until_true(lambda: is_unanswered(system))
+        assert not system.runner.tasks
+        assert (await asyncio.wait_for(job, 3.0)).status == 200
+        assert len(system.runner.started) == 3
+
+    play(scene)
+
+
 def test_a_target_that_finds_one_connection_silent_asks_over_all_others() -> None:
     """They often fall silent together; heartbeats of idle sessions are far apart."""
     times = lease_times(Bounds())
