Let an entry notice its stand-still before a timer lets it place anything

Cause: a job whose caller may have gone elsewhere during a stand-still could be placed by the timer of a fresh request, by the timer that looks for idle targets without an answer, or by a flush, before the stand-still was noticed. Seen to fail before: test_an_entry_that_stood_still_places_nothing_as_a_timer_wakes_it, all three.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -315,16 +315,18 @@
 
     def check_answers(self, now: float) -> list[Effect]:
         """Place elsewhere what targets were given that do not answer; it has never begun."""
+        effects = self._notice_pause(now)
         logs = self._answers.check(now)
-        return [*logs, *self._place(now)] if logs else []
+        return [*effects, *logs, *self._place(now)] if logs else effects
 
     def place_arrived(self, now: float) -> list[Effect]:
         """Place jobs whose callers have had the time to say that they left."""
-        return self._place(now)
+        return [*self._notice_pause(now), *self._place(now)]
 
     def place_waiting(self, now: float) -> list[Effect]:
         """Place what waits, once for all that was heard since the last call."""
-        return self._place(now) if self._unplaced else []
+        effects = self._notice_pause(now)
+        return [*effects, *self._place(now)] if self._unplaced else effects
 
     # Time.
 
--- a/testing/core/leased/test_answers.py
+++ b/testing/core/leased/test_answers.py
@@ -2,8 +2,9 @@
 
 import pytest
 from leasedfleet import STEP, Fleet
+from paddleshunt_core.events import Log
 from paddleshunt_core.leased.answers import ANSWER_SECONDS
-from paddleshunt_core.leased.outcomes import Completed
+from paddleshunt_core.leased.outcomes import AnswerJob, Completed, GivenUp
 
 
 @pytest.fixture
@@ -156,3 +157,18 @@
         assert all(not worker.session_names() for worker in fleet.workers.values())
     else:
         assert fleet.dispatchers["e0"].session("t0") is None
+
+
+@pytest.mark.parametrize("woken_by", ["check_answers", "place_arrived", "place_waiting"])
+def test_an_entry_that_stood_still_places_nothing_as_a_timer_wakes_it(
+    fleet: Fleet, woken_by: str
+) -> None:
+    """Its callers may have gone elsewhere meanwhile."""
+    dispatcher = fleet.dispatchers["e0"]
+    caller = fleet.submit("e0", "job", count=1)
+    fleet.step()
+    late = fleet.now + fleet.times.session + 0.01
+    effects = getattr(dispatcher, woken_by)(late)
+    assert [e.outcome for e in effects if isinstance(e, AnswerJob)] == [GivenUp("stood_still")]
+    assert not [e for e in effects if isinstance(e, Log) and e.event == "job_placed"]
+    assert [e.caller for e in effects if isinstance(e, AnswerJob)] == [caller]
