Place a new job only once the ends of connections are known; count runs on; echo by when a stamp was heard

Cause (review, by reading): a late timer let tick place a job whose caller's reset lay unread, beside the caller's second try; a job that came again at the same entry began counting its runs anew, so a late NOT_STARTED of the first try matched the second's run; an echo of an old stamp made a dead idle target look as if its lease had been renewed just now; overdue answers were judged before what lay unread was read, and such jobs refused with room free; an end behind a last word is found a round later. Change: place_arrived alone places a job first, the numbers of dropped jobs' runs are remembered, renewal counts from when the stamp was heard, overdue answers are judged once all that came is read, jobs are placed before they are judged, six rounds. Tests: test_dispatcher (three wakers), test_jobbook, test_session, test_loop (after a word) fail on the code before.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -129,6 +129,11 @@
         """Jobs held."""
         return len(self._jobs)
 
+    @property
+    def awaits_callers(self) -> bool:
+        """Whether `place_arrived` is due for a job, now or soon."""
+        return any(not job.is_awaited for job in self._jobs.all())
+
     def targets(self) -> list[TargetRecord]:
         """Return all known targets."""
         return list(self._targets.values())
@@ -183,6 +188,7 @@
         expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
         job = new_job(caller, request, queue, now, expected)
         job.place_from = now + self._caller_delay
+        job.is_awaited = self._caller_delay == 0
         given_up = self._retries.outcome(job)
         if given_up is not None:
             why = self._retries.note_given_up(job, given_up)
@@ -328,7 +334,7 @@
         target = self._targets.get(name)
         if target is None or target.session is None or target.session.misses(frame):
             return effects
-        bodies = target.session.accept(frame)
+        bodies = target.session.accept(frame, round(now * 1000))
         target.spoke(now)
         for body in bodies:
             effects += self._take(now, target, frame, body)
@@ -359,8 +365,15 @@
         return [*effects, *logs, *self._place(now)] if logs else effects
 
     def place_arrived(self, now: float) -> list[Effect]:
-        """Place jobs whose callers have had the time to say that they left."""
-        return [*self._notice_pause(now), *self._place(now)]
+        """Place jobs whose callers have had the time to say that they left.
+
+        Nothing else places them first: call it once the ends of connections that had come are
+        handled.
+        """
+        effects = self._notice_pause(now)
+        for job in self._jobs.all():
+            job.is_awaited = job.is_awaited or now >= job.place_from
+        return [*effects, *self._place(now)]
 
     def place_waiting(self, now: float) -> list[Effect]:
         """Place what waits, once for all that was heard since the last call."""
@@ -372,13 +385,13 @@
     def tick(self, now: float) -> list[Effect]:
         """Act on the passing of time."""
         effects = self._notice_pause(now)
-        effects += self._answers.check(now)
         for target in list(self._targets.values()):
             effects += self._check_target(now, target)
         self._speeds.compare(now, self._targets.values())
+        effects += self._place(now)
         for job in self._jobs.all():
             effects += self._check_job(now, job)
-        return effects + self._place(now)
+        return effects
 
     def leave(self, ends: float) -> None:
         """Refuse from now on what can't end before this process does, at `ends`."""
@@ -623,7 +636,7 @@
         return expected_wait(job, room.usable(job.queue.service), self._jobs.all())
 
     def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
-        jobs = [job for job in self._jobs.all() if now >= job.place_from]
+        jobs = [job for job in self._jobs.all() if job.is_awaited]
         logs = self._assigner.place(now, jobs, room or self._room(now))
         self._answers.ask(now, self._assigner.assigned)
         self._unplaced = False
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
@@ -7,6 +7,12 @@
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.wire import RunId
 
+MOST_REMEMBERED = 1024
+"""Dropped jobs whose runs' numbers are remembered; a word on a run is late by a second at most.
+
+Some 150 KB; an entry drops a few hundred jobs a second.
+"""
+
 
 @final
 class JobBook:
@@ -15,6 +21,8 @@
     def __init__(self) -> None:
         self._by_caller: dict[int, JobRecord] = {}
         self._by_key: dict[str, JobRecord] = {}
+        self._numbers: dict[str, list[int]] = {}
+        """By key, the last numbers of runs of tasks of dropped jobs, the oldest first."""
 
     def __len__(self) -> int:
         return len(self._by_caller)
@@ -32,12 +40,20 @@
         return self._by_key.get(key)
 
     def add(self, job: JobRecord) -> None:
-        """Hold a job."""
+        """Hold a job.
+
+        One that came before goes on counting its runs: a word on one may still be under way.
+        """
+        for task, number in zip(job.tasks, self._numbers.pop(job.request.key, ()), strict=False):
+            task.number = number
         self._by_caller[job.caller] = job
         self._by_key[job.request.key] = job
 
     def drop(self, job: JobRecord) -> None:
-        """Forget a job."""
+        """Forget a job, but for the numbers of its last runs."""
+        self._numbers[job.request.key] = [task.number for task in job.tasks]
+        if len(self._numbers) > MOST_REMEMBERED:
+            del self._numbers[next(iter(self._numbers))]
         del self._by_caller[job.caller]
         del self._by_key[job.request.key]
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -105,6 +105,8 @@
     arrived: float
     tasks: list[TaskRecord]
     expected: Expectation
+    is_awaited: bool = True
+    """Whether its caller was still there once all that had come meanwhile was handled."""
     place_from: float = 0.0
     """Before it nothing of the job is placed: its caller may have left already."""
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
@@ -27,8 +27,10 @@
         self.confirmed_ms = opened_ms
         """The newest own stamp that the peer has echoed: it was alive then or later."""
         self.renewed_ms = opened_ms
-        """When this side last sent an echo that may prolong the peer's lease."""
+        """When the newest stamp was heard whose echo has been sent: the peer's lease ends by it."""
         self._heard_stamp = 0
+        self._heard_ms: int | None = None
+        """When the newest stamp was heard."""
         self._echoed_stamp = 0
         self._next = 1
         self._unacknowledged: deque[tuple[int, Body]] = deque()
@@ -54,15 +56,15 @@
         self._unsent.clear()
         if self._heard_stamp > self._echoed_stamp:
             self._echoed_stamp = self._heard_stamp
-            self.renewed_ms = now_ms
+            self.renewed_ms = now_ms if self._heard_ms is None else self._heard_ms
         return Frame(first, self.received, now_ms, self._heard_stamp, bodies)
 
     def misses(self, frame: Frame) -> bool:
         """Whether a frame comes after a gap: what is missing comes over the next connection."""
         return frame.first > self.received + 1
 
-    def accept(self, frame: Frame) -> list[Body]:
-        """Take a frame and return the bodies that are new.
+    def accept(self, frame: Frame, now_ms: int | None = None) -> list[Body]:
+        """Take a frame and return the bodies that are new; `now_ms`: when it was heard.
 
         One after a gap is not taken at all: its echo would renew the lease for bodies that are
         missing, and what they withdraw would go on.
@@ -70,7 +72,9 @@
         if self.misses(frame):
             return []
         skip = self.received + 1 - frame.first
-        self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
+        if frame.stamp_ms > self._heard_stamp:
+            self._heard_stamp = frame.stamp_ms
+            self._heard_ms = now_ms
         self.confirmed_ms = max(self.confirmed_ms, frame.echo_ms)
         self._acknowledged(frame.received)
         fresh = frame.bodies[skip:]
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -445,6 +445,8 @@
             self._follow_pressure()
             self._act(self._dispatcher.tick(self._now()))
             self._flush()
+            if self._dispatcher.awaits_callers:
+                self._place_soon()
             self._close_silent()
             now = self._now()
             due = max(due + self._times.check, now)
@@ -481,6 +483,10 @@
             self._answers_timer = self._loop.call_later(due_in, self._check_answers)
 
     def _check_answers(self) -> None:
+        """Check once all that has come is read: answers may have waited for this process."""
+        once_known(self._loop, self._check_read_answers)
+
+    def _check_read_answers(self) -> None:
         self._answers_timer = None
         self._act(self._dispatcher.check_answers(self._now()))
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/loop.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/loop.py
@@ -31,11 +31,11 @@
         return super().select(timeout)
 
 
-ROUNDS = 4
+ROUNDS = 6
 """Rounds after which what had come before the first of them is handled.
 
-One of the first two asks the kernel, reading finds the end of a connection, and telling of it takes
-one more.
+One of two rounds asks the kernel. What was sent before the end of a connection is read first, the
+end in the next round that asks, and telling of it takes one more.
 """
 
 
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -340,6 +340,25 @@
     assert returned < placed / 6
 
 
+@pytest.mark.parametrize("woken_by", ["tick", "place_waiting", "check_answers"])
+def test_only_what_knows_the_ends_of_connections_places_a_new_job_first(woken_by: str) -> None:
+    """A timer may be late, and the loop may not have asked whether the caller is gone."""
+    times = lease_times(Bounds())
+    dispatcher = Dispatcher(times, "hall", Random(7), caller_delay=0.004)
+    session, _ = dispatcher.greeted(1.0, Hello("t", "life", False, "hall", "", 0, 0))
+    assert session is not None
+    room = Resources(8000, 8000)
+    report = RunnerReport("svc", "i-1", RunnerState.READY, Health.GOOD, room, room)
+    dispatcher.submit(1.0, 1, JobRequest("job", "spec", 2, Resources(1000, 64), 0.4, 4.0), QUEUE)
+    dispatcher.heard(1.02, "t", Frame(1, 0, 1020, 0, [report]))
+    getattr(dispatcher, woken_by)(1.02)
+    assert dispatcher.awaits_callers
+    assert not any(isinstance(body, Assign) for body in session.frame(1020).bodies)
+    dispatcher.place_arrived(1.02)
+    assert not dispatcher.awaits_callers
+    assert any(isinstance(body, Assign) for body in session.frame(1020).bodies)
+
+
 @pytest.mark.parametrize(("leaves_after", "placed"), [(0.003, False), (0.005, True)])
 def test_nothing_is_placed_before_a_caller_can_have_said_that_it_left(
     leaves_after: float, *, placed: bool
--- a/testing/core/leased/test_idle_sessions.py
+++ b/testing/core/leased/test_idle_sessions.py
@@ -273,7 +273,7 @@
 def confirm_after_a_gap(patch: pytest.MonkeyPatch) -> None:
     """A frame whose predecessors are missing renews the lease."""
 
-    def accept(self: Session, frame: Frame) -> list[Body]:
+    def accept(self: Session, frame: Frame, now_ms: int | None = None) -> list[Body]:
         self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
         self.confirmed_ms = max(self.confirmed_ms, frame.echo_ms)
         self._acknowledged(frame.received)
--- a/testing/core/leased/test_jobbook.py
+++ b/testing/core/leased/test_jobbook.py
@@ -2,7 +2,7 @@
 
 import pytest
 from paddleshunt_core.leased.catalog import Queue
-from paddleshunt_core.leased.jobbook import JobBook
+from paddleshunt_core.leased.jobbook import MOST_REMEMBERED, JobBook
 from paddleshunt_core.leased.jobs import JobRecord, JobRequest, TaskPhase, new_job
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import RunId, TaskId
@@ -78,3 +78,28 @@
     job.tasks[1].phase = TaskPhase.DONE
     assert book.run_again([RUN], "t0", "lease_lapsed") == []
     assert job.tasks[1].phase is TaskPhase.DONE
+
+
+def test_a_job_that_comes_again_goes_on_counting_its_runs(book: JobBook, job: JobRecord) -> None:
+    """A late word on a run of the first try must not be taken for one on the second's."""
+    book.drop(job)
+    again = new_job(9, job.request, QUEUE, 2.0)
+    book.add(again)
+    assert [task.number for task in again.tasks] == [0, 3]
+    task = again.tasks[1]
+    task.number += 1
+    task.target, task.phase = "t0", TaskPhase.PLACED
+    assert book.task(RUN, "t0") is None
+    assert book.task(RunId(RUN.task, 4), "t0") is task
+
+
+def test_no_more_dropped_jobs_are_remembered_than_the_limit(book: JobBook) -> None:
+    for number in range(MOST_REMEMBERED + 2):
+        request = JobRequest(f"j{number}", "spec", 1, Resources(1000, 64), 0.5, 4.0)
+        other = new_job(100 + number, request, QUEUE, 1.0)
+        book.add(other)
+        other.tasks[0].number = 5
+        book.drop(other)
+    first = new_job(1, JobRequest("j0", "spec", 1, Resources(1000, 64), 0.5, 4.0), QUEUE, 2.0)
+    book.add(first)
+    assert first.tasks[0].number == 0
--- a/testing/core/leased/test_session.py
+++ b/testing/core/leased/test_session.py
@@ -60,3 +60,14 @@
     assert target.accept(entry.frame(220)) == []
     assert target.confirmed_ms == 100
     assert target.acknowledged == 0
+
+
+def test_an_echo_renews_from_when_its_stamp_was_heard() -> None:
+    """A peer that has died since can't have a lease of what was echoed late."""
+    target, entry = Session(1, 0), Session(1, 0)
+    entry.accept(target.frame(100), 110)
+    entry.frame(900)
+    assert entry.renewed_ms == 110
+    entry.accept(target.frame(800), 1000)
+    entry.frame(1010)
+    assert entry.renewed_ms == 1000
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -205,7 +205,7 @@
                 self._step_target(name)
         for name, node in self.entries.items():
             if node.moves:
-                self._act_entry(name, self.dispatchers[name].tick(self.now))
+                self._step_entry(name)
         for pair in list(self.links):
             self._send(pair)
         if self.now >= self._gossip:
@@ -335,6 +335,13 @@
         if self.targets[target].moves and (silent or (session is None and link.greeted)):
             self._close(pair)
 
+    def _step_entry(self, name: str) -> None:
+        dispatcher = self.dispatchers[name]
+        due = dispatcher.answer_due()
+        if due is not None and self.now >= due:
+            self._act_entry(name, dispatcher.check_answers(self.now))
+        self._act_entry(name, dispatcher.tick(self.now))
+
     def _step_target(self, name: str) -> None:
         worker = self.workers[name]
         runner = self.runners[name]
--- a/testing/node/aio/test_loop.py
+++ b/testing/node/aio/test_loop.py
@@ -67,8 +67,9 @@
 
 @pytest.mark.parametrize("before", [0, 1, 2, 3], ids=lambda rounds: f"{rounds}-rounds-before")
 @pytest.mark.parametrize("ended_by_timer", [False, True], ids=["callback", "timer"])
+@pytest.mark.parametrize("last_word", [b"", b"word"], ids=["silently", "after-a-word"])
 def test_an_ended_connection_is_known_first(
-    loop: asyncio.AbstractEventLoop, before: int, ended_by_timer: bool
+    loop: asyncio.AbstractEventLoop, before: int, ended_by_timer: bool, last_word: bytes
 ) -> None:
     async def ended_when_called() -> bool:
         here, there = socket.socketpair()
@@ -79,6 +80,7 @@
         called: asyncio.Future[bool] = loop.create_future()
 
         def end() -> None:
+            here.sendall(last_word)
             here.close()
             once_known(loop, lambda: called.set_result(peer.ended))
 
