--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/answers.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/answers.py
@@ -63,15 +63,17 @@
         if target.session is None or not never_begun:
             return []
         target.session.send(Stop(list(never_begun)))
-        for run, task in never_begun.items():
-            target.placed.discard(run)
-            task.phase = TaskPhase.WAITING
         fields: dict[str, str | int | float] = {
             "target": target.name,
             "runs": len(never_begun),
             "after_ms": round((now - asked) * 1000),
         }
-        return [note("target_unanswered", **fields)]
+        logs = [note("target_unanswered", **fields)]
+        for run, task in never_begun.items():
+            target.placed.discard(run)
+            task.phase = TaskPhase.WAITING
+            logs.append(_returned(target, run, task))
+        return logs
 
     def _task(self, run: RunId, target: TargetRecord) -> TaskRecord | None:
         """Return the task of a run that can't have begun; None if it may have."""
@@ -81,5 +83,16 @@
         return None if target.may_begin(self._times, task.placed_at) else task
 
 
+def _returned(target: TargetRecord, run: RunId, task: TaskRecord) -> Log:
+    fields: dict[str, str | int | float] = {
+        "index": run.task.index,
+        "target": target.name,
+        "run": run.number,
+        "end": "unanswered",
+        "losses": task.losses,
+    }
+    return note("task_returned", run.task.job, **fields)
+
+
 def _overdue(asked: float, target: TargetRecord) -> float:
     return asked + min(MAX_ANSWER_SECONDS, ANSWER_SECONDS + 2 * target.answered_in)
--- a/testing/core/leased/test_answers.py
+++ b/testing/core/leased/test_answers.py
@@ -59,6 +59,7 @@
     fleet.run(ANSWER_SECONDS + 0.2 + 5 * STEP)
     assert fleet.answers[caller] == Completed()
     assert starts(fleet)[dead] == 0
+    assert fleet.ends("task_returned") == ["job"]
 
 
 def test_a_target_that_did_not_answer_is_given_nothing_until_it_speaks(fleet: Fleet) -> None:
