--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -305,7 +305,8 @@
         target = self._targets.get(name)
         if target is None or target.session is None:
             return False
-        calm = not target.placed and any(isinstance(body, RunnerReport) for body in frame.bodies)
+        reports = all(isinstance(body, RunnerReport) for body in frame.bodies)
+        calm = not target.placed and bool(frame.bodies) and reports
         pause = self._times.idle_reply if calm else self._times.reply_pause
         return now > target.session.renewed_ms / 1000 + pause
 
