--- a/testing/core/leased/test_kinds.py
+++ b/testing/core/leased/test_kinds.py
@@ -92,11 +92,12 @@
         assert record.slowness == pytest.approx(dispatcher.speeds.factor("svc", "b"))
 
 
-def test_an_entrys_nonsense_is_outweighed_by_ends(fleet: Fleet) -> None:
+def test_an_entrys_nonsense_is_outweighed_by_four_hundred_jobs(fleet: Fleet) -> None:
     nonsense = SpeedNews([KindSpeed("svc", "a", 10**9, 10**9), KindSpeed("svc", "b", 1, 10**9)])
     fleet.dispatchers["e0"].told_speeds(fleet.now, nonsense, "e1")
-    work(fleet, 45.0, "j")
-    assert ratio(fleet, "e0") > 1.0
+    fleet.kill("e1")
+    work(fleet, 40.0, "j")
+    assert ratio(fleet, "e0") > 1.25
     assert all(isinstance(answer, Completed) for answer in list(fleet.answers.values())[-100:])
 
 
@@ -111,3 +112,27 @@
     jobs = work(fleet, 15.0, "after")
     assert all(isinstance(fleet.answers.get(caller), Completed) for caller in list(jobs)[-100:])
     assert ratio(fleet, "e0") == pytest.approx(SLOW / FAST, rel=0.3)
+
+
+def test_a_job_waits_for_a_fast_runner_that_serves_it_in_time(fleet: Fleet) -> None:
+    work(fleet, 15.0, "learn")
+    fleet.submit("e0", "fill", count=32, length=0.25)
+    fleet.run(0.03)
+    came = fleet.now
+    caller = fleet.submit("e0", "next", count=2, length=0.32)
+    fleet.run(2.0)
+    assert isinstance(fleet.answers[caller], Completed)
+    assert fleet.answered_at[caller] - came <= 1.6 * 0.32 + 0.06
+    slow = [runner for runner in fleet.runners.values() if runner.kind == "b"]
+    assert not any(task.job == "next" for runner in slow for task in runner.starts)
+
+
+def test_a_job_that_only_slow_runners_have_room_for_is_placed_if_it_is_in_time_there(
+    fleet: Fleet,
+) -> None:
+    work(fleet, 15.0, "learn")
+    fleet.submit("e0", "fill", count=32, length=3.0, deadline=20.0)
+    fleet.run(0.03)
+    caller = fleet.submit("e0", "next", count=1, length=0.05)
+    fleet.run(1.0)
+    assert isinstance(fleet.answers[caller], Completed)
