--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -36,7 +36,7 @@
 from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.retries import Retries
 from paddleshunt_core.leased.room import RoomNow
-from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.session import Session, good_echo_age
 from paddleshunt_core.leased.standstill import THAW_SECONDS, StandStill
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wants import Wants
@@ -127,12 +127,8 @@
 
     def echo_age(self, now: float) -> float | None:
         """Return how old the newest echo of a good quarter of the targets is; None without any."""
-        ages = sorted(
-            now - target.session.confirmed_ms / 1000
-            for target in self._targets.values()
-            if target.session is not None and target.connected
-        )
-        return ages[len(ages) // 4] if ages else None
+        known = (t.session for t in self._targets.values() if t.connected)
+        return good_echo_age(now, (session for session in known if session is not None))
 
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
@@ -6,11 +6,22 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from typing import final
 
 from paddleshunt_core.leased.wire import Body, Frame
 
 
+def good_echo_age(now: float, sessions: Iterable["Session"]) -> float | None:
+    """Return how old the newest echoes are at a good quarter of the peers; None without any.
+
+    A session that has just opened says nothing: where echoes come late, sessions end and open.
+    """
+    known = (session.echo_age(now) for session in sessions)
+    ages = sorted(age for age in known if age is not None)
+    return ages[len(ages) // 4] if ages else None
+
+
 @final
 class Session:
     """One side of a session.
@@ -20,6 +31,7 @@
 
     def __init__(self, number: int, opened_ms: int) -> None:
         self.number = number
+        self._opened_ms = opened_ms
         self.received = 0
         self.confirmed_ms = opened_ms
         """The newest own stamp that the peer has echoed: it was alive then or later."""
@@ -54,6 +66,12 @@
             self.renewed_ms = now_ms
         return Frame(first, self.received, now_ms, self._heard_stamp, bodies)
 
+    def echo_age(self, now: float) -> float | None:
+        """Return how many seconds old the peer's newest echo is; None if it has echoed nothing."""
+        if self.confirmed_ms == self._opened_ms:
+            return None
+        return now - self.confirmed_ms / 1000
+
     def accept(self, frame: Frame) -> list[Body]:
         """Take a frame and return the bodies that are new."""
         self._heard_stamp = max(self._heard_stamp, frame.stamp_ms)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -213,6 +213,13 @@
     loss: LossId
 
 
+@final
+class TargetsHeld(_Body, frozen=True, tag=19):
+    """How many targets the sending entry has in session."""
+
+    count: int
+
+
 Body = (
     Assign
     | Stop
@@ -227,6 +234,7 @@
     | EvacuationNews
     | RunnerLost
     | RunnerReturned
+    | TargetsHeld
 )
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -20,7 +20,7 @@
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.runnercontrol import Effect, RunnerControl
 from paddleshunt_core.leased.runtable import Run
-from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.session import Session, good_echo_age
 from paddleshunt_core.leased.standstill import StandStill
 from paddleshunt_core.leased.wire import (
     Assign,
@@ -112,9 +112,8 @@
 
     def echo_age(self, now: float) -> float | None:
         """Return how old the newest echo of a good quarter of the entries is; None without any."""
-        sessions = [link.session for link in self._links.values() if link.session is not None]
-        ages = sorted(now - session.confirmed_ms / 1000 for session in sessions)
-        return ages[len(ages) // 4] if ages else None
+        known = (link.session for link in self._links.values())
+        return good_echo_age(now, (session for session in known if session is not None))
 
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -17,6 +17,7 @@
     Hello,
     RunnerLost,
     RunnerReturned,
+    TargetsHeld,
 )
 
 from paddleshunt_node.aio import clock
@@ -60,6 +61,12 @@
     def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
         """Take another entry's word on a lost runner."""
 
+    def targets_held(self) -> int:
+        """Return how many targets are in session."""
+
+    def told_targets(self, targets: int, source: str) -> None:
+        """Take another entry's word on how many targets it has."""
+
     def found(self, entry: EntryAddress) -> None:
         """Take note of an entry that is new, or has moved."""
 
@@ -104,6 +111,11 @@
         live = [entry for entry, at in self._known.values() if now < at + ENTRY_FRESH]
         return sorted([*live, self._own])
 
+    def heard_within(self, seconds: float) -> bool:
+        """Whether any other entry was heard in the last so many seconds."""
+        now = clock.now()
+        return any(now < at + seconds for _, at in self._known.values())
+
     def told(self) -> list[EntryAddress]:
         """Return the entries that targets have been told of; what changes is told to all."""
         return sorted(self._told.values())
@@ -150,6 +162,7 @@
             self._send_all(
                 CatalogVersion(self._owner.catalog.version),
                 EvacuationNews(self._owner.evacuations.known),
+                TargetsHeld(self._owner.targets_held()),
             )
             links = self._dialer.links()
             if links and not self.sheds:
@@ -207,6 +220,8 @@
                 self._owner.learn(body.evacuated, link.peer)
             case RunnerLost() | RunnerReturned():
                 self._owner.told_loss(body, link.peer)
+            case TargetsHeld():
+                self._owner.told_targets(body.count, link.peer)
             case CatalogNews():
                 self._owner.adopt(body.catalog, link.peer)
             case CatalogVersion():
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -14,6 +14,7 @@
 from paddleshunt_core.leased.linkpressure import PressureLevel
 from paddleshunt_core.leased.outcomes import AnswerJob, Completed, HandOn, Refused
 from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.targetless import Targetless
 from paddleshunt_core.leased.wire import (
     Entries,
     EntryAddress,
@@ -48,6 +49,10 @@
 
 RETRY_AFTER = "Retry-After"
 
+OTHERS_SECONDS = 10.0
+"""Seconds since another entry was heard for which callers are sent to it: at a pressed link what
+the others say comes late as well."""
+
 PRESSED_RETRY = 1.0
 """Seconds after which a caller may come back to an entry that is pressed and knows no other."""
 
@@ -110,6 +115,7 @@
         self._flushing = False
         self._leaving = False
         self._began = self._now()
+        self._targetless = Targetless()
         self._unready_since = float("inf")
         """Since when new connections are sent elsewhere, as the own link is pressed."""
 
@@ -208,6 +214,8 @@
             return False
         if self._is_turning_away(self._now()):
             return False
+        if self._targetless.sends_elsewhere(self._now()):
+            return False
         return bool(self._links) or self._now() > self._began + LONELY_SECONDS
 
     def handle(self, exchange: Exchange) -> None:
@@ -336,6 +344,14 @@
         """Take another entry's word on a lost runner."""
         self._act(self._dispatcher.told_loss(self._now(), news, source))
 
+    def targets_held(self) -> int:
+        """Return how many targets are in session, for other entries."""
+        return len(self._links)
+
+    def told_targets(self, targets: int, source: str) -> None:
+        """Take another entry's word on how many targets it has."""
+        self._targetless.told(self._now(), source, targets)
+
     # The operator's word.
 
     @property
@@ -374,7 +390,7 @@
 
     def _knows_another(self) -> bool:
         """Whether another entry is alive that may take what this one turns away."""
-        return len(self._peers.live()) > 1
+        return self._peers.heard_within(OTHERS_SECONDS)
 
     def _follow_pressure(self) -> None:
         """Leave undone what the level of the own link says; answers under way always go out.
@@ -403,6 +419,7 @@
         due = self._now()
         while True:
             self._follow_pressure()
+            self._targetless.count(self._now(), len(self._links))
             self._act(self._dispatcher.tick(self._now()))
             self._flush()
             self._close_silent()
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/linkmeter.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/linkmeter.py
@@ -25,6 +25,9 @@
 
 _COUNT = struct.Struct("i")
 
+_UNSENT: int | None = getattr(termios, "TIOCOUTQ", None)
+"""The question to the kernel; None on systems that don't have it."""
+
 
 class Metered(Protocol):
     """A connection whose sends are watched."""
@@ -146,7 +149,9 @@
         if sock is None or not self._kernel_tells or sock.fileno() < 0:
             return 0
         try:
-            answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
+            if _UNSENT is None:
+                raise OSError("no TIOCOUTQ")
+            answer = fcntl.ioctl(sock.fileno(), _UNSENT, bytes(_COUNT.size))
         except OSError as problem:
             self._kernel_tells = False
             self._around.event("kernel_bytes_unknown", problem=str(problem))
--- a/testing/core/leased/test_session.py
+++ b/testing/core/leased/test_session.py
@@ -1,7 +1,7 @@
 """Sessions: in order, once, over several connections, and a lease."""
 
-from paddleshunt_core.leased.session import Session
-from paddleshunt_core.leased.wire import Body, CatalogVersion
+from paddleshunt_core.leased.session import Session, good_echo_age
+from paddleshunt_core.leased.wire import Body, CatalogVersion, Frame
 
 
 def body(number: int) -> Body:
@@ -39,6 +39,15 @@
     assert target.confirmed_ms == 100
 
 
+def test_a_session_that_has_just_opened_tells_nothing_of_echoes() -> None:
+    """Where echoes come late sessions end and open anew: those must not pass for fresh ones."""
+    echoed, opened = Session(1, 1000), Session(2, 2900)
+    echoed.accept(Frame(1, 0, 5, 1500, []))
+    assert opened.echo_age(3.0) is None
+    assert good_echo_age(3.0, [opened, echoed, opened]) == 1.5
+    assert good_echo_age(3.0, [opened]) is None
+
+
 def test_an_echo_of_nothing_new_renews_nothing() -> None:
     target, entry = Session(1, 0), Session(1, 0)
     entry.accept(target.frame(100))
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 import msgspec
 import pytest
@@ -20,6 +21,7 @@
 )
 from paddleshunt_node.aio import entrypeers
 from paddleshunt_node.aio.entrypeers import EntryPeers
+from paddleshunt_node.aio.framing import PeerLink
 
 OWN = EntryAddress("e0", "127.0.0.1:1", "life")
 LOST = RunnerLost(LossId("i-1", 1000), [TaskId("job", 0, 0)])
@@ -36,6 +38,7 @@
         self.catalog: Catalog = EMPTY
         self.evacuations = Evacuations()
         self.told: list[EntryChanges] = []
+        self.targets: list[tuple[int, str]] = []
         self.losses = [LOST]
         self.heard: list[tuple[RunnerLost | RunnerReturned, str]] = []
 
@@ -51,6 +54,12 @@
     def known_losses(self) -> list[RunnerLost]:
         return self.losses
 
+    def targets_held(self) -> int:
+        return 43
+
+    def told_targets(self, targets: int, source: str) -> None:
+        self.targets.append((targets, source))
+
     def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
         self.heard.append((news, source))
 
@@ -142,6 +151,32 @@
     assert not any(isinstance(b, Entries) for link in links for b in link.frames[0].bodies)
 
 
+def test_a_round_tells_how_many_targets_an_entry_has(monkeypatch: pytest.MonkeyPatch) -> None:
+    link = Link()
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        gossip = asyncio.ensure_future(peers.gossip_for_ever())
+        await asyncio.sleep(ROUND / 2)
+        gossip.cancel()
+        link.peer = "e7"
+        for frame in link.frames:
+            peers.heard(cast("PeerLink", link), frame)
+        assert owner.targets == [(43, "e7")]
+
+    play(monkeypatch, [link], scene)
+
+
+def test_another_entry_counts_as_heard_for_a_while(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        assert not peers.heard_within(10.0)
+        peers.note(entry(1))
+        assert peers.heard_within(10.0)
+        await asyncio.sleep(0.05)
+        assert not peers.heard_within(0.01)
+
+    play(monkeypatch, [Link()], scene)
+
+
 def test_targets_are_told_changes_only_and_several_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/testing/node/aio/test_linkmeter.py
+++ b/testing/node/aio/test_linkmeter.py
@@ -13,9 +13,11 @@
 from paddleshunt_core.leased.linkpressure import LinkSample, PressureLevel
 from paddleshunt_core.leased.outcomes import JobOutcome, Refused
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.targetless import GONE_SECONDS
 from paddleshunt_core.leased.wire import EntryAddress
 from paddleshunt_node.aio import entryservice, linkmeter
 from paddleshunt_node.aio.entryservice import EntryConfig, EntryService
+from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpclient import HttpClient
 from paddleshunt_node.aio.httpserver import Request, Response
 from paddleshunt_node.aio.linkmeter import ASKED, LinkMeter
@@ -253,12 +255,14 @@
 
     def __init__(self, name: str, seeds: tuple[str, ...]) -> None:
         ports = [free_port() for _ in range(4)]
-        callers, ready, self.peers, metrics = (f"127.0.0.1:{port}" for port in ports)
-        config = EntryConfig(name, "hall", callers, ready, self.peers, metrics, seeds, Bounds())
+        self.callers, ready, self.peers, metrics = (f"127.0.0.1:{port}" for port in ports)
+        config = EntryConfig(
+            name, "hall", self.callers, ready, self.peers, metrics, seeds, Bounds()
+        )
         self.around = Surroundings(LogLines("error"), Measures())
         self.service = EntryService(config, Codec(), Store(), self.around)
         self.task = asyncio.ensure_future(self.service.run())
-        self._callers = HttpClient(callers)
+        self._callers = HttpClient(self.callers)
         self._ready = HttpClient(ready)
 
     async def ready(self) -> int:
@@ -268,6 +272,15 @@
         answer = await self._callers.call("POST", key, 3.0)
         return answer.status, answer.body
 
+    async def raw_answer(self) -> bytes:
+        """Return the head of the answer to a job."""
+        host, _, port = self.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /q/9 HTTP/1.1\r\nHost: host\r\nContent-Length: 0\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        return head
+
     async def stop(self) -> None:
         self.around.cancel()
         self.task.cancel()
@@ -334,3 +347,38 @@
         assert isinstance(entry.service.describe()["targets"], str)
 
     with_entries(monkeypatch, 1, scene)
+
+
+def test_connections_end_with_their_answers_once_the_balancer_has_noticed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(entryservice, "NOTICED_SECONDS", 0.3)
+
+    async def scene(entry: Entry, pressure: Pressure) -> None:
+        closed: list[bool] = []
+        for level in (PressureLevel.NORMAL, PressureLevel.PRESSED):
+            pressure.level = level
+            await asyncio.sleep(0.7)
+            closed.append(b"Connection: close" in await entry.raw_answer())
+        assert closed == [False, True]
+
+    with_entries(monkeypatch, 2, scene)
+
+
+@pytest.mark.parametrize(
+    ("others", "status"), [(40, 503), (0, 200)], ids=["others-have-some", "nobody-has-any"]
+)
+def test_an_entry_that_has_lost_its_targets_is_ready_only_if_no_other_has_any(
+    monkeypatch: pytest.MonkeyPatch, others: int, status: int
+) -> None:
+    async def scene(entry: Entry, pressure: Pressure) -> None:
+        entry.service.told_targets(others, "e9")
+        links = entry.service._links
+        links["t1"] = PeerLink(entry.service._target_side, 1.0)
+        await asyncio.sleep(0.2)
+        assert await entry.ready() == 200
+        links.clear()
+        await asyncio.sleep(GONE_SECONDS + 0.3)
+        assert await entry.ready() == status
+
+    with_entries(monkeypatch, 1, scene)
