--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -37,7 +37,7 @@
 from paddleshunt_core.leased.placement import HALL_PREFERENCE, Placement
 from paddleshunt_core.leased.retries import Retries
 from paddleshunt_core.leased.room import RoomNow
-from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.session import Session, good_echo_age
 from paddleshunt_core.leased.speeds import Speeds, kind_note, work_of
 from paddleshunt_core.leased.standstill import THAW_SECONDS, StandStill
 from paddleshunt_core.leased.targets import TargetRecord
@@ -143,12 +143,8 @@
 
         Only sessions that are held are renewed all the time.
         """
-        ages = sorted(
-            now - target.session.confirmed_ms / 1000
-            for target in self._targets.values()
-            if target.session is not None and target.connected and target.placed
-        )
-        return ages[len(ages) // 4] if ages else None
+        held = (t.session for t in self._targets.values() if t.connected and t.placed)
+        return good_echo_age(now, (session for session in held if session is not None))
 
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/session.py
@@ -7,11 +7,22 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from typing import final
 
 from paddleshunt_core.leased.wire import Body, Frame
 
 
+def good_echo_age(now: float, sessions: Iterable["Session"]) -> float | None:
+    """Return how old the newest echoes are at a good quarter of the peers; None without any.
+
+    A session that has just opened says nothing: where echoes come late, sessions end and open.
+    """
+    known = (session.echo_age(now) for session in sessions)
+    ages = sorted(age for age in known if age is not None)
+    return ages[len(ages) // 4] if ages else None
+
+
 @final
 class Session:
     """One side of a session.
@@ -21,6 +32,7 @@
 
     def __init__(self, number: int, opened_ms: int) -> None:
         self.number = number
+        self._opened_ms = opened_ms
         self.received = 0
         self.acknowledged = 0
         """The newest own body that the peer has."""
@@ -59,6 +71,12 @@
             self.renewed_ms = now_ms if self._heard_ms is None else self._heard_ms
         return Frame(first, self.received, now_ms, self._heard_stamp, bodies)
 
+    def echo_age(self, now: float) -> float | None:
+        """Return how many seconds old the peer's newest echo is; None if it has echoed nothing."""
+        if self.confirmed_ms == self._opened_ms:
+            return None
+        return now - self.confirmed_ms / 1000
+
     def misses(self, frame: Frame) -> bool:
         """Whether a frame comes after a gap: what is missing comes over the next connection."""
         return frame.first > self.received + 1
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -237,6 +237,13 @@
     kinds: list[KindSpeed]
 
 
+@final
+class TargetsHeld(_Body, frozen=True, tag=19):
+    """How many targets the sending entry has in session."""
+
+    count: int
+
+
 Body = (
     Assign
     | Stop
@@ -252,6 +259,7 @@
     | RunnerLost
     | RunnerReturned
     | SpeedNews
+    | TargetsHeld
 )
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -19,7 +19,7 @@
 from paddleshunt_core.leased.reporting import Reporter
 from paddleshunt_core.leased.runnercontrol import Effect, RunnerControl
 from paddleshunt_core.leased.runtable import Run
-from paddleshunt_core.leased.session import Session
+from paddleshunt_core.leased.session import Session, good_echo_age
 from paddleshunt_core.leased.standstill import StandStill
 from paddleshunt_core.leased.wire import (
     Assign,
@@ -86,8 +86,7 @@
         Only sessions that are held are renewed all the time.
         """
         held = (link.session for name, link in self._links.items() if self._is_held(name))
-        ages = sorted(now - session.confirmed_ms / 1000 for session in held if session is not None)
-        return ages[len(ages) // 4] if ages else None
+        return good_echo_age(now, (session for session in held if session is not None))
 
     def describe(self, now: float) -> dict[str, object]:
         """Return a summary of the state for a dump."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -16,6 +16,7 @@
 from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.speeds import Speeds
+from paddleshunt_core.leased.targetless import Targetless
 from paddleshunt_core.leased.wire import (
     Entries,
     EntryAddress,
@@ -55,6 +56,10 @@
 
 RETRY_AFTER = "Retry-After"
 
+OTHERS_SECONDS = 10.0
+"""Seconds since another entry was heard for which callers are sent to it: at a pressed link what
+the others say comes late as well."""
+
 PRESSED_RETRY = 1.0
 """Seconds after which a caller may come back to an entry that is pressed and knows no other."""
 
@@ -121,6 +126,7 @@
         self._answers_timer: asyncio.TimerHandle | None = None
         self._leaving = False
         self._began = self._now()
+        self._targetless = Targetless()
         self._unready_since = float("inf")
         """Since when new connections are sent elsewhere, as the own link is pressed."""
 
@@ -235,6 +241,8 @@
             return False
         if self._is_turning_away(self._now()):
             return False
+        if self._targetless.sends_elsewhere(self._now()):
+            return False
         return bool(self._links) or self._now() > self._began + LONELY_SECONDS
 
     def handle(self, exchange: Exchange) -> None:
@@ -375,6 +383,14 @@
         """Take another entry's word on kinds of hosts."""
         self._act(self._dispatcher.told_speeds(self._now(), news, source))
 
+    def targets_held(self) -> int:
+        """Return how many targets are in session, for other entries."""
+        return len(self._links)
+
+    def told_targets(self, targets: int, source: str) -> None:
+        """Take another entry's word on how many targets it has."""
+        self._targetless.told(self._now(), source, targets)
+
     # The operator's word.
 
     @property
@@ -413,7 +429,7 @@
 
     def _knows_another(self) -> bool:
         """Whether another entry is alive that may take what this one turns away."""
-        return len(self._peers.live()) > 1
+        return self._peers.heard_within(OTHERS_SECONDS)
 
     def _follow_pressure(self) -> None:
         """Leave undone what the level of the own link says; answers under way always go out.
@@ -443,6 +459,7 @@
         while True:
             self._meter.sample_when_due(self._now())
             self._follow_pressure()
+            self._targetless.count(self._now(), len(self._links))
             self._act(self._dispatcher.tick(self._now()))
             self._flush()
             if self._dispatcher.awaits_callers:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
@@ -105,10 +105,9 @@
         formatter.default_msec_format = "%s.%03d"
         formatter.converter = time.gmtime
         self._handler.setFormatter(formatter)
-        self._logger = logging.getLogger(_LOGGER)
-        self._logger.handlers = [self._handler]
-        self._logger.setLevel(level.upper())
-        self._logger.propagate = False
+        # Not one that is known by its name: each process of a test has its own.
+        self._logger = logging.Logger(_LOGGER, level.upper())
+        self._logger.addHandler(self._handler)
         self._second = 0
         self._written: Counter[str] = Counter()
         self.events: Counter[str] = Counter()
--- a/testing/council/test_settings.py
+++ b/testing/council/test_settings.py
@@ -4,8 +4,8 @@
 
 import pytest
 from click.testing import CliRunner
-from paddleshunt_council.commandline import main
 from paddleshunt_core.leased.placement import HALL_PREFERENCE
+from paddleshunt_council.commandline import main
 from paddleshunt_platform.leasedsettings import bounds_of, load_leased
 from paddleshunt_platform.settings import SettingsError
 from templates import filled
