Confine a queue whose tasks crash runners to a few targets

Cause: two runners bound what a task costs, nothing bounded a queue. With a tenth of one queue's jobs deadly for ten seconds 15 to 17 lives of 11 runners were lost and the other queues lost a third of their callers.

Change: targets name queue and time of work of what was on a lost runner, and tell of its silence before its lease is over (RunnerSilent). A loss that is handed on says how long it has been known.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from paddleshunt_core.events import Log, note
+from paddleshunt_core.leased.containment import Containment
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.room import RoomNow
@@ -15,8 +16,9 @@
 class Assigner:
     """Assigns tasks by a `Placement`."""
 
-    def __init__(self, placement: Placement) -> None:
+    def __init__(self, placement: Placement, containment: Containment) -> None:
         self._placement = placement
+        self._containment = containment
         self.heads: dict[str, JobRecord] = {}
         """By service, the first job in the order of starts that waits for room."""
         self.assigned: list[TargetRecord] = []
@@ -31,9 +33,12 @@
         logs: list[Log] = []
         for job in waiting:
             service = job.queue.service
-            if room.may_have(service, job.request.need):
-                logs += self._place_job(now, job, room.usable(service))
-            if service not in self.heads and job.waiting():
+            if room.may_have(service, job.request.need) and not self._containment.holds(job):
+                targets = self._containment.targets(job, room.usable(service))
+                logs += self._place_job(now, job, targets)
+            # A confined job is no head: most targets that were told would offer room in vain.
+            confined = self._containment.is_confined(job.queue)
+            if service not in self.heads and job.waiting() and not confined:
                 self.heads[service] = job
         return logs
 
@@ -67,6 +72,7 @@
         estimate_ms=round(job.length * 1000),
         expires_ms=round((job.expires - now) * 1000),
         runs=[(task.id.index, task.number) for task in tasks],
+        queue=job.queue.name,
     )
     number = target.session.send(message)
     target.assigned(number, request.need, len(tasks))
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -13,6 +13,7 @@
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
+from paddleshunt_core.leased.containment import Containment
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations, evacuation_note
 from paddleshunt_core.leased.jobbook import JobBook
 from paddleshunt_core.leased.jobs import (
@@ -48,10 +49,12 @@
     Frame,
     Health,
     Hello,
+    LossNews,
     RunId,
     RunnerLost,
     RunnerReport,
     RunnerReturned,
+    RunnerSilent,
     RunnerState,
     Stop,
 )
@@ -98,7 +101,8 @@
         self._caller_delay = caller_delay
         self._retries = Retries()
         self._placement = Placement(hall, rng, remote_factor)
-        self._assigner = Assigner(self._placement)
+        self._containment = Containment(times.hold)
+        self._assigner = Assigner(self._placement, self._containment)
         self._jobs = JobBook()
         self._targets: dict[str, TargetRecord] = {}
         self._lengths = Lengths()
@@ -118,6 +122,11 @@
         """Jobs held."""
         return len(self._jobs)
 
+    @property
+    def confined_queues(self) -> int:
+        """Queues that are confined to a few targets, as their tasks take runners down."""
+        return len(self._containment)
+
     def targets(self) -> list[TargetRecord]:
         """Return all known targets."""
         return list(self._targets.values())
@@ -129,6 +138,7 @@
             "waiting_tasks": sum(len(job.waiting()) for job in self._jobs.all()),
             "evacuated_halls": self._evacuations.known.halls,
             "evacuations_revision": self._evacuations.known.revision,
+            "confined_queues": self._containment.describe(),
             "targets": {
                 target.name: {
                     "session": target.session.number if target.session else 0,
@@ -159,6 +169,10 @@
             why = self._retries.note_given_up(job, given_up)
             return [*effects, why, AnswerJob(caller, request.key, given_up, 0.0)]
         room = self._room(now)
+        effects += self._containment.serves(now, queue, self._open_targets())
+        confined = self._containment.refuses(job, room)
+        if confined is not None:
+            return [*effects, self._refusal(caller, request, "confined", confined)]
         wait = self._wait(job, room)
         if self._is_settling(now):
             wait = min(wait, NO_TARGET_WAIT)
@@ -222,11 +236,13 @@
         """Return what is remembered of lost runners, for an entry that was just met."""
         return self._retries.known_losses(now)
 
-    def told_loss(self, now: float, news: RunnerLost | RunnerReturned, source: str) -> list[Effect]:
+    def told_loss(self, now: float, news: LossNews, source: str) -> list[Effect]:
         """Follow a word on a lost runner, hand it on, and give up jobs that it decides."""
         logs = self._retries.learn(now, news, source)
-        if not logs:
+        is_news, confined = self._containment.learn(now, news, self._open_targets())
+        if not logs and not is_news:
             return []
+        logs += confined
         tasks = news.tasks if isinstance(news, RunnerLost) else []
         return [*logs, HandOn(news), *self._check_jobs(now, {task.job for task in tasks})]
 
@@ -308,6 +324,8 @@
         for target in list(self._targets.values()):
             effects += self._check_target(now, target)
         self._placement.compare(self._targets.values())
+        if self.confined_queues:
+            effects += self._containment.follow(now, self._open_targets(), self._room(now))
         for job in self._jobs.all():
             effects += self._check_job(now, job)
         return effects + self._place(now)
@@ -342,6 +360,10 @@
             wait = self._wait(job, room)
             why = room_note(now, job, wait, room)
             return [why, self._give_up(now, job, "no_room", max(RETRY_SECONDS, wait))]
+        if not job.begun and self._containment.is_confined(job.queue):
+            confined = self._containment.refuses(job, self._room(now))
+            if confined is not None:
+                return [self._give_up(now, job, "confined", max(RETRY_SECONDS, confined))]
         return []
 
     def _give_up(self, now: float, job: JobRecord, reason: str, retry_after: float) -> AnswerJob:
@@ -453,7 +475,7 @@
                 self._check_evacuation(target, body)
             case EvacuationNews():
                 return self.told_evacuations(now, body.evacuated, target.name)
-            case RunnerLost() | RunnerReturned():
+            case RunnerLost() | RunnerReturned() | RunnerSilent():
                 return self.told_loss(now, body, target.name)
             case Ended():
                 effects: list[Effect] = []
@@ -537,7 +559,8 @@
         return [t for t in self._targets.values() if not self._evacuations.covers(t.hall)]
 
     def _wait(self, job: JobRecord, room: RoomNow) -> float:
-        return expected_wait(job, room.usable(job.queue.service), self._jobs.all())
+        usable = self._containment.targets(job, room.usable(job.queue.service))
+        return expected_wait(job, usable, self._containment.rivals(job, self._jobs.all()))
 
     def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
         jobs = [job for job in self._jobs.all() if now >= job.place_from]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
@@ -9,7 +9,9 @@
 from collections import deque
 from typing import final
 
-from paddleshunt_core.leased.wire import LossId, RunnerLost, RunnerReturned, TaskId
+from msgspec.structs import replace
+
+from paddleshunt_core.leased.wire import LossId, LossNews, RunnerLost, RunnerReturned, TaskId
 
 KEEP_SECONDS = 60.0
 """Seconds for which a loss is remembered: some tries of a caller, at 4 s and a pause each."""
@@ -31,18 +33,18 @@
         self._by_task: dict[TaskId, list[LossId]] = {}
         self._returned: deque[LossId] = deque(maxlen=MOST_RETURNED)
 
-    def follow(self, now: float, news: RunnerLost | RunnerReturned) -> bool:
-        """Follow a word on a lost runner; return whether it was news."""
+    def follow(self, now: float, news: LossNews) -> bool:
+        """Follow a word on a lost runner; return whether it was news. A silent one is none."""
         if isinstance(news, RunnerReturned):
             return self.returned(news.loss)
-        return self.learn(now, news)
+        return isinstance(news, RunnerLost) and self.learn(now, news)
 
     def learn(self, now: float, lost: RunnerLost) -> bool:
-        """Remember a loss; return whether it was news."""
+        """Remember a loss from when its teller learned of it; return whether it was news."""
         self._expire(now)
         if lost.loss in self._losses or lost.loss in self._returned:
             return False
-        self._losses[lost.loss] = (now, lost)
+        self._losses[lost.loss] = (now - lost.ago_ms / 1000, lost)
         for task in lost.tasks:
             self._by_task.setdefault(task, []).append(lost.loss)
         if len(self._losses) > MOST_REMEMBERED:
@@ -62,9 +64,11 @@
         return True
 
     def all(self, now: float) -> list[RunnerLost]:
-        """Return what is remembered, to hand on."""
+        """Return what is remembered, to hand on; each says how long it has been known."""
         self._expire(now)
-        return [lost for _, lost in self._losses.values()]
+        return [
+            replace(lost, ago_ms=round((now - at) * 1000)) for at, lost in self._losses.values()
+        ]
 
     def runners(self, task: TaskId) -> list[str]:
         """Return the lives of runners that were lost under a task."""
@@ -72,9 +76,8 @@
 
     def _expire(self, now: float) -> None:
         for loss, (at, _) in list(self._losses.items()):
-            if now < at + KEEP_SECONDS:
-                return
-            self._forget(loss)
+            if now >= at + KEEP_SECONDS:
+                self._forget(loss)
 
     def _forget(self, loss: LossId) -> None:
         _, lost = self._losses.pop(loss)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import final
 
-from paddleshunt_core.leased.wire import RunnerLost, RunnerReturned
+from paddleshunt_core.leased.wire import LossNews
 
 
 @final
@@ -46,7 +46,7 @@
 class HandOn:
     """Tell the other entries what has just been learned here."""
 
-    news: RunnerLost | RunnerReturned
+    news: LossNews
 
 
 JobOutcome = Completed | Failed | Refused | GivenUp
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -10,7 +10,7 @@
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.losses import LossBook
 from paddleshunt_core.leased.outcomes import Failed
-from paddleshunt_core.leased.wire import RunnerLost, RunnerReturned
+from paddleshunt_core.leased.wire import LossNews, RunnerLost, RunnerReturned, RunnerSilent
 
 LOST_RUNNERS = 2
 """Runners lost under a task after which its job is given up, whatever else ran on them.
@@ -46,9 +46,12 @@
         """Return what is remembered of lost runners, to hand on."""
         return self._losses.all(now)
 
-    def learn(self, now: float, news: RunnerLost | RunnerReturned, source: str) -> list[Log]:
-        """Follow a word on a lost runner; return the line about it, none if it was known."""
-        if not self._losses.follow(now, news):
+    def learn(self, now: float, news: LossNews, source: str) -> list[Log]:
+        """Follow a word on a lost runner; return the line about it, none if it was known.
+
+        One that is only silent counts for nothing: what is at work on it may go on.
+        """
+        if isinstance(news, RunnerSilent) or not self._losses.follow(now, news):
             return []
         runner = news.loss.runner
         if isinstance(news, RunnerReturned):
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -229,6 +229,7 @@
         self._failed_looks += 1
         if self._failed_looks == UNREACHABLE_LOOKS:
             effects.append(note("runner_unreachable", runs=len(self.table)))
+            self.losses.silent(now, self.account, self.table)
         if self._lease.has_killed(now) and len(self.table):
             effects.append(self.losses.given_up(now, self.account, self.table))
             for run in self.table:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -6,9 +6,14 @@
 from paddleshunt_core.leased.orders import RunnerAccount
 from paddleshunt_core.leased.runnotes import runner_lost_note
 from paddleshunt_core.leased.runtable import RunTable
-from paddleshunt_core.leased.wire import LossId, RunnerLost, RunnerReturned
-
-LossNews = RunnerLost | RunnerReturned
+from paddleshunt_core.leased.wire import (
+    LossId,
+    LossNews,
+    RunnerLost,
+    RunnerReturned,
+    RunnerSilent,
+    TaskId,
+)
 
 
 @final
@@ -18,12 +23,12 @@
     def __init__(self) -> None:
         self._silent_since: float | None = None
         """When a look had no answer for the first time since one had; None if the last one had."""
-        self._lost: LossId | None = None
-        """The loss of the life that is known, if it was taken for lost and may answer again."""
+        self._told: LossId | None = None
+        """What was told of the life that is known, as silent or lost, if it may answer again."""
         self._news: list[LossNews] = []
 
     def take_news(self) -> list[LossNews]:
-        """Return which lives were lost with their runs, or answer again, once."""
+        """Return which lives fell silent or were lost with their runs, or answer again, once."""
         news = self._news
         self._news = []
         return news
@@ -31,15 +36,21 @@
     def answered(self) -> None:
         """Note that the life that is known answered a look."""
         self._silent_since = None
-        if self._lost is not None:
-            self._news.append(RunnerReturned(self._lost))
-            self._lost = None
+        if self._told is not None:
+            self._news.append(RunnerReturned(self._told))
+            self._told = None
 
     def unanswered(self, now: float) -> None:
         """Note that a look had no answer."""
         if self._silent_since is None:
             self._silent_since = now
 
+    def silent(self, now: float, account: RunnerAccount | None, table: RunTable) -> None:
+        """Note that looks in a row had no answer, with runs at work: it may have been lost."""
+        if account is not None and not account.leaving and len(table):
+            self._told = self._loss(now, account)
+            self._news.append(RunnerSilent(self._told, *self._at_work(now, table)))
+
     def given_up(self, now: float, account: RunnerAccount | None, table: RunTable) -> Log:
         """Note that what runs there can't be at work any more, as no look had an answer."""
         return self._lose(now, account, table, "silent")
@@ -48,15 +59,27 @@
         """Note that the life that was known has ended; it won't answer again."""
         logs = [self._lose(now, account, table, "replaced")] if len(table) else []
         self._silent_since = None
-        self._lost = None
+        self._told = None
         return logs
 
     def _lose(self, now: float, account: RunnerAccount | None, table: RunTable, how: str) -> Log:
         """Tell of a life and its runs, unless it had said that it ends."""
         runner = account.runner if account else ""
-        since = now if self._silent_since is None else self._silent_since
         if account is not None and not account.leaving:
-            self._lost = LossId(runner, int(since * 1000))
-            tasks = sorted({run.id.task for run in table})
-            self._news.append(RunnerLost(self._lost, tasks))
-        return runner_lost_note(runner, how, since, table)
+            self._told = self._loss(now, account)
+            self._news.append(RunnerLost(self._told, *self._at_work(now, table)))
+        return runner_lost_note(runner, how, self._since(now), table)
+
+    def _since(self, now: float) -> float:
+        return now if self._silent_since is None else self._silent_since
+
+    def _loss(self, now: float, account: RunnerAccount) -> LossId:
+        return LossId(account.runner, int(self._since(now) * 1000))
+
+    def _at_work(self, now: float, table: RunTable) -> tuple[list[TaskId], list[str], list[int]]:
+        """Return the tasks at work in order, the queue of each, and its milliseconds of work."""
+        since = self._since(now)
+        newest = {run.id.task: run for run in sorted(table, key=lambda run: run.began)}
+        tasks = sorted(newest)
+        worked = [max(0, round((since - newest[task].began) * 1000)) for task in tasks]
+        return tasks, [newest[task].queue for task in tasks], worked
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -29,6 +29,7 @@
     need: Resources
     estimate: float
     expires: float
+    queue: str = ""
     began: float = 0.0
     """When its start was decided."""
     phase: Phase = Phase.STARTING
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -80,6 +80,7 @@
     """Run tasks of one step of a job.
 
     `estimate_ms` is a rough guess of a task's length; after `expires_ms` nobody waits for it.
+    `queue` is named again if the runner is lost.
     """
 
     job: str
@@ -89,6 +90,7 @@
     estimate_ms: int
     expires_ms: int
     runs: list[tuple[int, int]]
+    queue: str = ""
 
 
 @final
@@ -197,20 +199,39 @@
 class RunnerLost(_Body, frozen=True, tag=13):
     """A life of a runner that ended, or gave no answer until its lease was over, unannounced.
 
-    `tasks` were at work on it, each once.
+    `tasks` were at work on it, each once; `queues` and `worked_ms` say in their order which queue
+    each is of, and for how many milliseconds it had run when the runner fell silent. Whoever hands
+    it on later says with `ago_ms` how long it has known.
     """
 
     loss: LossId
     tasks: list[TaskId]
+    queues: list[str] = []
+    worked_ms: list[int] = []
+    ago_ms: int = 0
 
 
 @final
 class RunnerReturned(_Body, frozen=True, tag=14):
-    """A life of a runner that was taken for lost answers again."""
+    """A life of a runner that was silent or taken for lost answers again."""
 
     loss: LossId
 
 
+@final
+class RunnerSilent(_Body, frozen=True, tag=15):
+    """A life of a runner gives no answer; what is at work on it may go on.
+
+    It shows early what may have taken the runner down; nothing counts as lost by it. `RunnerLost`
+    or `RunnerReturned` follows with the same loss.
+    """
+
+    loss: LossId
+    tasks: list[TaskId]
+    queues: list[str]
+    worked_ms: list[int]
+
+
 Body = (
     Assign
     | Stop
@@ -225,8 +246,12 @@
     | EvacuationNews
     | RunnerLost
     | RunnerReturned
+    | RunnerSilent
 )
 
+LossNews = RunnerLost | RunnerReturned | RunnerSilent
+"""What targets and entries tell of a runner that may have been lost."""
+
 
 @final
 class Hello(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -406,4 +406,5 @@
         body.need,
         body.estimate_ms / 1000,
         now + body.expires_ms / 1000,
+        body.queue,
     )
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -15,8 +15,10 @@
     EvacuationNews,
     Frame,
     Hello,
+    LossNews,
     RunnerLost,
     RunnerReturned,
+    RunnerSilent,
 )
 
 from paddleshunt_node.aio import clock
@@ -53,7 +55,7 @@
     def known_losses(self) -> list[RunnerLost]:
         """Return what is remembered of lost runners."""
 
-    def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
+    def told_loss(self, news: LossNews, source: str) -> None:
         """Take another entry's word on a lost runner."""
 
     def found(self, entry: EntryAddress) -> None:
@@ -120,7 +122,7 @@
         """Tell all which halls are evacuated."""
         self._send_all(EvacuationNews(evacuated))
 
-    def tell_loss(self, news: RunnerLost | RunnerReturned) -> None:
+    def tell_loss(self, news: LossNews) -> None:
         """Hand a word on a lost runner on to all."""
         self._send_all(news)
 
@@ -195,7 +197,7 @@
                 if self._owner.evacuations.outdates(body.evacuated):
                     link.send(_loose(EvacuationNews(self._owner.evacuations.known)))
                 self._owner.learn(body.evacuated, link.peer)
-            case RunnerLost() | RunnerReturned():
+            case RunnerLost() | RunnerReturned() | RunnerSilent():
                 self._owner.told_loss(body, link.peer)
             case CatalogNews():
                 self._owner.adopt(body.catalog, link.peer)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -19,8 +19,8 @@
     EntryChanges,
     Frame,
     Hello,
+    LossNews,
     RunnerLost,
-    RunnerReturned,
 )
 
 from paddleshunt_node.aio import clock
@@ -164,6 +164,11 @@
             "paddleshunt_catalog_version", "Version in force.", lambda: self.catalog.version
         )
         measures.gauge("paddleshunt_sessions", "Targets in session.", lambda: len(self._links))
+        measures.gauge(
+            "paddleshunt_confined_queues",
+            "Queues confined to a few targets, as their tasks take runners down.",
+            lambda: self._dispatcher.confined_queues,
+        )
         measures.gauge(
             "paddleshunt_report_age_seconds", "Age of the oldest target's report.", self._report_age
         )
@@ -307,7 +312,7 @@
         """Return what is remembered of lost runners."""
         return self._dispatcher.known_losses(self._now())
 
-    def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
+    def told_loss(self, news: LossNews, source: str) -> None:
         """Take another entry's word on a lost runner."""
         self._act(self._dispatcher.told_loss(self._now(), news, source))
 
--- /dev/null
+++ b/testing/core/leased/test_bulkhead.py
@@ -0,0 +1,96 @@
+"""Which targets a confined queue may use: the same at each entry, and it keeps to them."""
+
+import pytest
+from paddleshunt_core.leased.bulkhead import STAY_SECONDS, Bulkhead
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.targets import TargetRecord
+from paddleshunt_core.leased.wire import Health, RunnerReport, RunnerState
+
+ROOM = Resources(8000, 8000, 0)
+
+
+def target(name: str, state: RunnerState = RunnerState.READY, service: str = "svc") -> TargetRecord:
+    record = TargetRecord(name, "hall", "1")
+    record.report = RunnerReport(service, f"i-{name}", state, Health.GOOD, ROOM, ROOM)
+    return record
+
+
+@pytest.fixture
+def fleet() -> dict[str, TargetRecord]:
+    return {f"t{n}": target(f"t{n}") for n in range(16)}
+
+
+def choose(bulkhead: Bulkhead, now: float, fleet: dict[str, TargetRecord], width: int = 1) -> None:
+    bulkhead.choose(now, fleet.values(), width)
+
+
+def test_two_entries_choose_the_same_few(fleet: dict[str, TargetRecord]) -> None:
+    one, other = Bulkhead("q", "svc"), Bulkhead("q", "svc")
+    choose(one, 1.0, fleet)
+    choose(other, 5.0, dict(reversed(fleet.items())))
+    assert one.members == other.members
+    assert 1 <= len(one.members) <= 4
+    assert not one.leaves_little()
+
+
+def test_queues_have_different_ones(fleet: dict[str, TargetRecord]) -> None:
+    chosen = set()
+    for name in "abcdef":
+        bulkhead = Bulkhead(name, "svc")
+        choose(bulkhead, 1.0, fleet)
+        chosen.add(bulkhead.members)
+    assert len(chosen) > 1
+
+
+def test_a_wider_one_has_the_narrow_ones_targets(fleet: dict[str, TargetRecord]) -> None:
+    bulkhead = Bulkhead("q", "svc")
+    choose(bulkhead, 1.0, fleet)
+    few = bulkhead.members
+    choose(bulkhead, 2.0, fleet, 2)
+    assert few < bulkhead.members
+
+
+def test_other_services_targets_have_no_place(fleet: dict[str, TargetRecord]) -> None:
+    bulkhead = Bulkhead("q", "svc")
+    choose(bulkhead, 1.0, {**fleet, "x": target("x", service="other")})
+    assert bulkhead.known == len(fleet)
+
+
+@pytest.mark.parametrize("gone", ["down", "no session"])
+def test_a_target_whose_runner_is_away_keeps_its_place_for_a_while(
+    gone: str, fleet: dict[str, TargetRecord]
+) -> None:
+    bulkhead = Bulkhead("q", "svc")
+    choose(bulkhead, 1.0, fleet)
+    members = bulkhead.members
+    for name in members:
+        fleet[name] = target(name, RunnerState.DOWN)
+        if gone == "no session":
+            fleet[name].report = None
+    choose(bulkhead, 1.1, fleet)
+    choose(bulkhead, 1.0 + STAY_SECONDS, fleet)
+    assert bulkhead.members == members
+    for now in (1.2 + STAY_SECONDS, 1.3 + STAY_SECONDS):
+        choose(bulkhead, now, fleet)
+        assert not bulkhead.members & members
+
+
+@pytest.mark.parametrize("state", [RunnerState.LEAVING, RunnerState.EVACUATED])
+def test_one_that_takes_no_work_any_more_is_replaced_at_once(
+    state: RunnerState, fleet: dict[str, TargetRecord]
+) -> None:
+    bulkhead = Bulkhead("q", "svc")
+    choose(bulkhead, 1.0, fleet)
+    members = bulkhead.members
+    for name in members:
+        fleet[name] = target(name, state)
+    choose(bulkhead, 1.1, fleet)
+    assert bulkhead.members
+    assert not bulkhead.members & members
+
+
+@pytest.mark.parametrize("count", [0, 1, 2])
+def test_of_two_targets_none_can_be_spared(count: int) -> None:
+    bulkhead = Bulkhead("q", "svc")
+    bulkhead.choose(1.0, [target(f"t{n}") for n in range(count)], 1)
+    assert bulkhead.leaves_little()
--- a/testing/core/leased/test_losses.py
+++ b/testing/core/leased/test_losses.py
@@ -1,6 +1,7 @@
 """What is remembered of lost runners: within bounds, and undone when one answers again."""
 
 import pytest
+from msgspec.structs import replace
 from paddleshunt_core.leased.losses import KEEP_SECONDS, MOST_REMEMBERED, LossBook
 from paddleshunt_core.leased.wire import LossId, RunnerLost, TaskId
 
@@ -50,10 +51,19 @@
 
 def test_a_loss_is_forgotten_after_a_while(book: LossBook) -> None:
     book.learn(2.0, lost("i-2", TASK))
-    assert book.all(1.0 + KEEP_SECONDS) == [lost("i-2", TASK)]
+    known = replace(lost("i-2", TASK), ago_ms=round((KEEP_SECONDS - 1.0) * 1000))
+    assert book.all(1.0 + KEEP_SECONDS) == [known]
     assert book.runners(TASK) == ["i-2"]
 
 
+def test_what_is_handed_on_says_for_how_long_it_has_been_known(book: LossBook) -> None:
+    (first,) = book.all(31.0)
+    other = LossBook()
+    assert other.learn(100.0, first)
+    assert other.all(110.0) == [replace(first, ago_ms=40_000)]
+    assert other.all(100.0 - 30.0 + KEEP_SECONDS) == []
+
+
 def test_no_more_than_a_bound_is_remembered(book: LossBook) -> None:
     for number in range(MOST_REMEMBERED):
         book.learn(2.0, lost(f"j-{number}", TaskId(f"job{number}", 0, 0)))
--- a/testing/core/leased/test_retries.py
+++ b/testing/core/leased/test_retries.py
@@ -13,7 +13,7 @@
     RETRIES,
     Retries,
 )
-from paddleshunt_core.leased.wire import LossId, RunnerLost, RunnerReturned
+from paddleshunt_core.leased.wire import LossId, RunnerLost, RunnerReturned, RunnerSilent
 
 QUEUE = Queue("q", "host", "/q/", "svc")
 
@@ -51,6 +51,14 @@
     assert retries.outcome(job) == outcome
 
 
+def test_a_runner_that_is_only_silent_counts_for_nothing(job: JobRecord) -> None:
+    retries = Retries()
+    for number in range(LOST_RUNNERS):
+        silent = RunnerSilent(LossId(f"i-{number}", number), [job.tasks[1].id], ["q"], [10])
+        assert retries.learn(1.0, silent, "t") == []
+    assert retries.outcome(job) is None
+
+
 def test_each_way_back_counts_against_one_bound(job: JobRecord) -> None:
     retries = Retries()
     job.tasks[0].retries = MOST_RETRIES - 1
--- /dev/null
+++ b/testing/core/leased/test_runnerlosses.py
@@ -0,0 +1,82 @@
+"""What a target tells of its silent runner: at once what was at work, and later how it ended."""
+
+import pytest
+from paddleshunt_core.leased.orders import RunnerAccount
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnerlosses import RunnerLosses
+from paddleshunt_core.leased.runtable import Run, RunTable
+from paddleshunt_core.leased.wire import (
+    LossId,
+    RunId,
+    RunnerLost,
+    RunnerReturned,
+    RunnerSilent,
+    TaskId,
+)
+
+ROOM = Resources(8000, 8000, 0)
+ACCOUNT = RunnerAccount("i-1", "svc", "hall", ROOM, False, None)
+LEAVING = RunnerAccount("i-1", "svc", "hall", ROOM, True, None)
+LOSS = LossId("i-1", 5000)
+TASKS = [TaskId("a", 0, 1), TaskId("b", 0, 0)]
+
+
+@pytest.fixture
+def table() -> RunTable:
+    table = RunTable()
+    for task, queue, began in ((TASKS[1], "long", 4.2), (TASKS[0], "short", 4.9)):
+        run = Run(RunId(task, 1), "e0", "spec", Resources(1000, 64), 0.4, 9.0, queue)
+        run.began = began
+        table.add(run)
+    return table
+
+
+@pytest.fixture
+def losses() -> RunnerLosses:
+    losses = RunnerLosses()
+    losses.unanswered(5.0)
+    return losses
+
+
+def test_a_silent_runner_is_told_with_the_queue_and_work_of_each_task(
+    losses: RunnerLosses, table: RunTable
+) -> None:
+    losses.silent(5.1, ACCOUNT, table)
+    assert losses.take_news() == [RunnerSilent(LOSS, TASKS, ["short", "long"], [100, 800])]
+    assert losses.take_news() == []
+
+
+def test_its_loss_follows_by_the_same_name(losses: RunnerLosses, table: RunTable) -> None:
+    losses.silent(5.1, ACCOUNT, table)
+    losses.given_up(5.8, ACCOUNT, table)
+    assert losses.take_news()[1] == RunnerLost(LOSS, TASKS, ["short", "long"], [100, 800])
+
+
+@pytest.mark.parametrize("lost", [[], [5.8]], ids=["silent", "lost"])
+def test_or_its_return_does(losses: RunnerLosses, table: RunTable, lost: list[float]) -> None:
+    losses.silent(5.1, ACCOUNT, table)
+    for at in lost:
+        losses.given_up(at, ACCOUNT, table)
+    losses.answered()
+    assert losses.take_news()[-1] == RunnerReturned(LOSS)
+    losses.answered()
+    assert losses.take_news() == []
+
+
+def test_a_runner_that_leaves_or_has_nothing_at_work_is_not_told(
+    losses: RunnerLosses, table: RunTable
+) -> None:
+    losses.silent(5.1, LEAVING, table)
+    losses.silent(5.1, None, table)
+    losses.silent(5.1, ACCOUNT, RunTable())
+    assert losses.take_news() == []
+
+
+def test_one_replaced_after_it_was_silent_does_not_return(
+    losses: RunnerLosses, table: RunTable
+) -> None:
+    losses.silent(5.1, ACCOUNT, table)
+    losses.replaced(5.4, ACCOUNT, table)
+    losses.answered()
+    kinds = [type(news) for news in losses.take_news()]
+    assert kinds == [RunnerSilent, RunnerLost]
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -14,8 +14,10 @@
     Frame,
     Hello,
     LossId,
+    LossNews,
     RunnerLost,
     RunnerReturned,
+    RunnerSilent,
     TaskId,
 )
 from paddleshunt_node.aio import entrypeers
@@ -24,6 +26,7 @@
 OWN = EntryAddress("e0", "127.0.0.1:1", "life")
 LOST = RunnerLost(LossId("i-1", 1000), [TaskId("job", 0, 0)])
 RETURNED = RunnerReturned(LOST.loss)
+SILENT = RunnerSilent(LOST.loss, LOST.tasks, ["q"], [10])
 ROUND = 0.05
 BEAT_BYTES = 60
 """Bytes that a round may bring another entry: two versions, and the frame around them."""
@@ -37,7 +40,7 @@
         self.evacuations = Evacuations()
         self.told: list[EntryChanges] = []
         self.losses = [LOST]
-        self.heard: list[tuple[RunnerLost | RunnerReturned, str]] = []
+        self.heard: list[tuple[LossNews, str]] = []
 
     def adopt(self, catalog: Catalog, source: str) -> None:
         pass
@@ -51,7 +54,7 @@
     def known_losses(self) -> list[RunnerLost]:
         return self.losses
 
-    def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
+    def told_loss(self, news: LossNews, source: str) -> None:
         self.heard.append((news, source))
 
     def tell_targets(self, changes: EntryChanges) -> None:
@@ -144,9 +147,9 @@
     play(monkeypatch, [], scene)
 
 
-@pytest.mark.parametrize("news", [LOST, RETURNED], ids=["lost", "returned"])
+@pytest.mark.parametrize("news", [LOST, RETURNED, SILENT], ids=["lost", "returned", "silent"])
 def test_a_word_on_a_lost_runner_goes_to_all_other_entries(
-    monkeypatch: pytest.MonkeyPatch, news: RunnerLost | RunnerReturned
+    monkeypatch: pytest.MonkeyPatch, news: LossNews
 ) -> None:
     links = [Link(), Link()]
 
@@ -169,9 +172,9 @@
     play(monkeypatch, [], scene)
 
 
-@pytest.mark.parametrize("news", [LOST, RETURNED], ids=["lost", "returned"])
+@pytest.mark.parametrize("news", [LOST, RETURNED, SILENT], ids=["lost", "returned", "silent"])
 def test_another_entrys_word_on_a_lost_runner_is_followed(
-    monkeypatch: pytest.MonkeyPatch, news: RunnerLost | RunnerReturned
+    monkeypatch: pytest.MonkeyPatch, news: LossNews
 ) -> None:
     link = Link()
     link.peer = "e7"
