--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/assigner.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from paddleshunt_core.events import Log, note
+from paddleshunt_core.leased.containment import Containment
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.room import RoomNow
@@ -16,8 +17,9 @@
 class Assigner:
     """Assigns tasks by a `Placement`."""
 
-    def __init__(self, placement: Placement, speeds: Speeds) -> None:
+    def __init__(self, placement: Placement, containment: Containment, speeds: Speeds) -> None:
         self._placement = placement
+        self._containment = containment
         self._speeds = speeds
         self.heads: dict[str, JobRecord] = {}
         """By service, the first job in the order of starts that waits for room."""
@@ -33,13 +35,22 @@
         logs: list[Log] = []
         for job in waiting:
             service = job.queue.service
-            may = room.may_have(service, job.request.need)
-            if may and not self._placement.awaits_kind(now, job, room):
-                logs += self._place_job(now, job, room.usable(service))
-            if service not in self.heads and job.waiting():
+            if self._may_place(now, job, room):
+                targets = self._containment.targets(job, room.usable(service))
+                logs += self._place_job(now, job, targets)
+            # A confined job is no head: most targets that were told would offer room in vain.
+            confined = self._containment.is_confined(job.queue)
+            if service not in self.heads and job.waiting() and not confined:
                 self.heads[service] = job
         return logs
 
+    def _may_place(self, now: float, job: JobRecord, room: RoomNow) -> bool:
+        """Whether it is worth looking for targets for a job now."""
+        if not room.may_have(job.queue.service, job.request.need) or self._containment.holds(job):
+            return False
+        confined = self._containment.is_confined(job.queue)
+        return confined or not self._placement.awaits_kind(now, job, room)
+
     def _place_job(self, now: float, job: JobRecord, targets: list[TargetRecord]) -> list[Log]:
         able = self._placement.able(job, targets)
         chosen: dict[str, list[TaskRecord]] = {}
@@ -78,6 +89,7 @@
         estimate_ms=round(job.length * max(1.0, target.kind_factor / typical) * 1000),
         expires_ms=round((job.expires - now) * 1000),
         runs=[(task.id.index, task.number) for task in tasks],
+        queue=job.queue.name,
     )
     number = target.session.send(message)
     target.assigned(number, request.need, len(tasks))
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -21,9 +21,11 @@
     Hello,
     KindSpeed,
     LossId,
+    LossNews,
     RunnerLost,
     RunnerReport,
     RunnerReturned,
+    RunnerSilent,
     RunnerState,
     SpeedNews,
     TaskId,
@@ -36,6 +38,7 @@
 LOST = RunnerLost(LossId("i-1", 1000), [TaskId("job", 0, 0)])
 RETURNED = RunnerReturned(LOST.loss)
 READY, GOOD, ROOM = RunnerState.READY, Health.GOOD, Resources(8000, 8000, 0)
+SILENT = RunnerSilent(LOST.loss, LOST.tasks, ["q"], [10])
 ROUND = 0.05
 BEAT_BYTES = 60
 """Bytes that a round may bring another entry: two versions, and the frame around them."""
@@ -52,7 +55,7 @@
         self.losses = [LOST]
         self.speeds = Speeds()
         self.told_kinds: list[tuple[SpeedNews, str]] = []
-        self.heard: list[tuple[RunnerLost | RunnerReturned, str]] = []
+        self.heard: list[tuple[LossNews, str]] = []
         self.refused: list[Refusal] = []
 
     def refuse(self, refusal: Refusal) -> None:
@@ -76,7 +79,7 @@
     def told_targets(self, targets: int, source: str) -> None:
         self.targets.append((targets, source))
 
-    def told_loss(self, news: RunnerLost | RunnerReturned, source: str) -> None:
+    def told_loss(self, news: LossNews, source: str) -> None:
         self.heard.append((news, source))
 
     def told_speeds(self, news: SpeedNews, source: str) -> None:
@@ -215,9 +218,9 @@
     play(monkeypatch, [], scene)
 
 
-@pytest.mark.parametrize("news", [LOST, RETURNED], ids=["lost", "returned"])
+@pytest.mark.parametrize("news", [LOST, RETURNED, SILENT], ids=["lost", "returned", "silent"])
 def test_a_word_on_a_lost_runner_goes_to_all_other_entries(
-    monkeypatch: pytest.MonkeyPatch, news: RunnerLost | RunnerReturned
+    monkeypatch: pytest.MonkeyPatch, news: LossNews
 ) -> None:
     links = [Link(), Link()]
 
@@ -240,9 +243,9 @@
     play(monkeypatch, [], scene)
 
 
-@pytest.mark.parametrize("news", [LOST, RETURNED], ids=["lost", "returned"])
+@pytest.mark.parametrize("news", [LOST, RETURNED, SILENT], ids=["lost", "returned", "silent"])
 def test_another_entrys_word_on_a_lost_runner_is_followed(
-    monkeypatch: pytest.MonkeyPatch, news: RunnerLost | RunnerReturned
+    monkeypatch: pytest.MonkeyPatch, news: LossNews
 ) -> None:
     link = Link()
     link.peer = "e7"
