--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -129,6 +129,7 @@
 
     `partial`: some of it could not be read, so a run that it doesn't show may be there as well.
     `listed` is the highest number of an end that it lists, also of one that is no run of ours.
+    `unread_end`: it lists an end of which the run could not be read, so any run may have ended.
     """
 
     sent: float
@@ -136,3 +137,4 @@
     finished: list[FinishedRun]
     partial: bool = False
     listed: int = 0
+    unread_end: bool = False
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -234,6 +234,8 @@
         shown = min(now, answer.sent + self._waited)
         effects += self._stop_foreign(running, answer)
         for run in self.table:
+            if answer.unread_end:
+                run.note_unread_end()
             if run.id in running:
                 effects += self._progressed(now, shown, run, running[run.id])
             elif answer.partial:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -49,6 +49,14 @@
     """What to tell the entry once a stop is done."""
     unwanted: float = 0.0
     """Since when nobody has a right to it, if it is being stopped."""
+    may_have_ended: bool = False
+    """Whether an end was listed that may be its own: it can't be said to have never run."""
+
+    def note_unread_end(self) -> None:
+        """Note that an end was listed of which the run could not be read."""
+        self.may_have_ended = True
+        if self.ending is End.NOT_STARTED:
+            self.ending = End.LOST
 
     def begin(self, now: float) -> None:
         """Note that it is known to be at work; what passed before that is not its runner's time."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/stopping.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/stopping.py
@@ -20,7 +20,7 @@
     run.phase = Phase.STOPPING
     run.unwanted = now if since is None else since
     run.doubted = None
-    run.ending = ending
+    run.ending = End.LOST if run.may_have_ended and ending is End.NOT_STARTED else ending
     log = note("run_stopping", str(run.id.task), run=run.id.number, reason=reason)
     if under_way:
         return [log]
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -35,7 +35,7 @@
 from paddleshunt_node.aio.sockets import split_address
 
 LOOK_PAUSE = 0.08
-"""Seconds before the next look after one that got no answer."""
+"""Seconds before the next look after one that got no answer, or one that can't be read in full."""
 
 SHORT_PAUSE = 0.01
 """Seconds between two looks that don't wait."""
@@ -242,8 +242,11 @@
                 failures = 0
                 self._note_first_look()
                 self._act(self._worker.looked(now, answer))
-                # The runner doesn't wait either while an end that can't be read is listed.
-                if look.wait == 0 or answer.partial:
+                # The runner doesn't wait either while an end that can't be read is listed, which
+                # may be for good.
+                if answer.partial:
+                    await asyncio.sleep(LOOK_PAUSE)
+                elif look.wait == 0:
                     await asyncio.sleep(SHORT_PAUSE)
                 continue
             if isinstance(answer, Superseded):
--- a/testing/core/leased/test_worker.py
+++ b/testing/core/leased/test_worker.py
@@ -1,6 +1,7 @@
 """The target's worker, step by step."""
 
 import pytest
+from paddleshunt_core.events import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.entrylink import REPORT_SECONDS
 from paddleshunt_core.leased.offers import OFFER_SECONDS
@@ -391,6 +392,21 @@
     assert StopRun(RUN) in worker.looked(1.4, LookAnswer(1.3, [], []))
 
 
+@pytest.mark.parametrize("told", ["before", "while-stopping"])
+def test_a_run_whose_end_may_have_been_unread_is_not_said_to_have_never_run(told: str) -> None:
+    worker = working()
+    worker.start_answered(1.08, RUN, StartAnswer.UNKNOWN)
+    if told == "while-stopping":
+        assert StopRun(RUN) in worker.looked(1.12, LookAnswer(1.11, [], []))
+    worker.looked(1.16, LookAnswer(1.15, [], [], partial=True, listed=4, unread_end=True))
+    worker.looked(1.21, LookAnswer(1.2, [], []))
+    worker.stop_answered(1.3, RUN, done=True)
+    effects = worker.looked(1.5, LookAnswer(1.4, [], []))
+    ends = [e.fields["end"] for e in effects if isinstance(e, Log) and e.event == "run_ended"]
+    assert ends == ["lost"]
+    assert worker.next_look(1.6).last_seen == 4
+
+
 def test_a_partial_answer_does_not_show_that_nothing_foreign_runs() -> None:
     worker = Worker(lease_times(Bounds()))
     account = RunnerAccount("i-1", "svc", "hall", Resources(8000, 8000), False, None)
