Let only a list of items take an evacuation back

A 200 answer to a range without items (`{}`) was read as an empty store, and took all evacuations back; so did a page that announced more and had none. A page must name the store's revision; one without items is empty only while nothing is known of the store, and never before the last page. `more` may be left out. Watches are unchanged: an answer without events changes nothing.

--- a/testing/council/test_store.py
+++ b/testing/council/test_store.py
@@ -297,11 +297,25 @@
         listed(at=-7),
         listed(at=10**30),
         listed(at="7"),
+        b"{}",
+        b'{"items":[],"more":false}',
         b'{"items":5,"at":7}',
         b'{"at":7,"items":[' + b"[" * 100_000,
         b'{"at":7,"items":["\xff',
     ],
-    ids=["empty", "type", "cut", "negative", "huge", "text", "no-list", "deep", "bytes"],
+    ids=[
+        "empty",
+        "type",
+        "cut",
+        "negative",
+        "huge",
+        "text",
+        "bare",
+        "no-revision",
+        "no-list",
+        "deep",
+        "bytes",
+    ],
 )
 def test_a_page_that_can_not_be_read_is_a_store_that_is_away(page: bytes) -> None:
     async def scene() -> None:
@@ -316,6 +330,42 @@
     asyncio.run(asyncio.wait_for(scene(), 20))
 
 
+@pytest.mark.parametrize(
+    "page", [b'{"at":9}', listed(more=True), b'{"at":9,"more":true}'], ids=["bare", "more", "both"]
+)
+def test_only_a_list_takes_an_evacuation_back(page: bytes) -> None:
+    pages = [listed(item("op/config", config(3)), item("op/evacuate/hall", b"{}")), page]
+
+    class OddStore(StoreStandIn):
+        def _kv_range(self, asked: dict[str, object], path: str) -> tuple[int, object]:
+            return 200, json.loads(pages[0])
+
+    async def scene() -> None:
+        standin = OddStore()
+        await standin.start()
+        store = Store(standin.address, 1000)
+        assert (await store.next_word()).evacuated == EvacuatedHalls(7, ("hall",))
+        del pages[0]
+        standin.history_gone = True
+        with pytest.raises(StoreUnavailableError, match="without items"):
+            await store.next_word()
+        pages[0] = listed(item("op/config", config(3)))
+        assert (await store.next_word()).evacuated == EvacuatedHalls(7, ())
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+def test_a_new_store_may_leave_out_that_it_is_empty() -> None:
+    async def scene() -> None:
+        standin = raw_store(b'{"at":1}')()
+        await standin.start()
+        store = Store(standin.address, 1000)
+        assert (await store.next_word()).evacuated == EvacuatedHalls(1, ())
+        assert await store.entries() == []
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
 ODD_ADDRESSES = {
     "no-port": b'["e9","10.0.0.9"]',
     "no-number": b'["e9","10.0.0.9:port"]',
