--- a/testing/council/test_callers.py
+++ b/testing/council/test_callers.py
@@ -6,7 +6,7 @@
 from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, JobOutcome, Refused
 from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.resources import Resources
-from paddleshunt_council.callers import Callers
+from paddleshunt_council.callers import LEAST_ESTIMATE, Callers
 from paddleshunt_node.aio.httpserver import Request, Response
 from paddleshunt_node.aio.ports import Submission
 
@@ -57,6 +57,12 @@
     assert (read.job.label, read.job.rack, read.job.spread) == ("a", "r1-3", 2)
 
 
+def test_a_spread_or_an_estimate_below_zero_is_none() -> None:
+    read = Callers().read(request(body=job(anti_affinity=-2, estimated_ms=-900)), CATALOG)
+    assert isinstance(read, Submission)
+    assert (read.job.spread, read.job.estimate) == (0, LEAST_ESTIMATE)
+
+
 @pytest.mark.parametrize(
     ("asked", "status"),
     [
