Count the connections that asyncio holds bytes of as they are

They came first in the sample of 64, which then stood for all connections in use: 33 dead peers of 640 counted as 330, which is pressure. They are now counted exactly; the kernel's part is scaled from some of them for them, and from some of the others for the others. 4 cases (1, 33, 64, 200 dead of 640) failed on the code before.

--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/linkmeter.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/linkmeter.py
@@ -9,7 +9,7 @@
 import struct
 import termios
 from collections.abc import Callable, Iterable
-from itertools import islice
+from dataclasses import dataclass
 from typing import Protocol, final
 
 from paddleshunt_core.leased.linkpressure import LinkPressure, LinkSample
@@ -25,6 +25,16 @@
 _COUNT = struct.Struct("i")
 
 
+@dataclass(frozen=True, slots=True)
+class _Kernel:
+    """What the kernel holds beside asyncio: bytes in all, the largest holder's with asyncio's, and
+    the connections of which it alone holds some."""
+
+    unsent: int = 0
+    largest: int = 0
+    holding: int = 0
+
+
 class Metered(Protocol):
     """A connection whose sends are watched."""
 
@@ -94,16 +104,13 @@
         echo = self._echo()
         held = self._held()
         thorough = any(held.values()) or self.pressure.is_suspicious(echo)
-        counts = list(held.values())
-        share = 1.0
-        if thorough and self._kernel_tells and held:
-            counts = self._ask_kernel(held)
-            share = len(held) / len(counts)
+        kernel = self._ask_kernel(held) if thorough and self._kernel_tells else _Kernel()
+        largest = max(held.values(), default=0)
         sample = LinkSample(
-            unsent=round(sum(counts) * share),
-            largest=max(counts, default=0),
+            unsent=sum(held.values()) + kernel.unsent,
+            largest=max(largest, kernel.largest),
             written=self._total,
-            holding=round(sum(count > 0 for count in counts) * share),
+            holding=sum(count > 0 for count in held.values()) + kernel.holding,
             active=len(held),
             echo=echo,
         )
@@ -127,17 +134,31 @@
                 held[connection] = count
         return held
 
-    def _ask_kernel(self, held: dict[Metered, int]) -> list[int]:
-        """Return what some of the connections hold, with the kernel's part; others' turn is next.
+    def _ask_kernel(self, held: dict[Metered, int]) -> "_Kernel":
+        """Return what the kernel holds, by some of the connections; others' turn is next.
 
-        Those that asyncio holds bytes of are always among them.
+        What asyncio holds bytes of is few, and not like the others: each kind stands for itself.
         """
-        asked = [connection for connection, count in held.items() if count][:ASKED]
+        holders = [connection for connection, count in held.items() if count]
         others = [connection for connection, count in held.items() if not count]
-        self._turn = (self._turn + ASKED) % max(1, len(others))
-        turned = others[self._turn :] + others[: self._turn]
-        asked += islice(turned, ASKED - len(asked))
-        return [held[connection] + self._kernel_bytes(connection) for connection in asked]
+        self._turn += 1
+        asked = self._some(holders, min(ASKED - ASKED // 2, len(holders)))
+        quiet = self._some(others, ASKED - len(asked))
+        whole = {connection: self._kernel_bytes(connection) for connection in (*asked, *quiet)}
+        share = len(holders) / max(1, len(asked))
+        quiet_share = len(others) / max(1, len(quiet))
+        unsent = share * sum(map(whole.__getitem__, asked))
+        unsent += quiet_share * sum(map(whole.__getitem__, quiet))
+        return _Kernel(
+            round(unsent),
+            max((held[one] + count for one, count in whole.items()), default=0),
+            round(quiet_share * sum(whole[one] > 0 for one in quiet)),
+        )
+
+    def _some(self, connections: list[Metered], count: int) -> list[Metered]:
+        """Return so many of them, beginning elsewhere each turn."""
+        first = self._turn * count % max(1, len(connections))
+        return (connections[first:] + connections[:first])[:count]
 
     def _kernel_bytes(self, connection: Metered) -> int:
         transport = connection.transport
--- a/testing/node/aio/test_linkmeter.py
+++ b/testing/node/aio/test_linkmeter.py
@@ -196,6 +196,36 @@
     play(200, scene)
 
 
+class Dead:
+    """A connection of which asyncio holds bytes, or none, and the kernel none."""
+
+    def __init__(self, unsent: int) -> None:
+        self.written = 10
+        self.transport = FakeTransport(unsent)
+
+
+class FakeTransport(asyncio.Transport):
+    def __init__(self, unsent: int) -> None:
+        super().__init__()
+        self._unsent = unsent
+
+    def get_write_buffer_size(self) -> int:
+        return self._unsent
+
+
+@pytest.mark.parametrize("dead", [1, 33, 64, 200])
+def test_dead_peers_do_not_stand_for_the_others(monkeypatch: pytest.MonkeyPatch, dead: int) -> None:
+    recorder = Recorder()
+    monkeypatch.setattr(linkmeter, "LinkPressure", lambda _: recorder)
+    connections = [Dead(1000 if n < dead else 0) for n in range(640)]
+    around = Surroundings(LogLines("error"), Measures())
+    watched = LinkMeter(around, lambda: connections, lambda: None)
+    watched.sample(1.0)
+    (sample,) = recorder.samples
+    assert (sample.holding, sample.unsent, sample.active) == (dead, 1000 * dead, 640)
+    assert sample.largest == 1000
+
+
 # An entry at a pressed link.
 
 CATALOG = Catalog(3, [Queue("q", "host", "/q/", "svc")], [])
