Let a pressed entry send no caller on at once

With all links of a hall pressed, each entry answered Retry-After: 0, as it heard the others, so callers went round them without a pause. A pressed entry now always answers Retry-After: 1. The test failed on the code before. The tests of entries wait for what they need in place of fixed times; what they assert is unchanged.

--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -56,7 +56,8 @@
 RETRY_AFTER = "Retry-After"
 
 PRESSED_RETRY = 1.0
-"""Seconds after which a caller may come back to an entry that is pressed and knows no other."""
+"""Seconds after which a caller may come back: other entries' links may be pressed as well, and
+callers that go on to them at once would press them all."""
 
 
 @final
@@ -425,15 +426,13 @@
         level = self._meter.pressure.level
         self._peers.sheds = level is not PressureLevel.NORMAL
         pressed = level is PressureLevel.PRESSED
-        elsewhere = pressed and self._knows_another()
         if self._is_turning_away(now):
             self._unready_since = min(self._unready_since, now)
         else:
             self._unready_since = float("inf")
         noticed = now >= self._unready_since + NOTICED_SECONDS
         self._callers.closing = self._leaving or noticed
-        retry_after = 0.0 if elsewhere else PRESSED_RETRY
-        refused = Refused("link_pressed", retry_after, elsewhere=elsewhere)
+        refused = Refused("link_pressed", PRESSED_RETRY)
         self._dispatcher.turned_away = refused if pressed else None
 
     # Time and sending.
--- a/testing/node/aio/test_linkmeter.py
+++ b/testing/node/aio/test_linkmeter.py
@@ -261,6 +261,12 @@
         return Response(503, outcome.reason.encode(), headers=[("Retry-After", after)])
 
 
+async def until_true(condition: Callable[[], bool]) -> None:
+    """Wait for it; the bound of the whole test is what a busy machine may take."""
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
 class Pressure:
     """A level that a test sets, in place of one that is measured."""
 
@@ -291,9 +297,21 @@
         self._callers = HttpClient(callers)
         self._ready = HttpClient(ready)
 
+    def knows(self, entries: int) -> bool:
+        """Whether it has its configuration, and hears so many entries, itself included."""
+        return self.service.catalog == CATALOG and len(self.service._peers.live()) == entries
+
+    @property
+    def turns_away(self) -> bool:
+        """Whether it has followed a level at which it takes no jobs."""
+        return self.service._dispatcher.turned_away is not None
+
     async def ready(self) -> int:
         return (await self._ready.call("GET", "/ready", 1.0)).status
 
+    async def retry_after(self, key: str) -> str:
+        return (await self._callers.call("POST", key, 3.0)).headers["retry-after"]
+
     async def submit(self, key: str) -> tuple[int, bytes]:
         answer = await self._callers.call("POST", key, 3.0)
         return answer.status, answer.body
@@ -317,7 +335,7 @@
             pressure = Pressure()
             monkeypatch.setattr(linkmeter, "LinkPressure", lambda _, given=pressure: given)
             entries.append(Entry(f"e{n}", tuple(entry.peers for entry in entries)))
-        await asyncio.sleep(1.0)
+        await until_true(lambda: all(entry.knows(count) for entry in entries))
         await scene(entries[-1], pressure)
         for entry in entries:
             await entry.stop()
@@ -332,21 +350,31 @@
     async def scene(entry: Entry, pressure: Pressure) -> None:
         assert await entry.ready() == 200
         pressure.level = PressureLevel.PRESSED
-        await asyncio.sleep(0.3)
+        await until_true(lambda: entry.turns_away)
         assert await entry.ready() == 503
         assert await entry.submit("/q/1") == (503, b"link_pressed")
         pressure.level = PressureLevel.NORMAL
-        await asyncio.sleep(0.3)
+        await until_true(lambda: not entry.turns_away)
         assert await entry.ready() == 200
         assert (await entry.submit("/q/2"))[1] != b"link_pressed"
 
     with_entries(monkeypatch, 2, scene)
 
 
+def test_pressed_entries_send_nobody_round_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(entry: Entry, pressure: Pressure) -> None:
+        pressure.level = PressureLevel.PRESSED
+        await until_true(lambda: entry.turns_away)
+        assert await entry.submit("/q/1") == (503, b"link_pressed")
+        assert float(await entry.retry_after("/q/2")) >= 1
+
+    with_entries(monkeypatch, 2, scene)
+
+
 def test_an_entry_that_knows_no_other_stays_ready(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene(entry: Entry, pressure: Pressure) -> None:
         pressure.level = PressureLevel.PRESSED
-        await asyncio.sleep(0.3)
+        await until_true(lambda: entry.turns_away)
         assert await entry.ready() == 200
         assert await entry.submit("/q/1") == (503, b"link_pressed")
 
@@ -358,7 +386,7 @@
 ) -> None:
     async def scene(entry: Entry, pressure: Pressure) -> None:
         pressure.level = PressureLevel.SHEDDING
-        await asyncio.sleep(0.3)
+        await until_true(lambda: isinstance(entry.service.describe()["targets"], str))
         assert await entry.ready() == 200
         assert (await entry.submit("/q/1"))[1] != b"link_pressed"
         assert isinstance(entry.service.describe()["targets"], str)
