Follow a number far ahead only if it is said twice in a row

One well-formed heartbeat with sequence 2^53 made all later ones of that life late. More than 1,000 ahead now counts only if the account of that life just before was as far ahead and had an earlier number; nothing at or below the followed number counts, as before.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -5,6 +5,9 @@
 a known life is followed once the runner itself has said which of them it is. One that is denied so
 may be the next life all the same, which registers while the last one drains: it is heard again once
 that has ended.
+
+A number far ahead may be another writer's: followed, it would make all that the life says seem
+late. So one counts only if the account of that life before it was as far ahead, and earlier.
 """
 
 from collections import deque
@@ -17,6 +20,11 @@
 """Ended lives that are remembered: some per day, and a cut holds a heartbeat back for seconds."""
 
 
+MOST_SKIPPED = 1000
+"""Accounts of a life that may go missing in a row: a quarter of an hour of one per second. A life
+that counts in wider steps is followed with each second account."""
+
+
 class Claim(Enum):
     """What a heartbeat is worth.
 
@@ -37,6 +45,8 @@
     def __init__(self) -> None:
         self._current = ""
         self._sequence = 0
+        self._leap: int | None = None
+        """The number of the last account, if it was far ahead of those before."""
         self._past: deque[str] = deque(maxlen=PAST_LIVES)
         self._denied: deque[str] = deque(maxlen=PAST_LIVES)
         """Lives that the runner has denied to be while the followed one lives."""
@@ -49,14 +59,29 @@
             return Claim.NEW
         if account.runner != self._current:
             return Claim.LATE if account.runner in self._denied else Claim.DOUBTFUL
-        late = 0 < account.sequence <= self._sequence
-        return Claim.LATE if late else Claim.CURRENT
+        if 0 < account.sequence <= self._sequence or not self._goes_on(account):
+            return Claim.LATE
+        return Claim.CURRENT
+
+    def _goes_on(self, account: RunnerAccount) -> bool:
+        """Whether its number is near, or follows one that is far as well; the first may have any."""
+        if not self._sequence or account.sequence <= self._sequence + MOST_SKIPPED:
+            return True
+        return self._leap is not None and account.sequence > self._leap
+
+    def pass_over(self, account: RunnerAccount) -> None:
+        """Note an account that was judged late: the next one may go on from a number far ahead."""
+        if account.runner != self._current or account.sequence <= self._sequence:
+            return
+        if self._leap is None or not 0 <= self._leap - account.sequence <= MOST_SKIPPED:
+            self._leap = account.sequence
 
     def follow(self, account: RunnerAccount) -> None:
         """Follow the life that an account is of."""
         if account.runner != self._current:
             self.end()
         self._current = account.runner
+        self._leap = None
         self._sequence = max(self._sequence, account.sequence)
 
     def end(self, *, answered: bool = True) -> None:
@@ -65,6 +90,7 @@
             self.has_ended(self._current)
         self._current = ""
         self._sequence = 0
+        self._leap = None
         self._denied.clear()
 
     def deny(self, runner: str) -> None:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -152,6 +152,7 @@
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
         """Follow the runner's account of itself, unless it is late; it may be of another life."""
         if self.lives.judge(account) is Claim.LATE:
+            self.lives.pass_over(account)
             return [note("heartbeat_late", runner=account.runner, sequence=account.sequence)]
         known = self.account
         if self._check_account.contradicts(known, account):
--- a/testing/core/leased/test_incarnations.py
+++ b/testing/core/leased/test_incarnations.py
@@ -4,7 +4,7 @@
 
 import pytest
 from paddleshunt_core.leased.bounds import Bounds, lease_times
-from paddleshunt_core.leased.incarnations import Claim, Incarnations
+from paddleshunt_core.leased.incarnations import MOST_SKIPPED, Claim, Incarnations
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.runnercontrol import RunnerControl
@@ -35,6 +35,39 @@
     assert lives.judge(account) is expected
 
 
+def told(*sequences: int) -> list[int]:
+    """Return which accounts of a life are followed that has said 5."""
+    found = RunnerControl(lease_times(Bounds()))
+    found.runner_spoke(1.0, FIRST)
+    followed: list[int] = []
+    for at, sequence in enumerate(sequences):
+        account = replace(FIRST, sequence=sequence)
+        found.runner_spoke(2.0 + at, account)
+        if found.account is account:
+            followed.append(sequence)
+    return followed
+
+
+@pytest.mark.parametrize(
+    ("said", "followed"),
+    [
+        ([2**53, 6, 7], [6, 7]),
+        ([2**53, 6, 2**53, 7], [6, 7]),
+        ([2**53, 2**53, 6], [6]),
+        ([9000, 9001, 9002, 9000, 6], [9001, 9002]),
+        ([9000, 8999, 9000, 9001], [9001]),
+        ([9000, 20_000, 30_000, 40_000], [20_000, 40_000]),
+        ([5 + MOST_SKIPPED, 6], [5 + MOST_SKIPPED]),
+        ([9000, 5, 9001], [9001]),
+    ],
+    ids=["one", "two", "same", "goes-on", "goes-back", "wide-steps", "near", "late-between"],
+)
+def test_a_number_far_ahead_counts_once_the_next_goes_on_from_it(
+    said: list[int], followed: list[int]
+) -> None:
+    assert told(*said) == followed
+
+
 @pytest.mark.parametrize("how", ["replaced", "left", "denied"])
 def test_a_life_that_has_ended_is_never_followed_again(how: str) -> None:
     lives = Incarnations()
