Follow a denied life with its newest account

A claim kept the account with which it began, so a life that was denied at first, and had begun to drain since, was followed as ready. A later account of a claimed life now replaces it.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -64,7 +64,7 @@
         return Claim.CURRENT
 
     def _goes_on(self, account: RunnerAccount) -> bool:
-        """Whether its number is near, or follows one that is far as well; the first may have any."""
+        """Whether its number is near, or follows another far one; the first may have any."""
         if not self._sequence or account.sequence <= self._sequence + MOST_SKIPPED:
             return True
         return self._leap is not None and account.sequence > self._leap
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -196,9 +196,16 @@
                 del self._claims[next(iter(self._claims))]
             self._around.spawn(self._confirm(read))
         else:
+            self._refresh_claim(read)
             self._follow(read)
         exchange.respond(self._codec.acknowledge())
 
+    def _refresh_claim(self, account: RunnerAccount) -> None:
+        """Keep the newest account of a life that is yet to come: it may leave by now."""
+        claimed = self._claims.get(account.runner)
+        if claimed is not None and account.sequence > claimed.sequence:
+            self._claims[account.runner] = account
+
     def _follow(self, account: RunnerAccount) -> None:
         """Follow the runner's account of itself."""
         if self._worker.judge(account) in (Claim.NEW, Claim.DOUBTFUL):
@@ -214,6 +221,7 @@
         ended: it may be the next one, which registers while this one drains.
         """
         answer = await self._runner.lives(account.runner)
+        account = self._claims.get(account.runner, account)
         claim = self._worker.judge(account)
         event = {True: "life_confirmed", False: "life_denied", None: "life_unanswered"}[answer]
         self._around.event(event, runner=account.runner)
--- a/testing/council/test_late_heartbeats.py
+++ b/testing/council/test_late_heartbeats.py
@@ -5,6 +5,9 @@
 
 import pytest
 from councilsystem import BEAT, System, call, play, until, until_true
+from paddleshunt_core.leased.incarnations import Claim
+from paddleshunt_core.leased.orders import RunnerAccount
+from paddleshunt_core.leased.resources import Resources
 
 KEY = "5c0e7a21d94b36f8"
 HEARTBEAT = "/paddleshunt/Instances.Heartbeat/"
@@ -15,6 +18,10 @@
     assert (await call(system.registration, "POST", HEARTBEAT + runner, body)).status == 200
 
 
+def of_next(sequence: int) -> RunnerAccount:
+    return RunnerAccount("i-2", "svc", "hall", Resources(), False, None, sequence=sequence)
+
+
 async def in_second_life(system: System) -> None:
     """Let the runner crash and come back as `i-2`."""
     await system.open()
@@ -64,6 +71,20 @@
     play(scene)
 
 
+def test_a_life_that_was_denied_is_followed_with_what_it_has_said_since() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        await beat(system, "i-2", sequence=1)
+        await until_true(lambda: system.target._worker.judge(of_next(2)) is Claim.LATE)
+        await beat(system, "i-2", sequence=3, state="draining")
+        await beat(system, "i-2", sequence=2)
+        system.runner.life = "i-2"
+        await until_true(lambda: system.target.describe()["runner"] == "i-2")
+        assert system.target.describe()["state"] == "LEAVING"
+
+    play(scene)
+
+
 def test_a_life_that_could_not_be_asked_is_followed_once_the_known_one_has_ended() -> None:
     async def scene(system: System) -> None:
         await system.open()
