Bound the lines on refusals over all senders of a kind

Each new sender's name had a line of its own, and names come from outside too. 20 lines per kind of word and ten seconds are written at most; what is over is told as left out with the next line. The new test failed on the code before (100 lines for 100 names). test_writers_that_are_many_are_not_all_remembered had them all at one moment; as that writes 20 lines now, they come at the rate at which each is told, and the test asks for that too.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/refusals.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/refusals.py
@@ -18,6 +18,10 @@
 """Seconds between two lines on one sender and kind: a word a second, refused for hours, must leave
 an operator room to see the others."""
 
+MOST_LINES = 20
+"""Lines on one kind of word in `LINE_SECONDS`, whoever sends it: senders' names come from outside
+too, and may be another each time."""
+
 MOST_SENDERS = 256
 """Pairs of sender and kind that are told apart at a time; a host hears of some dozens."""
 
@@ -69,6 +73,9 @@
     def __init__(self) -> None:
         self._told: OrderedDict[tuple[Word, str], tuple[float, int]] = OrderedDict()
         """When a line on a pair was written last, and how many were left out since."""
+        self._lines: dict[Word, tuple[float, int, int]] = {}
+        """When the time for `MOST_LINES` of a kind began, how many were written since, and how many
+        of new senders were left out since the last line."""
 
     def take(self, now: float, refusal: Refusal) -> list[Log]:
         """Return the line on a refusal, unless one on its sender and kind was told lately."""
@@ -77,6 +84,13 @@
         if now < told + LINE_SECONDS:
             self._told[key] = (told, left_out + 1)
             return []
+        began, lines, over = self._lines.get(refusal.word, (now, 0, 0))
+        if now >= began + LINE_SECONDS:
+            began, lines = now, 0
+        if lines >= MOST_LINES:
+            self._lines[refusal.word] = (began, lines, over + 1)
+            return []
+        self._lines[refusal.word] = (began, lines + 1, 0)
         self._told[key] = (now, 0)
         self._told.move_to_end(key)
         if len(self._told) > MOST_SENDERS:
@@ -87,7 +101,7 @@
                 word=refusal.word.value,
                 sender=key[1],
                 problem=shown(refusal.problem),
-                left_out=left_out,
+                left_out=left_out + over,
             )
         ]
 
--- a/testing/core/leased/test_refusals.py
+++ b/testing/core/leased/test_refusals.py
@@ -3,6 +3,7 @@
 from paddleshunt_core.events import Log
 from paddleshunt_core.leased.refusals import (
     LINE_SECONDS,
+    MOST_LINES,
     MOST_SENDERS,
     MOST_TEXT,
     Refusal,
@@ -40,10 +41,21 @@
     assert [len(refusals.take(0.0, refusal)) for refusal in others] == [1, 1, 1]
 
 
+def test_writers_whose_names_change_have_a_bounded_number_of_lines() -> None:
+    refusals = Refusals()
+    odd = [Refusal(Word.HEARTBEAT, f"i-{number}", "odd") for number in range(5 * MOST_LINES)]
+    lines = [log for one in odd for log in refusals.take(1.0, one)]
+    assert len(lines) == MOST_LINES
+    assert refusals.take(1.0, Refusal(Word.FRAME, "i-7", "odd")) != []
+    told = fields(refusals.take(1.0 + LINE_SECONDS, odd[-1]))
+    assert (told["sender"], told["left_out"]) == (odd[-1].sender, 4 * MOST_LINES)
+
+
 def test_writers_that_are_many_are_not_all_remembered() -> None:
     refusals = Refusals()
     for number in range(3 * MOST_SENDERS):
-        refusals.take(0.0, Refusal(Word.HEARTBEAT, f"i-{number}", "odd"))
+        now = number // MOST_LINES * LINE_SECONDS
+        assert refusals.take(now, Refusal(Word.HEARTBEAT, f"i-{number}", "odd")) != []
     assert len(refusals._told) == MOST_SENDERS
 
 
