--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/peerwords.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/peerwords.py
@@ -8,7 +8,8 @@
 from paddleshunt_node.aio.sockets import AddressError, split_address
 
 MOST_NAME = 200
-"""Signs of an entry's name or life; they stand in lines of the log and keys of the store."""
+"""Signs of a name or a life; they stand in lines of the log, and in keys of a store, which may have
+as many bytes."""
 
 
 def problem_with(entry: EntryAddress) -> str:
--- a/testing/council/test_outside.py
+++ b/testing/council/test_outside.py
@@ -18,7 +18,6 @@
 from paddleshunt_council.outside import (
     MOST_LABELS,
     MOST_MEMORY,
-    MOST_NAME,
     MOST_NUMBER,
     MOST_PROCESSOR,
     is_runner_id,
@@ -26,6 +25,7 @@
 from paddleshunt_council.registration import DEREGISTER, HEARTBEAT, Registration
 from paddleshunt_council.replies import read_reply
 from paddleshunt_node.aio.httpserver import Request, Response
+from paddleshunt_node.aio.peerwords import MOST_NAME
 from paddleshunt_node.aio.ports import RunnerEnds, Submission
 
 quick = settings(max_examples=100, derandomize=True, database=None, deadline=None)
