Hand a loss on once; count as lost only what had begun; no search over all hosts for each word

Cause (review, by reading): a loss older than ten seconds was news to each entry each time and handed on by each to all, without end; runs ordered after the runner fell silent counted as lost tasks; each loss word and each confined job's check built the list of all targets; with many suspects each job ranked all queues on all targets; jobs that their preferred targets could not take waited beside free room; a confined queue none of whose targets could run its jobs was not refused. Tests: test_dispatcher (handed on once), test_suspicion (too old), test_runnerlosses (ordered later, ends after all); the rest by the existing ones of containment.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/containment.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/containment.py
@@ -6,7 +6,7 @@
 After a while without a loss the queue gets twice as many targets, and so on until it is free.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import final
 
@@ -34,10 +34,20 @@
 Of two guilty queues neither is so; of a queue whose tasks were beside a guilty one's it is.
 """
 
+MOST_APART = 16
+"""Queues with tasks on lost runners up to which these are run apart from one another.
+
+With more of them a hall or a rack was lost, which is no task's doing.
+"""
+
 MOST_NAMED = 16
 """Targets that one line names."""
 
 
+Targets = Callable[[], Iterable[TargetRecord]]
+"""Returns the targets in halls that are not evacuated; asked only when there is evidence."""
+
+
 @final
 @dataclass(slots=True)
 class _Confinement:
@@ -102,7 +112,7 @@
 
     # What is learned.
 
-    def serves(self, now: float, queue: Queue, targets: Iterable[TargetRecord]) -> list[Log]:
+    def serves(self, now: float, queue: Queue, targets: Targets) -> list[Log]:
         """Note which service runs a queue's tasks; what was lost before may say something then."""
         known = self._services.get(queue.name)
         self._services[queue.name] = queue.service
@@ -110,9 +120,7 @@
             return []
         return self._confine(now, targets, self._suspicions.lost_again())
 
-    def learn(
-        self, now: float, news: LossNews, targets: Iterable[TargetRecord]
-    ) -> tuple[bool, list[Log]]:
+    def learn(self, now: float, news: LossNews, targets: Targets) -> tuple[bool, list[Log]]:
         """Follow a word on a runner; return whether it was news, and what it leads to."""
         if not self._suspicions.learn(now, news):
             return False, []
@@ -153,6 +161,10 @@
         rest = [target for target in usable if target.name not in walled]
         return rest if any(_has_room(job, target) for target in rest) else usable
 
+    def may_go_elsewhere(self, job: JobRecord) -> bool:
+        """Whether what has no place on its `targets` may go to any usable one."""
+        return not self.is_confined(job.queue) and not self._has_met(job)
+
     def rivals(self, job: JobRecord, held: Iterable[JobRecord]) -> Iterable[JobRecord]:
         """Return those of the held jobs that wait for the same targets."""
         if not self._confined:
@@ -174,7 +186,9 @@
     def refuses(self, job: JobRecord, room: RoomNow) -> float | None:
         """Return after how many seconds a job is to be asked for again that has no target now."""
         confined = self._confined.get(job.queue.name)
-        if confined is None or self.targets(job, room.usable(job.queue.service)):
+        if confined is None:
+            return None
+        if any(_can_run(job, t) for t in self.targets(job, room.usable(job.queue.service))):
             return None
         return min(LONGEST_RETRY_SECONDS, confined.free_after())
 
@@ -182,17 +196,20 @@
 
     def _apart(self, job: JobRecord, usable: list[TargetRecord]) -> list[TargetRecord]:
         """Return the targets with room that are the job's queue's among those with suspects."""
-        queues = self._suspicions.at_work()
+        service = job.queue.service
+        queues = [q for q in self._suspicions.at_work() if self._services.get(q) == service]
+        if len(queues) > MOST_APART:
+            return []
         return [
             target
             for target in usable
             if _has_room(job, target)
-            and min(queues, key=lambda queue: rank(queue, target.name)) == job.queue.name
+            and min(queues, key=lambda q: rank(q, target.name), default="") == job.queue.name
         ]
 
-    def _confine(self, now: float, targets: Iterable[TargetRecord], queues: set[str]) -> list[Log]:
+    def _confine(self, now: float, targets: Targets, queues: set[str]) -> list[Log]:
         """Confine those of some queues that have enough against them."""
-        known = list(targets) if queues else []
+        known = list(targets()) if queues else []
         logs: list[Log] = []
         while (worst := self._worst(now, known, queues)) is not None:
             queue, bulkhead, evidence = worst
@@ -283,9 +300,13 @@
         return [self._release(now, queue, "quiet")]
 
 
-def _has_room(job: JobRecord, target: TargetRecord) -> bool:
+def _can_run(job: JobRecord, target: TargetRecord) -> bool:
     label = job.request.label
-    return job.request.need.fits(target.free) and (not label or target.has_label(label))
+    return target.could_run(job.request.need) and (not label or target.has_label(label))
+
+
+def _has_room(job: JobRecord, target: TargetRecord) -> bool:
+    return job.request.need.fits(target.free) and _can_run(job, target)
 
 
 def _confined_note(queue: str, bulkhead: Bulkhead, evidence: Evidence) -> Log:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -200,10 +200,11 @@
             why = self._retries.note_given_up(job, given_up)
             return [*effects, why, AnswerJob(caller, request.key, given_up, 0.0)]
         room = self._room(now)
-        effects += self._containment.serves(now, queue, self._open_targets())
+        effects += self._containment.serves(now, queue, self._open_targets)
         confined = self._containment.refuses(job, room)
         if confined is not None:
-            return [*effects, self._refusal(caller, request, "confined", confined)]
+            retry_after = max(RETRY_SECONDS, confined)
+            return [*effects, self._refusal(caller, request, "confined", retry_after)]
         wait = self._wait(job, room)
         if self._is_settling(now):
             wait = min(wait, NO_TARGET_WAIT)
@@ -268,14 +269,19 @@
         return self._retries.known_losses(now)
 
     def told_loss(self, now: float, news: LossNews, source: str) -> list[Effect]:
-        """Follow a word on a lost runner, hand it on, and give up jobs that it decides."""
+        """Follow a word on a lost runner, and give up jobs that it decides.
+
+        A target's own word is handed on to all entries; theirs is not, or each would tell all.
+        """
         logs = self._retries.learn(now, news, source)
-        is_news, confined = self._containment.learn(now, news, self._open_targets())
+        is_news, confined = self._containment.learn(now, news, self._open_targets)
         if not logs and not is_news:
             return []
-        logs += confined
+        effects: list[Effect] = [*logs, *confined]
+        if source in self._targets:
+            effects.append(HandOn(news))
         tasks = news.tasks if isinstance(news, RunnerLost) else []
-        return [*logs, HandOn(news), *self._check_jobs(now, {task.job for task in tasks})]
+        return [*effects, *self._check_jobs(now, {task.job for task in tasks})]
 
     def _check_jobs(self, now: float, keys: set[str]) -> list[Effect]:
         """Give up those of the jobs that are held here and have been tried in vain too often."""
@@ -404,8 +410,9 @@
         if self.confined_queues:
             effects += self._containment.follow(now, self._open_targets(), self._room(now))
         effects += self._place(now)
+        room = self._room(now) if self.confined_queues else None
         for job in self._jobs.all():
-            effects += self._check_job(now, job)
+            effects += self._check_job(now, job, room)
         return effects
 
     def leave(self, ends: float) -> None:
@@ -426,7 +433,8 @@
     ) -> AnswerJob:
         return AnswerJob(caller, request.key, Refused(reason, retry_after), 0.0)
 
-    def _check_job(self, now: float, job: JobRecord) -> list[Effect]:
+    def _check_job(self, now: float, job: JobRecord, confined_room: RoomNow | None) -> list[Effect]:
+        """Give a job up if it can't be of use; `confined_room`: the room if a queue is confined."""
         if now > job.expires:
             return [self._give_up(now, job, "deadline", self._retry_after(now, job))]
         # While targets are being met, room is about to be found: a late answer beats a refusal.
@@ -438,8 +446,8 @@
             wait = self._wait(job, room)
             why = room_note(now, job, wait, room)
             return [why, self._give_up(now, job, "no_room", max(RETRY_SECONDS, wait))]
-        if not job.begun and self._containment.is_confined(job.queue):
-            confined = self._containment.refuses(job, self._room(now))
+        if not job.begun and confined_room is not None:
+            confined = self._containment.refuses(job, confined_room)
             if confined is not None:
                 return [self._give_up(now, job, "confined", max(RETRY_SECONDS, confined))]
         return []
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -68,6 +68,10 @@
         if account is not None and not account.leaving:
             self._told = self._loss(now, account)
             self._news.append(RunnerLost(self._told, *self._at_work(now, table)))
+        elif self._told is not None:
+            # It said meanwhile that it ends: its silence was no sign of a loss.
+            self._news.append(RunnerReturned(self._told))
+            self._told = None
         return runner_lost_note(runner, how, self._since(now), table)
 
     def _since(self, now: float) -> float:
@@ -77,9 +81,13 @@
         return LossId(account.runner, int(self._since(now) * 1000))
 
     def _at_work(self, now: float, table: RunTable) -> tuple[list[TaskId], list[str], list[int]]:
-        """Return the tasks at work in order, the queue of each, and its milliseconds of work."""
+        """Return the tasks at work in order, the queue of each, and its milliseconds of work.
+
+        What was ordered after the first look without an answer did not take the runner down.
+        """
         since = self._since(now)
-        newest = {run.id.task: run for run in sorted(table, key=lambda run: run.began)}
+        began = (run for run in table if run.began < since or self._silent_since is None)
+        newest = {run.id.task: run for run in sorted(began, key=lambda run: run.began)}
         tasks = sorted(newest)
         worked = [max(0, round((since - newest[task].began) * 1000)) for task in tasks]
         return tasks, [newest[task].queue for task in tasks], worked
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
@@ -95,6 +95,8 @@
         if news.loss in self._seen or news.loss in self._returned:
             return False
         ago = news.ago_ms / 1000 if isinstance(news, RunnerLost) else 0.0
+        if ago >= WINDOW_SECONDS:
+            return False
         work: Work = {}
         for task, queue, ms in zip(news.tasks, news.queues, news.worked_ms, strict=False):
             work.setdefault(queue, {})[task] = max(SHORTEST_WORK, ms / 1000)
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -8,9 +8,19 @@
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.dispatcher import Dispatcher
 from paddleshunt_core.leased.jobs import JobRequest
-from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, Refused
+from paddleshunt_core.leased.outcomes import Completed, Failed, GivenUp, HandOn, Refused
 from paddleshunt_core.leased.resources import Resources
-from paddleshunt_core.leased.wire import Assign, Frame, Health, Hello, RunnerReport, RunnerState
+from paddleshunt_core.leased.wire import (
+    Assign,
+    Frame,
+    Health,
+    Hello,
+    LossId,
+    RunnerLost,
+    RunnerReport,
+    RunnerState,
+    TaskId,
+)
 
 COUNCIL = Bounds()
 WIDE = Bounds(resend=4.0, hold_max=2.0, stop=0.2, drain=5.0, grace=20.0, config_apply=6.0)
@@ -378,3 +388,17 @@
     dispatcher.place_arrived(1.02)
     bodies = session.frame(1020).bodies
     assert any(isinstance(body, Assign) for body in bodies) == placed
+
+
+def test_a_loss_is_handed_on_by_the_entry_that_a_target_told_only() -> None:
+    """If each that hears of it told all, an old loss would never stop being told."""
+    dispatcher = Dispatcher(lease_times(Bounds()), "hall", Random(7))
+    dispatcher.greeted(1.0, Hello("t", "life", False, "hall", "", 0, 0))
+    lost = RunnerLost(LossId("i-1", 900), [TaskId("job", 0, 0)], ["q"], [100])
+    told = dispatcher.told_loss(1.0, lost, "t")
+    assert [effect.news for effect in told if isinstance(effect, HandOn)] == [lost]
+    assert dispatcher.told_loss(1.0, lost, "t") == []
+    other = RunnerLost(LossId("i-2", 900), [TaskId("job", 0, 0)], ["q"], [100])
+    heard = dispatcher.told_loss(1.0, other, "e1")
+    assert heard
+    assert not any(isinstance(effect, HandOn) for effect in heard)
--- a/testing/core/leased/test_runnerlosses.py
+++ b/testing/core/leased/test_runnerlosses.py
@@ -80,3 +80,23 @@
     losses.answered()
     kinds = [type(news) for news in losses.take_news()]
     assert kinds == [RunnerSilent, RunnerLost]
+
+
+def test_what_was_ordered_after_it_fell_silent_did_not_take_it_down(
+    losses: RunnerLosses, table: RunTable
+) -> None:
+    late = Run(RunId(TaskId("c", 0, 0), 1), "e0", "spec", Resources(1000, 64), 0.4, 9.0, "late")
+    late.began = 5.05
+    table.add(late)
+    losses.silent(5.1, ACCOUNT, table)
+    losses.given_up(5.8, ACCOUNT, table)
+    told = losses.take_news()
+    assert [news.tasks for news in told if not isinstance(news, RunnerReturned)] == [TASKS, TASKS]
+
+
+def test_one_that_says_it_ends_after_all_was_not_lost(
+    losses: RunnerLosses, table: RunTable
+) -> None:
+    losses.silent(5.1, ACCOUNT, table)
+    losses.given_up(5.8, LEAVING, table)
+    assert losses.take_news()[1:] == [RunnerReturned(LOSS)]
--- a/testing/core/leased/test_suspicion.py
+++ b/testing/core/leased/test_suspicion.py
@@ -100,6 +100,14 @@
     assert suspicions.last("short", 0.0) == pytest.approx(17.9)
 
 
+def test_a_loss_that_is_too_old_to_be_evidence_is_no_news() -> None:
+    """Losses are told again for longer than they are evidence."""
+    suspicions = Suspicions(AGAIN)
+    old = RunnerLost(LossId("i-0", 1), [TaskId("bad", 0, 0)], ["short"], [10], 15_000)
+    assert not suspicions.learn(20.0, old)
+    assert not suspicions
+
+
 def test_evidence_is_forgotten_after_a_while() -> None:
     suspicions = told((1.0, FIRST), (1.9, SECOND))
     later = 1.0 + WINDOW_SECONDS + 0.1
