Do without functools, math and statistics in the core

Change: a bulkhead keeps the places of its own targets; median and the probability are worked out in a few lines.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bulkhead.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bulkhead.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable
-from functools import lru_cache
 from typing import final
 
 from xxhash import xxh64_intdigest
@@ -25,9 +24,6 @@
 If it lost it at once the queue's tasks would go on to one runner after another.
 """
 
-RANKS_KEPT = 8192
-"""Places of targets that are kept: some queues on all targets of an entry, 100 bytes each."""
-
 
 @final
 class Bulkhead:
@@ -36,6 +32,8 @@
     def __init__(self, queue: str, service: str) -> None:
         self._queue = queue
         self.service = service
+        self._ranks: dict[str, int] = {}
+        """Places in the order of choice of all targets that had one once."""
         self._placed: set[str] = set()
         """Targets that had a place once."""
         self._away: dict[str, float] = {}
@@ -72,10 +70,11 @@
         return now < self._away.setdefault(target, now) + STAY_SECONDS
 
     def _rank(self, target: str) -> int:
-        return rank(self._queue, target)
+        if target not in self._ranks:
+            self._ranks[target] = rank(self._queue, target)
+        return self._ranks[target]
 
 
-@lru_cache(maxsize=RANKS_KEPT)
 def rank(queue: str, target: str) -> int:
     """Return a target's place in a queue's order of choice; less goes first."""
     return xxh64_intdigest(f"{queue}\n{target}".encode())
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
@@ -9,8 +9,6 @@
 from collections import Counter, deque
 from collections.abc import Collection
 from dataclasses import dataclass
-from math import factorial
-from statistics import median
 from typing import final
 
 from paddleshunt_core.leased.wire import LossId, LossNews, RunnerLost, RunnerReturned, TaskId
@@ -157,11 +155,8 @@
         # chance as there are in its time.
         rate = (len(seen) - len(ages)) / (WINDOW_SECONDS * max(1, targets))
         again = sum(each.at <= now - self._again for each in at_work)
-        length = 2 * median(worked for each in seen for worked in each.of(queue).values())
-        chance = min(
-            (rate * again * min(age, length)) ** count / factorial(count)
-            for count, age in enumerate(ages, 1)
-        )
+        length = 2 * _median([worked for each in seen for worked in each.of(queue).values()])
+        chance = _least_chance([rate * again * min(age, length) for age in ages])
         return Evidence(len(ages), chance, len(seen)) if chance <= MOST_CHANCE else None
 
     def _undo(self, loss: LossId) -> bool:
@@ -185,6 +180,24 @@
                     del self._met[task]
 
 
+def _median(values: list[float]) -> float:
+    values.sort()
+    middle = len(values) // 2
+    return (values[middle] + values[~middle]) / 2
+
+
+def _least_chance(expected: list[float]) -> float:
+    """Return how probable it is at the least that so many second losses come by chance.
+
+    The n-th of `expected` is how many as short as the n-th are to be expected.
+    """
+    least, factorial = 1.0, 1
+    for count, usual in enumerate(expected, 1):
+        factorial *= count
+        least = min(least, usual**count / factorial)
+    return least
+
+
 def _second_losses(queue: str, seen: list[_Seen]) -> list[float]:
     """Return how long tasks of a queue ran that were lost again, the shortest first.
 
