Compare a lone task with the length meant for a factor of 1

Cause: a length is meant for the usual host, but a sample's is for factor 1, so each end of a one-task job pushed its runner's deviation by 1/typical, all of them alike. Change: the expected length is divided by the usual slowness there; the kind's factor stays tied to the bare length, which holds its scale at 1. Measured: the new test (9 fast hosts, 1 slow, lengths learned in the loop) failed before for one-task and mixed widths, and passes.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/speeds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/speeds.py
@@ -211,7 +211,9 @@
             if others:
                 sample.target.took(sample.length / _mean(others), 1.0)
             else:
-                sample.target.took(sample.length / expected, LENGTH_WEIGHT_ALONE)
+                # A length is meant for a usual host, and what a sample tells for one of factor 1.
+                ratio = sample.length * self.typical(sample.kind[0]) / expected
+                sample.target.took(ratio, LENGTH_WEIGHT_ALONE)
             self.reported(sample.target)
 
     def tick(self, now: float, targets: Iterable[TargetRecord]) -> None:
--- a/testing/core/leased/test_speeds.py
+++ b/testing/core/leased/test_speeds.py
@@ -102,6 +102,29 @@
     assert all(each == pytest.approx(RATIO, rel=0.1) for each in seen[250:])
 
 
+@pytest.mark.parametrize("widths", [(1,), (1, 1, 1, 8)], ids=["one-task", "mixed"])
+def test_deviations_stay_where_they_are_in_a_fleet_of_mostly_fast_hosts(
+    widths: tuple[int, ...],
+) -> None:
+    rng = Random(6)
+    speeds, lengths = Speeds(), QueueLengths()
+    targets = fleet(*"aaaaaaaaab")
+    teach(speeds, targets, 200)
+    means: list[float] = []
+    for number in range(2000):
+        length = rng.uniform(0.2, 0.6)
+        estimate = length * rng.uniform(1 / 1.5, 1.5)
+        speeds.compare(0.02 * number, targets)
+        expected = lengths.expect(estimate, 3.0).length
+        where = rng.choices(targets, k=rng.choice(widths))
+        done = [(t, works(t, length, rng)) for t in where]
+        for each, work in done:
+            lengths.ended(estimate, 3.0, work * speeds.typical("svc") / each.slowness)
+        speeds.compare_tasks(expected, done)
+        means.append(sum(t.deviation for t in targets) / len(targets))
+    assert all(0.9 < mean < 1.1 for mean in means)
+
+
 def test_lengths_are_meant_for_a_usual_host() -> None:
     speeds = Speeds()
     targets = fleet("a", "a", "b")
