Hold no job for hosts that won't have it; count coldness as slowness

Cause: the cheap look and the choice held jobs for kinds that label, size, probation, deviation or coldness exclude; these were refused beside free runners. The cold filter ran before rack and kind and compared records by all fields, for each task. Measured: the new tests failed before (held or refused, ran away from its rack, chose the late slow host, compared records); test_placement, test_coldness, test_room, test_kinds, test_speeds pass.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -2,14 +2,14 @@
 
 First what serves the job: targets where the task ends in time, those with time to spare before
 others. Among them the least loaded, where a kind of host that is slow, and yet fast enough, goes
-first, and a target that no message needs to reach in another hall.
+first, and a target that no message needs to reach in another hall. A cold runner takes longer for
+the same work: it gets a task that ends in time there, or is late anywhere, and has no warm one.
 """
 
 from dataclasses import dataclass
 from random import Random
 from typing import final
 
-from paddleshunt_core.leased.coldness import warm_first
 from paddleshunt_core.leased.jobs import OVERHEAD_SECONDS, JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.speeds import Speeds
@@ -22,6 +22,12 @@
 HALL_PREFERENCE = 0.2
 """Share of a runner's room that it is given to save the bytes of a way between halls."""
 
+COLD_OVERRUN = 1.5
+"""How many times as long a task takes on a runner that is cold after its start, if not told."""
+
+COLD_LAST = 4.0
+"""What a cold runner costs, as a load: more than all else, so a warm one that serves goes first."""
+
 SPARE_FAST = 0.25
 """Share of its room by which a fast runner counts as fuller for a task that need not be fast."""
 
@@ -67,11 +73,13 @@
 
     target: TargetRecord
     slowness: float
-    """How many times the job's length a task takes there, its data's way included."""
+    """How many times the job's length a task takes there: its data's way and a cold start count."""
     kind: float
     """The same for any runner of the kind."""
     way: float
     """What the way there costs, as a load."""
+    cold: float
+    """What a cold runner costs, as a load."""
     has_room: bool = False
     load: float = 0.0
 
@@ -93,7 +101,6 @@
         self.able = able
         self.sound = sound
         self.probes = [target for target in able if target.on_probation]
-        self.any_cold = any(target.is_cold(now) for target in able)
         self.last: _Candidate | None = None
         self.due = job.due
         """When a task must end to be in time: not before the job's slowest task does."""
@@ -128,7 +135,7 @@
         remote_factor: float,
         speeds: Speeds | None = None,
         hall_preference: float = HALL_PREFERENCE,
-        cold_overrun: float = 1.5,
+        cold_overrun: float = COLD_OVERRUN,
     ) -> None:
         self._rng = rng
         self._hall = hall
@@ -157,14 +164,21 @@
 
         It says cheaply what `choose` would find by looking at each target.
         """
-        if job.request.rack or job.begun:
+        if job.request.rack or job.request.label or job.begun:
             return False
+        need = job.request.need
         kinds = room.kinds(job.queue.service)
         slowest = (job.due - OVERHEAD_SECONDS - now) / job.length
         likely = slowest / (1 + LIKELY * (_margin(job) - 1))
-        likely *= self._speeds.typical(job.queue.service)
-        fit = [free for factor, free in kinds if factor <= likely]
-        return bool(fit) and not any(job.request.need.fits(free) for free in fit)
+        usual = self._speeds.typical(job.queue.service)
+        fit = [
+            kind
+            for kind in kinds
+            if kind.factor <= likely * usual
+            and kind.least <= slowest * usual
+            and need.fits(kind.capacity)
+        ]
+        return bool(fit) and not any(need.fits(kind.free) for kind in fit)
 
     def choose(
         self, now: float, job: JobRecord, task: TaskRecord, able: list[TargetRecord]
@@ -180,22 +194,13 @@
             sound = [c for c in sound if c.target.name not in task.avoid] or sound
         if job.request.spread:
             sound = [c for c in sound if _tasks_at(job, c.target) < job.request.spread]
-        chosen = self._best(now, plan, self._warm_first(now, plan, sound))
+        chosen = self._best(now, plan, sound)
         plan.last = chosen
         if chosen is None:
             return None
         plan.placed(now, chosen)
         return chosen.target
 
-    def _warm_first(self, now: float, plan: _Plan, sound: list[_Candidate]) -> list[_Candidate]:
-        """Return the candidates without the cold ones that a task is not given now."""
-        if not plan.any_cold:
-            return sound
-        good = [candidate.target for candidate in sound if candidate.has_room]
-        known = [candidate.target for candidate in sound]
-        given = warm_first(now, plan.job, good, known, self._cold_overrun)
-        return [c for c in sound if not c.has_room or c.target in given]
-
     # What holds for a job.
 
     def _planned(self, now: float, job: JobRecord, able: list[TargetRecord]) -> _Plan:
@@ -204,7 +209,7 @@
         if plan is None or plan.able is not able or plan.job is not job or plan.now != now:
             service = job.queue.service
             even = self._speeds.is_unproven(service) and self._rng.random() < COMPARING_SHARE
-            sound = [self._candidate(job, t, even=even) for t in able if not t.on_probation]
+            sound = [self._candidate(now, job, t, even=even) for t in able if not t.on_probation]
             for candidate in sound:
                 candidate.look(job)
             plan = self._plan = _Plan(now, job, able, sound)
@@ -214,12 +219,18 @@
             plan.last = None
         return plan
 
-    def _candidate(self, job: JobRecord, target: TargetRecord, *, even: bool) -> _Candidate:
+    def _candidate(
+        self, now: float, job: JobRecord, target: TargetRecord, *, even: bool
+    ) -> _Candidate:
         """Return a candidate; with `even`, as if hosts of all kinds were alike."""
         usual = target.kind_factor if even else self._speeds.typical(job.queue.service)
         factor = self.away_factor(job, target) / usual
         way = 0.0 if target.hall == self._hall else self._hall_preference
-        return _Candidate(target, target.slowness * factor, target.kind_factor * factor, way)
+        kind = target.kind_factor * factor
+        if target.is_cold(now):
+            slowness = self._cold_overrun * target.slowness * factor
+            return _Candidate(target, slowness, kind, way, COLD_LAST)
+        return _Candidate(target, target.slowness * factor, kind, way, 0.0)
 
     def _probe(self, now: float, plan: _Plan, task: TaskRecord) -> TargetRecord | None:
         job = plan.job
@@ -246,7 +257,7 @@
         # Beside a task of the job that ends late it is enough to end no later: no margin is needed.
         margin = _margin(job) if plan.due <= job.due else 1.0
         likely = slowest / (1 + LIKELY * (margin - 1))
-        if any(c.kind <= likely for c in sound):
+        if any(c.kind <= likely and c.slowness <= slowest for c in sound):
             hopeful = [c for c in good if c.kind <= likely and c.slowness <= slowest]
             return self._least_loaded(hopeful, slowest, margin)
         if any(c.slowness <= slowest for c in sound):
@@ -310,7 +321,7 @@
         best: _Candidate | None = None
         least = float("inf")
         for candidate in candidates:
-            cost = candidate.load + candidate.way + LOAD_STEP * random()
+            cost = candidate.load + candidate.way + candidate.cold + LOAD_STEP * random()
             if slowest and candidate.kind < FAST:
                 cost += SPARE_FAST
             if candidate.kind * margin > slowest > 0:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/room.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/room.py
@@ -1,6 +1,7 @@
 """Which targets may be given work at one moment, and whether there is room on any."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import final
 
 from paddleshunt_core.leased.bounds import LeaseTimes
@@ -8,6 +9,25 @@
 from paddleshunt_core.leased.targets import TargetRecord
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class KindRoom:
+    """What runners of one kind of host have room for.
+
+    `least` and `capacity` are those of warm runners that are not on probation: only such a one is
+    worth waiting for.
+    """
+
+    factor: float
+    """How many times as long as expected tasks take on the kind."""
+    least: float
+    """The same for the fastest runner."""
+    free: Resources
+    """The most that may be free on a runner."""
+    capacity: Resources
+    """The most that a runner may have."""
+
+
 @final
 class RoomNow:
     """A view of all targets at one moment; it is made anew for each decision on many jobs.
@@ -22,7 +42,7 @@
         self._times = times
         self._usable: dict[str, list[TargetRecord]] = {}
         self._most: dict[str, Resources] = {}
-        self._kinds: dict[str, list[tuple[float, Resources]]] = {}
+        self._kinds: dict[str, list[KindRoom]] = {}
 
     def known(self, service: str) -> list[TargetRecord]:
         """Return the targets that have reported as ones of a service."""
@@ -42,15 +62,24 @@
             self._most[service] = _most(t.free for t in self.usable(service))
         return need.fits(self._most[service])
 
-    def kinds(self, service: str) -> list[tuple[float, Resources]]:
-        """Return the factor of each kind of host there, and the most that may be free on one."""
+    def kinds(self, service: str) -> list[KindRoom]:
+        """Return what the kinds of hosts there have."""
         if service not in self._kinds:
-            free: dict[float, list[Resources]] = {}
+            kinds: dict[float, list[TargetRecord]] = {}
             for target in self.usable(service):
-                free.setdefault(target.kind_factor, []).append(target.free)
-            self._kinds[service] = [(factor, _most(rooms)) for factor, rooms in free.items()]
+                kinds.setdefault(target.kind_factor, []).append(target)
+            self._kinds[service] = [self._kind(factor, each) for factor, each in kinds.items()]
         return self._kinds[service]
 
+    def _kind(self, factor: float, targets: list[TargetRecord]) -> KindRoom:
+        sound = [t for t in targets if not t.on_probation and not t.is_cold(self._now)]
+        return KindRoom(
+            factor,
+            min((t.slowness for t in sound), default=float("inf")),
+            _most(t.free for t in targets),
+            _most(t.report.capacity for t in sound if t.report is not None),
+        )
+
 
 def _most(rooms: Iterable[Resources]) -> Resources:
     """Return the largest of each kind of resource, from whichever room."""
--- a/testing/core/leased/test_coldness.py
+++ b/testing/core/leased/test_coldness.py
@@ -1,17 +1,19 @@
 """Runners that are slow for a while after their start."""
 
+from random import Random
+
 import pytest
 from leasedfleet import Fleet
 from leasedrunner import COLD_OVERRUN
 from paddleshunt_core.events import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import Queue
-from paddleshunt_core.leased.coldness import warm_first
 from paddleshunt_core.leased.evacuation import EvacuatedHalls
 from paddleshunt_core.leased.health import SICK_SECONDS, SLOW, RunnerHealth
 from paddleshunt_core.leased.jobs import JobRecord, JobRequest, new_job
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, RunningRun, StopRun
 from paddleshunt_core.leased.outcomes import Completed
+from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import (
@@ -47,28 +49,45 @@
     return new_job(1, JobRequest("key", "spec", 1, NEED, length, 3.0), QUEUE, 10.0)
 
 
-WARM, FULL, COLD = target("warm"), target("full"), target("cold", 5000)
+WARM, FULL, COLD, COLD_FULL = "warm", "full", "cold", "cold-full"
+
+
+def record_of(name: str) -> TargetRecord:
+    record = target(name, 5000 if name.startswith("cold") else 0)
+    if name.endswith("full"):
+        record.reserve(ROOM)
+    return record
 
 
 @pytest.mark.parametrize(
-    ("after", "good", "sound", "expected"),
+    ("after", "names", "expected"),
     [
-        (0.0, [WARM, COLD], [WARM, COLD], [WARM]),
-        (0.05, [COLD], [FULL, COLD], [COLD]),
-        (0.12, [COLD], [FULL, COLD], []),
-        (0.4, [COLD], [FULL, COLD], [COLD]),
-        (0.12, [COLD], [COLD], [COLD]),
-        (0.0, [], [FULL, COLD], []),
+        (0.0, [WARM, COLD], WARM),
+        (0.05, [FULL, COLD], COLD),
+        (0.12, [FULL, COLD], ""),
+        (0.4, [FULL, COLD], COLD),
+        (0.12, [COLD], COLD),
+        (0.0, [FULL, COLD_FULL], ""),
     ],
     ids=["warm-first", "in-time-there", "waits-for-warm", "late-anyhow", "all-cold", "no-room"],
 )
 def test_a_task_goes_to_a_cold_runner_if_its_slack_bears_it(
-    after: float,
-    good: list[TargetRecord],
-    sound: list[TargetRecord],
-    expected: list[TargetRecord],
+    after: float, names: list[str], expected: str
 ) -> None:
-    assert warm_first(10.0 + after, job(), good, sound, 1.5) == expected
+    asked = job()
+    placement = Placement("hall", Random(1), 1.5, cold_overrun=1.5)
+    able = placement.able(asked, [record_of(name) for name in names])
+    found = placement.choose(10.0 + after, asked, asked.tasks[0], able) if able else None
+    assert (found.name if found else "") == expected
+
+
+def test_a_warm_runner_that_is_nearly_full_goes_before_an_empty_cold_one() -> None:
+    warm = target("warm")
+    warm.reserve(ROOM - NEED)
+    asked = job()
+    placement = Placement("hall", Random(1), 1.5, cold_overrun=1.5)
+    found = placement.choose(10.0, asked, asked.tasks[0], [target("cold", 5000), warm])
+    assert found is warm
 
 
 def test_the_time_a_runner_stays_cold_runs_down_at_the_entry() -> None:
--- a/testing/core/leased/test_placement.py
+++ b/testing/core/leased/test_placement.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import msgspec
 import pytest
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import Queue
@@ -25,8 +26,10 @@
     return record
 
 
-def job(rack: str = "", label: str = "", spread: int = 0, count: int = 2) -> JobRecord:
-    request = JobRequest("key", "spec", count, NEED, 0.4, 3.0, rack, label, spread)
+def job(
+    rack: str = "", label: str = "", spread: int = 0, count: int = 2, need: Resources = NEED
+) -> JobRecord:
+    request = JobRequest("key", "spec", count, need, 0.4, 3.0, rack, label, spread)
     return new_job(1, request, QUEUE, 10.0)
 
 
@@ -141,6 +144,102 @@
     assert held == (chosen(10.0 + after, job(), *targets) == "")
 
 
+def cold(record: TargetRecord) -> TargetRecord:
+    record.cold_until = 20.0
+    return record
+
+
+def lame(record: TargetRecord) -> TargetRecord:
+    record.deviation = 3.0
+    return record
+
+
+def large(record: TargetRecord) -> TargetRecord:
+    """Give a target the only room for a task of ten cores."""
+    room = Resources(12000, 12000)
+    record.report = RunnerReport(
+        "svc", record.name, RunnerState.READY, Health.GOOD, room, room, ("b",)
+    )
+    return record
+
+
+def proving(record: TargetRecord) -> TargetRecord:
+    assert record.report is not None
+    record.report = msgspec.structs.replace(record.report, health=Health.PROBATION)
+    return record
+
+
+@pytest.mark.parametrize(
+    ("asked", "fast"),
+    [
+        (job(label="b"), of_kind("fast", FAST, "a", free=FULL)),
+        (job(need=Resources(10000, 10)), of_kind("fast", FAST, "a", free=FULL)),
+        (job(), proving(of_kind("fast", FAST, free=FULL))),
+        (job(), lame(of_kind("fast", FAST, free=FULL))),
+        (job(), cold(of_kind("fast", 1.1, free=FULL))),
+    ],
+    ids=["label", "too-large-for-fast", "probation", "lame", "cold"],
+)
+def test_no_job_is_held_for_a_fast_host_that_will_not_have_it(
+    asked: JobRecord, fast: TargetRecord
+) -> None:
+    targets = [fast, large(of_kind("slow", SLOW, "b"))]
+    for record in targets:
+        record.connected, record.heard = True, 10.1
+        record.session = Session(1, 0)
+    room = RoomNow(10.1, targets, lease_times(Bounds()))
+    assert chosen(10.1, asked, *targets) == "slow"
+    assert not Placement("hall", Random(1), 1.5).awaits_kind(10.1, asked, room)
+
+
+@pytest.mark.parametrize(
+    "asked", [job(label="b"), job(spread=1)], ids=["only-one-of-its-label", "spread"]
+)
+def test_a_job_is_not_held_for_a_kind_of_which_all_that_may_have_it_are_lame(
+    asked: JobRecord,
+) -> None:
+    only, well = lame(of_kind("lame", FAST, "b")), of_kind("well", FAST, "a")
+    if asked.request.spread:
+        asked.tasks[1].target, asked.tasks[1].phase = "well", TaskPhase.PLACED
+    assert chosen(10.0, asked, only, well) == "lame"
+
+
+# Cold runners.
+
+
+@pytest.mark.parametrize("after", [0.0, 0.02])
+def test_a_rack_whose_runners_with_room_are_cold_keeps_its_work(after: float) -> None:
+    near, far = cold(target("near", "r1")), target("far", "r2")
+    assert chosen_far(10.0 + after, job(rack="r1"), 3.0, near, far) == "near"
+
+
+def test_a_cold_runner_makes_no_choice_compare_records_field_by_field(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """With hundreds of targets each task would take a good part of a second."""
+
+    def compared(one: object, other: object) -> bool:
+        raise AssertionError(one, other)
+
+    monkeypatch.setattr(TargetRecord, "__eq__", compared)
+    assert chosen(10.0, job(), cold(target("cold")), target("t1"), target("t2")) in ("t1", "t2")
+
+
+def test_a_warm_runner_goes_first_in_a_rack() -> None:
+    warm = target("warm", "r1", free=Resources(1000, 8000))
+    assert chosen_far(10.0, job(rack="r1"), 3.0, cold(target("cold", "r1")), warm) == "warm"
+
+
+def test_a_cold_fast_host_where_a_task_is_in_time_beats_a_warm_slow_one_where_it_is_not() -> None:
+    fast, slow = cold(of_kind("fast", FAST)), of_kind("slow", SLOW)
+    assert chosen(10.1, job(), fast, slow) == "fast"
+
+
+def test_a_warm_slow_host_where_a_task_is_in_time_goes_before_a_cold_fast_one() -> None:
+    fast, slow = cold(of_kind("fast", FAST)), of_kind("slow", SLOW)
+    assert chosen(10.0, patient(count=1), fast, slow) == "slow"
+
+
 def test_a_job_with_a_task_that_is_late_on_a_slow_host_leaves_the_fast_ones_free() -> None:
     asked = job()
     asked.tasks[1].target = "slow"
