Try an avoided kind again within minutes; keep kinds that hosts are of

Cause: after a slow spell only the evidence of a kind that got no work faded, its factor stayed; 64 told names made real kinds evict each other; a word was told on with the own ends of before. Change: after 60 s without ends, while others have some, a kind's difference from those halves each minute, and its own ends too; kinds that no target reports go first, and a word on a reported kind takes their place (unreported ones are still taken while there is room: a peer's words come before the targets' reports); an adopted word leaves no own ends.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/speeds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/speeds.py
@@ -55,7 +55,14 @@
 HALF_LIFE = 300.0
 """Seconds without an end after which half of the evidence on a kind is left.
 
-A factor fades to 1 with its evidence, so a kind that is avoided for it is tried again.
+A factor fades to 1 with its evidence.
+"""
+
+AVOIDED_SECONDS = 60.0
+"""Seconds without an end after which a kind counts as avoided if others of its service have some.
+
+From then on what it differs by from those halves in as long, and so do its own ends: a kind that
+was slow for a while is tried again within minutes.
 """
 
 LEAST_TOLD = 5.0
@@ -128,6 +135,8 @@
     told: float = 1.0
     """The factor that the others were told last."""
     told_own: float = 0.0
+    idle: float = 0.0
+    """Seconds since the last end."""
 
     @property
     def factor(self) -> float:
@@ -145,6 +154,21 @@
         step = _bounded(ratio, FARTHEST_STEP) ** (weight / (self.weight + BELIEF_ENDS))
         self.seen = _bounded(self.seen * step, FARTHEST_FACTOR)
 
+    def faded(self, seconds: float, others: float | None) -> None:
+        """Let go of evidence by the passing of so many seconds.
+
+        `others` is the factor of the kinds that are in use; None if none is.
+        """
+        left: float = 0.5 ** (seconds / HALF_LIFE)
+        self.idle += seconds
+        self.weight *= left
+        self.own *= left
+        self.paired *= left
+        if others is not None and self.idle >= AVOIDED_SECONDS:
+            soon: float = 0.5 ** (seconds / AVOIDED_SECONDS)
+            self.seen = others * (self.seen / others) ** soon
+            self.own *= soon
+
     def is_news(self) -> bool:
         """Whether the others don't know yet what was learned here."""
         if self.own < LEAST_TOLD:
@@ -161,6 +185,8 @@
         self._kinds: dict[Kind, _Evidence] = {}
         self._typical: dict[str, float] = {}
         self._unproven: set[str] = set()
+        self._present: set[Kind] = set()
+        """Kinds that a target reported to be."""
         self._faded: float | None = None
 
     def typical(self, service: str) -> float:
@@ -183,6 +209,7 @@
         """Give a target the factor of the kind that its report names."""
         report = target.report
         if report is not None:
+            self._present.add((report.service, report.kind))
             target.kind_factor = self.factor(report.service, report.kind)
 
     def compare_tasks(self, length: float, done: Iterable[tuple[TargetRecord, float]]) -> None:
@@ -199,6 +226,7 @@
         for sample in samples:
             others = [s.kind_length for s in samples if s.kind != sample.kind]
             evidence = self._evidence(sample.kind)
+            evidence.idle = 0.0
             if others:
                 usual = _mean(others)
                 weight = len(others) / (len(others) + 1)
@@ -225,11 +253,13 @@
         """Note how slow hosts usually are, and let go of what has not shown for a while."""
         seconds = 0.0 if self._faded is None else max(0.0, now - self._faded)
         self._faded = now
-        left = 0.5 ** (seconds / HALF_LIFE)
-        for evidence in self._kinds.values():
-            evidence.weight *= left
-            evidence.own *= left
-            evidence.paired *= left
+        in_use: dict[str, list[float]] = {}
+        for kind, evidence in self._kinds.items():
+            if evidence.idle < AVOIDED_SECONDS:
+                in_use.setdefault(kind[0], []).append(evidence.seen)
+        others = {service: _mean(factors) for service, factors in in_use.items()}
+        for kind, evidence in self._kinds.items():
+            evidence.faded(seconds, others.get(kind[0]))
         factors: dict[str, list[float]] = {}
         known: dict[Kind, float] = {}
         for target in targets:
@@ -244,6 +274,7 @@
             if target.deviation != 1.0:
                 target.faded(seconds)
             factors.setdefault(report.service, []).append(factor)
+        self._present = set(known)
         self._note_unproven(known)
         self._typical = {name: sum(each) / len(each) for name, each in factors.items()}
 
@@ -299,14 +330,15 @@
         if known is not None and known.own >= PROVEN:
             return False
         if known is None:
-            if len(self._kinds) >= MOST_KINDS:
+            if len(self._kinds) >= MOST_KINDS and kind not in self._present:
                 return False
-            known = self._kinds[kind] = _Evidence()
+            known = self._evidence(kind)
         slowness = _bounded(word.slowness_thousandths / 1000, FARTHEST_WORD)
         factor = slowness * self.typical(word.service)
         known.weight = known.paired = min(ends / TRUSTED_MORE, PROVEN)
         seen = factor ** ((known.weight + BELIEF_ENDS) / known.weight)
-        known.seen = _bounded(seen, FARTHEST_FACTOR)
+        known.seen = known.told = _bounded(seen, FARTHEST_FACTOR)
+        known.own = known.told_own = 0.0
         return True
 
     def _word(self, kind: Kind, evidence: _Evidence) -> KindSpeed:
@@ -315,15 +347,22 @@
         return KindSpeed(service, name, round(1000 * slowness), round(evidence.own))
 
     def _evidence(self, kind: Kind) -> _Evidence:
-        """Return what is known of a kind; that with the least evidence is forgotten for a new."""
+        """Return what is known of a kind; for a new one another is forgotten.
+
+        First goes one that no target is of, then one of which this entry has seen least itself.
+        """
         known = self._kinds.get(kind)
         if known is None:
             if len(self._kinds) >= MOST_KINDS:
-                least = min(self._kinds, key=lambda each: self._kinds[each].weight)
-                del self._kinds[least]
+                del self._kinds[min(self._kinds, key=self._worth)]
             known = self._kinds[kind] = _Evidence()
         return known
 
+    def _worth(self, kind: Kind) -> tuple[bool, float, float]:
+        """Return what counts for remembering a kind, the most important first."""
+        known = self._kinds[kind]
+        return kind in self._present, known.own, known.weight
+
 
 def _bounded(ratio: float, farthest: float) -> float:
     """Return a ratio, or the bound that it goes beyond, either way."""
--- a/testing/core/leased/test_speeds.py
+++ b/testing/core/leased/test_speeds.py
@@ -214,6 +214,35 @@
     assert ratio(speeds) == pytest.approx(1.0, abs=0.01)
 
 
+def avoided(speeds: Speeds, targets: list[TargetRecord], seconds: int, kind: str) -> None:
+    """Let jobs run on one kind alone for a while; on none with an empty `kind`."""
+    rng = Random(7)
+    only = [t for t in targets if t.report and t.report.kind == kind]
+    for second in range(seconds):
+        speeds.compare(float(second), targets)
+        for each in only:
+            speeds.compare_tasks(0.4, [(t, works(t, 0.4, rng)) for t in (each, each)])
+
+
+def test_a_kind_that_is_avoided_after_a_slow_spell_is_tried_again_within_minutes() -> None:
+    speeds = Speeds()
+    targets = fleet("a", "a", "b", "a", "a", "b")
+    teach(speeds, targets, 100)
+    teach(speeds, targets, 50, {"t2": 4.0, "t5": 4.0})
+    assert ratio(speeds) > 1.5 * RATIO
+    avoided(speeds, targets, 300, "a")
+    assert ratio(speeds) < RATIO
+
+
+@pytest.mark.parametrize(("seconds", "kind"), [(50, "a"), (600, "")], ids=["minute", "no-jobs"])
+def test_a_kind_is_not_forgotten_in_a_short_or_quiet_time(seconds: int, kind: str) -> None:
+    speeds = Speeds()
+    targets = fleet("a", "a", "b")
+    teach(speeds, targets, 100)
+    avoided(speeds, targets, seconds, kind)
+    assert ratio(speeds) == pytest.approx(RATIO, rel=0.1)
+
+
 # Other entries.
 
 
@@ -278,6 +307,31 @@
     assert len(speeds.all()) == MOST_KINDS
 
 
+def test_kinds_of_which_there_are_hosts_are_learned_beside_sixty_four_that_are_nonsense() -> None:
+    speeds = Speeds()
+    speeds.told(known_by({f"k{n}": 700 for n in range(MOST_KINDS)}))
+    targets = fleet("a", "b")
+    teach(speeds, targets, 100)
+    assert ratio(speeds) == pytest.approx(RATIO, rel=0.1)
+
+
+def test_a_word_on_a_kind_of_which_there_are_hosts_takes_the_place_of_nonsense() -> None:
+    speeds = Speeds()
+    speeds.told(known_by({f"k{n}": 700 for n in range(MOST_KINDS)}))
+    speeds.compare(0.0, fleet("a", "b"))
+    assert len(speeds.told(TOLD)) == 2
+    assert len(speeds.all()) == MOST_KINDS
+
+
+def test_what_was_heard_after_a_few_own_ends_is_not_told_on() -> None:
+    speeds = Speeds()
+    teach(speeds, fleet("a", "b"), 8)
+    assert speeds.known() is not None
+    assert len(speeds.told(TOLD)) == 2
+    assert speeds.known() is None
+    assert speeds.news() is None
+
+
 def test_what_was_only_heard_is_to_be_proved() -> None:
     speeds = Speeds()
     targets = fleet("a", "b")
