Name the defaults of hall_preference and cold_overrun once

Cause: the literals 0.2 and 1.5 stood in bounds, placement, dispatcher, settings, worker and runnercontrol. Change: HALL_PREFERENCE and COLD_OVERRUN in leased/bounds.py, used by all.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -21,6 +21,12 @@
 Two heartbeats of the target have then got no answer, and enough of the session is left to go on.
 """
 
+HALL_PREFERENCE = 0.2
+"""Share of a runner's room that it is given to save the bytes of a way between halls."""
+
+COLD_OVERRUN = 1.5
+"""How many times as long a task takes on a runner that is cold after its start, if not told."""
+
 IDLE_BEAT = 1.0
 """Seconds between two heartbeats of a target in an idle session, at least.
 
@@ -71,8 +77,8 @@
     config_apply: float = 2.0
     remote_factor: float = 1.5
     caller_delay: float = 0.004
-    cold_overrun: float = 1.5
-    hall_preference: float = 0.2
+    cold_overrun: float = COLD_OVERRUN
+    hall_preference: float = HALL_PREFERENCE
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -12,7 +12,7 @@
 from paddleshunt_core.leased.admission import NO_TARGET_WAIT, expected_wait, room_note
 from paddleshunt_core.leased.answers import Answers
 from paddleshunt_core.leased.assigner import Assigner
-from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.bounds import COLD_OVERRUN, HALL_PREFERENCE, LeaseTimes
 from paddleshunt_core.leased.catalog import Queue
 from paddleshunt_core.leased.containment import Containment
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations, evacuation_note
@@ -35,7 +35,7 @@
     JobOutcome,
     Refused,
 )
-from paddleshunt_core.leased.placement import HALL_PREFERENCE, Placement
+from paddleshunt_core.leased.placement import Placement
 from paddleshunt_core.leased.retries import Retries
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session, good_echo_age
@@ -99,7 +99,7 @@
         rng: Random,
         remote_factor: float = 1.0,
         caller_delay: float = 0.0,
-        cold_overrun: float = 1.5,
+        cold_overrun: float = COLD_OVERRUN,
         hall_preference: float = HALL_PREFERENCE,
     ) -> None:
         self._times = times
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -11,6 +11,7 @@
 from random import Random
 from typing import final
 
+from paddleshunt_core.leased.bounds import COLD_OVERRUN, HALL_PREFERENCE
 from paddleshunt_core.leased.jobs import OVERHEAD_SECONDS, JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.speeds import Speeds
@@ -20,12 +21,6 @@
 """Loads that differ by less count as equal, so that entries that know the same choose differently.
 """
 
-HALL_PREFERENCE = 0.2
-"""Share of a runner's room that it is given to save the bytes of a way between halls."""
-
-COLD_OVERRUN = 1.5
-"""How many times as long a task takes on a runner that is cold after its start, if not told."""
-
 COLD_LAST = 4.0
 """What a cold runner costs, as a load: more than all else, so a warm one that serves goes first."""
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -5,7 +5,7 @@
 
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.accounts import AccountCheck, contradiction_note
-from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.bounds import COLD_OVERRUN, LeaseTimes
 from paddleshunt_core.leased.evacuation import Evacuations
 from paddleshunt_core.leased.health import RunnerHealth
 from paddleshunt_core.leased.incarnations import Claim, Incarnations
@@ -81,7 +81,9 @@
 class RunnerControl:
     """State of one runner. `take_ends` tells which runs have ended since it was asked last."""
 
-    def __init__(self, times: LeaseTimes, hall: str = "", cold_overrun: float = 1.5) -> None:
+    def __init__(
+        self, times: LeaseTimes, hall: str = "", cold_overrun: float = COLD_OVERRUN
+    ) -> None:
         self._times = times
         self._hall = hall
         self._cold_overrun = cold_overrun
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -9,7 +9,7 @@
 from typing import final
 
 from paddleshunt_core.events import note
-from paddleshunt_core.leased.bounds import LeaseTimes
+from paddleshunt_core.leased.bounds import COLD_OVERRUN, LeaseTimes
 from paddleshunt_core.leased.entrylink import EntryLink
 from paddleshunt_core.leased.evacuation import evacuation_note
 from paddleshunt_core.leased.incarnations import Claim
@@ -51,7 +51,9 @@
 class Worker:
     """State of one target."""
 
-    def __init__(self, times: LeaseTimes, hall: str = "", cold_overrun: float = 1.5) -> None:
+    def __init__(
+        self, times: LeaseTimes, hall: str = "", cold_overrun: float = COLD_OVERRUN
+    ) -> None:
         self._times = times
         self._control = RunnerControl(times, hall, cold_overrun)
         self._links: dict[str, EntryLink] = {}
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -4,7 +4,13 @@
 from typing import Annotated, Literal, final
 
 from msgspec import Meta
-from paddleshunt_core.leased.bounds import Bounds, BoundsError, lease_times
+from paddleshunt_core.leased.bounds import (
+    COLD_OVERRUN,
+    HALL_PREFERENCE,
+    Bounds,
+    BoundsError,
+    lease_times,
+)
 
 from paddleshunt_platform.settings import (
     Address,
@@ -74,8 +80,8 @@
     grace_s: SecondsBound = 6.0
     remote_factor: Annotated[float, Meta(ge=1, le=100)] = 1.5
     caller_delay_ms: Annotated[float, Meta(ge=0, le=1000)] = 4.0
-    cold_overrun: Annotated[float, Meta(ge=1, le=100)] = 1.5
-    hall_preference: Annotated[float, Meta(ge=0, le=1)] = 0.2
+    cold_overrun: Annotated[float, Meta(ge=1, le=100)] = COLD_OVERRUN
+    hall_preference: Annotated[float, Meta(ge=0, le=1)] = HALL_PREFERENCE
 
 
 @final
--- a/testing/council/test_settings.py
+++ b/testing/council/test_settings.py
@@ -4,7 +4,7 @@
 
 import pytest
 from click.testing import CliRunner
-from paddleshunt_core.leased.placement import HALL_PREFERENCE
+from paddleshunt_core.leased.bounds import HALL_PREFERENCE
 from paddleshunt_council.commandline import main
 from paddleshunt_platform.leasedsettings import bounds_of, load_leased
 from paddleshunt_platform.settings import SettingsError
