--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/placement.py
@@ -2,14 +2,16 @@
 
 First what serves the job: targets where the task ends in time, those with time to spare before
 others. Among them the least loaded, where a kind of host that is slow, and yet fast enough, goes
-first, and a target that no message needs to reach in another hall.
+first, and a target that no message needs to reach in another hall. A cold runner takes longer for
+the same work: it gets a task that ends in time there, or is late anywhere, and has no warm one.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 from random import Random
 from typing import final
 
-from paddleshunt_core.leased.coldness import warm_first
+from paddleshunt_core.leased.bounds import COLD_OVERRUN, HALL_PREFERENCE
 from paddleshunt_core.leased.jobs import OVERHEAD_SECONDS, JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.speeds import Speeds
@@ -19,8 +21,8 @@
 """Loads that differ by less count as equal, so that entries that know the same choose differently.
 """
 
-HALL_PREFERENCE = 0.2
-"""Share of a runner's room that it is given to save the bytes of a way between halls."""
+COLD_LAST = 4.0
+"""What a cold runner costs, as a load: more than all else, so a warm one that serves goes first."""
 
 SPARE_FAST = 0.25
 """Share of its room by which a fast runner counts as fuller for a task that need not be fast."""
@@ -51,7 +53,10 @@
 """Targets count as equally fast up to this factor; a deviation is known no better."""
 
 COMPARING_SHARE = 0.1
-"""Part of the jobs that are spread over kinds of hosts whose speeds were not seen here yet."""
+"""Part of the jobs that are spread over kinds of hosts whose speeds were not seen here yet.
+
+One job in ten may be late for it, and a few dozen jobs show how the kinds differ.
+"""
 
 ROUNDING = 0.001
 """Slowness by which a host may be too slow: two hosts of a kind are equally slow."""
@@ -67,11 +72,13 @@
 
     target: TargetRecord
     slowness: float
-    """How many times the job's length a task takes there, its data's way included."""
+    """How many times the job's length a task takes there: its data's way and a cold start count."""
     kind: float
     """The same for any runner of the kind."""
     way: float
     """What the way there costs, as a load."""
+    cold: float
+    """What a cold runner costs, as a load."""
     has_room: bool = False
     load: float = 0.0
 
@@ -93,8 +100,11 @@
         self.able = able
         self.sound = sound
         self.probes = [target for target in able if target.on_probation]
-        self.any_cold = any(target.is_cold(now) for target in able)
         self.last: _Candidate | None = None
+        self.sent = Counter(
+            task.target for task in job.tasks if task.phase is not TaskPhase.WAITING
+        )
+        """How many tasks were sent to each target and did not come back."""
         self.due = job.due
         """When a task must end to be in time: not before the job's slowest task does."""
         by_name = {each.target.name: each for each in sound}
@@ -102,6 +112,11 @@
             if task.phase is TaskPhase.PLACED and task.target in by_name:
                 self.placed(task.placed_at, by_name[task.target])
 
+    def may_spread_to(self, target: TargetRecord) -> bool:
+        """Whether a target may have one more of the job's tasks."""
+        spread = self.job.request.spread
+        return not spread or self.sent[target.name] < spread
+
     def has_other(self, task: TaskRecord) -> bool:
         """Whether there is a target where the task has not failed."""
         return any(target.name not in task.avoid for target in self.able)
@@ -128,7 +143,7 @@
         remote_factor: float,
         speeds: Speeds | None = None,
         hall_preference: float = HALL_PREFERENCE,
-        cold_overrun: float = 1.5,
+        cold_overrun: float = COLD_OVERRUN,
     ) -> None:
         self._rng = rng
         self._hall = hall
@@ -157,14 +172,21 @@
 
         It says cheaply what `choose` would find by looking at each target.
         """
-        if job.request.rack or job.begun:
+        if job.request.rack or job.request.label or job.begun:
             return False
+        need = job.request.need
         kinds = room.kinds(job.queue.service)
         slowest = (job.due - OVERHEAD_SECONDS - now) / job.length
         likely = slowest / (1 + LIKELY * (_margin(job) - 1))
-        likely *= self._speeds.typical(job.queue.service)
-        fit = [free for factor, free in kinds if factor <= likely]
-        return bool(fit) and not any(job.request.need.fits(free) for free in fit)
+        usual = self._speeds.typical(job.queue.service)
+        fit = [
+            kind
+            for kind in kinds
+            if kind.factor <= likely * usual
+            and kind.least <= slowest * usual
+            and need.fits(kind.capacity)
+        ]
+        return bool(fit) and not any(need.fits(kind.free) for kind in fit)
 
     def choose(
         self, now: float, job: JobRecord, task: TaskRecord, able: list[TargetRecord]
@@ -174,28 +196,21 @@
         probe = self._probe(now, plan, task)
         if probe is not None:
             self._probed[probe.name] = now
+            plan.sent[probe.name] += 1
             return probe
         sound = plan.sound
         if task.avoid:
             sound = [c for c in sound if c.target.name not in task.avoid] or sound
         if job.request.spread:
-            sound = [c for c in sound if _tasks_at(job, c.target) < job.request.spread]
-        chosen = self._best(now, plan, self._warm_first(now, plan, sound))
+            sound = [c for c in sound if plan.may_spread_to(c.target)]
+        chosen = self._best(now, plan, sound)
         plan.last = chosen
         if chosen is None:
             return None
         plan.placed(now, chosen)
+        plan.sent[chosen.target.name] += 1
         return chosen.target
 
-    def _warm_first(self, now: float, plan: _Plan, sound: list[_Candidate]) -> list[_Candidate]:
-        """Return the candidates without the cold ones that a task is not given now."""
-        if not plan.any_cold:
-            return sound
-        good = [candidate.target for candidate in sound if candidate.has_room]
-        known = [candidate.target for candidate in sound]
-        given = warm_first(now, plan.job, good, known, self._cold_overrun)
-        return [c for c in sound if not c.has_room or c.target in given]
-
     # What holds for a job.
 
     def _planned(self, now: float, job: JobRecord, able: list[TargetRecord]) -> _Plan:
@@ -204,7 +219,7 @@
         if plan is None or plan.able is not able or plan.job is not job or plan.now != now:
             service = job.queue.service
             even = self._speeds.is_unproven(service) and self._rng.random() < COMPARING_SHARE
-            sound = [self._candidate(job, t, even=even) for t in able if not t.on_probation]
+            sound = [self._candidate(now, job, t, even=even) for t in able if not t.on_probation]
             for candidate in sound:
                 candidate.look(job)
             plan = self._plan = _Plan(now, job, able, sound)
@@ -214,12 +229,18 @@
             plan.last = None
         return plan
 
-    def _candidate(self, job: JobRecord, target: TargetRecord, *, even: bool) -> _Candidate:
+    def _candidate(
+        self, now: float, job: JobRecord, target: TargetRecord, *, even: bool
+    ) -> _Candidate:
         """Return a candidate; with `even`, as if hosts of all kinds were alike."""
         usual = target.kind_factor if even else self._speeds.typical(job.queue.service)
         factor = self.away_factor(job, target) / usual
         way = 0.0 if target.hall == self._hall else self._hall_preference
-        return _Candidate(target, target.slowness * factor, target.kind_factor * factor, way)
+        kind = target.kind_factor * factor
+        if target.is_cold(now):
+            slowness = self._cold_overrun * target.slowness * factor
+            return _Candidate(target, slowness, kind, way, COLD_LAST)
+        return _Candidate(target, target.slowness * factor, kind, way, 0.0)
 
     def _probe(self, now: float, plan: _Plan, task: TaskRecord) -> TargetRecord | None:
         job = plan.job
@@ -228,7 +249,7 @@
                 now > self._probed.get(target.name, 0.0) + PROBE_PERIOD
                 and (target.name not in task.avoid or not plan.has_other(task))
                 and job.request.need.fits(target.free)
-                and not (job.request.spread and _tasks_at(job, target) >= job.request.spread)
+                and plan.may_spread_to(target)
             ):
                 return target
         return None
@@ -246,7 +267,7 @@
         # Beside a task of the job that ends late it is enough to end no later: no margin is needed.
         margin = _margin(job) if plan.due <= job.due else 1.0
         likely = slowest / (1 + LIKELY * (margin - 1))
-        if any(c.kind <= likely for c in sound):
+        if any(c.kind <= likely and c.slowness <= slowest for c in sound):
             hopeful = [c for c in good if c.kind <= likely and c.slowness <= slowest]
             return self._least_loaded(hopeful, slowest, margin)
         if any(c.slowness <= slowest for c in sound):
@@ -310,7 +331,7 @@
         best: _Candidate | None = None
         least = float("inf")
         for candidate in candidates:
-            cost = candidate.load + candidate.way + LOAD_STEP * random()
+            cost = candidate.load + candidate.way + candidate.cold + LOAD_STEP * random()
             if slowest and candidate.kind < FAST:
                 cost += SPARE_FAST
             if candidate.kind * margin > slowest > 0:
@@ -323,10 +344,3 @@
 def _margin(job: JobRecord) -> float:
     """Return how many times its expected length the longest task of a job may take."""
     return LENGTH_MARGIN + WIDTH_MARGIN * (job.request.count.bit_length() - 1)
-
-
-def _tasks_at(job: JobRecord, target: TargetRecord) -> int:
-    """Return how many tasks of a job have been sent to a target and did not come back."""
-    return sum(
-        task.target == target.name and task.phase is not TaskPhase.WAITING for task in job.tasks
-    )
