--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/health.py
@@ -42,7 +42,7 @@
             return Health.SICK
         return Health.GOOD if self._proved else Health.PROBATION
 
-    def is_cold(self, now: float, cold: float) -> None:
+    def note_cold(self, now: float, cold: float) -> None:
         """Note that the runner stays slow for `cold` seconds yet after its start; 0: it is warm."""
         self._cold_until = now + cold if cold else min(self._cold_until, now)
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -87,7 +87,7 @@
     def end(self, *, answered: bool = True) -> None:
         """Note that the followed life has ended; one that never `answered` may yet come."""
         if self._current and answered:
-            self.has_ended(self._current)
+            self.note_ended(self._current)
         self._current = ""
         self._sequence = 0
         self._leap = None
@@ -98,7 +98,7 @@
         if runner not in self._denied:
             self._denied.append(runner)
 
-    def has_ended(self, runner: str) -> None:
+    def note_ended(self, runner: str) -> None:
         """Note that a life has ended; it is never followed again."""
         if runner not in self._past:
             self._past.append(runner)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/linkpressure.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/linkpressure.py
@@ -52,8 +52,8 @@
 LONGEST_WAIT = 10.0
 """Seconds; a longer wait is told as this one."""
 
-ECHO_WINDOW = 240
-"""Samples whose least echo age is taken for the usual one: a minute at four a second."""
+ECHO_WINDOW = 300
+"""Samples whose least echo age is taken for the usual one: a minute at five a second."""
 
 
 class PressureLevel(IntEnum):
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -182,7 +182,7 @@
         """Follow the runner's word on how long it stays slow; it runs down until the next."""
         was_cold = self.cold(now) > 0
         self._cold_until = now + account.cold
-        self.health.is_cold(now, account.cold)
+        self.health.note_cold(now, account.cold)
         if not account.cold or was_cold:
             return []
         left = round(account.cold * 1000)
@@ -190,7 +190,7 @@
 
     def runner_left(self, now: float, runner: str) -> list[Effect]:
         """Take the runner's word that it ends now."""
-        self.lives.has_ended(runner)
+        self.lives.note_ended(runner)
         if self.account is None or self.account.runner != runner:
             return []
         # What still runs there ends with a runner that left as it said: none of it took it down.
--- a/testing/core/leased/test_coldness.py
+++ b/testing/core/leased/test_coldness.py
@@ -185,7 +185,7 @@
     health = RunnerHealth(4.0)
     health.suspect(0.0)
     later = SICK_SECONDS + 0.1
-    health.is_cold(later, cold)
+    health.note_cold(later, cold)
     health.done(later + 1.0, SLOW * 0.9, later)
     assert health.level(later + 1.0) is level
 
@@ -193,14 +193,14 @@
 @pytest.mark.parametrize(("cold", "slow"), [(2.0, False), (0.0, True)], ids=["cold", "warm"])
 def test_slow_progress_of_a_cold_runner_is_no_sickness(cold: float, *, slow: bool) -> None:
     health = RunnerHealth(4.0)
-    health.is_cold(1.0, cold)
+    health.note_cold(1.0, cold)
     health.progressed(1.5, 0.1, 0.5)
     assert health.is_slow(1.6) is slow
 
 
 def test_a_runner_that_is_slow_long_after_it_got_warm_is_sick() -> None:
     health = RunnerHealth(4.0)
-    health.is_cold(1.0, 2.0)
+    health.note_cold(1.0, 2.0)
     health.progressed(4.0, 0.1, 0.5)
     assert health.is_slow(4.1)
 
--- a/testing/core/leased/test_incarnations.py
+++ b/testing/core/leased/test_incarnations.py
@@ -77,7 +77,7 @@
     elif how == "left":
         lives.end()
     else:
-        lives.has_ended(FIRST.runner)
+        lives.note_ended(FIRST.runner)
     assert lives.judge(replace(FIRST, sequence=9)) is Claim.LATE
 
 
--- a/testing/core/leased/test_runnerlosses.py
+++ b/testing/core/leased/test_runnerlosses.py
@@ -53,7 +53,9 @@
 
 
 @pytest.mark.parametrize("lost", [[], [5.8]], ids=["silent", "lost"])
-def test_or_its_return_does(losses: RunnerLosses, table: RunTable, lost: list[float]) -> None:
+def test_its_return_takes_back_what_was_told(
+    losses: RunnerLosses, table: RunTable, lost: list[float]
+) -> None:
     losses.silent(5.1, ACCOUNT, table)
     for at in lost:
         losses.given_up(at, ACCOUNT, table)
