Tell a runner that is known to have ended from one that is only silent

Seen of the incident: an entry counts a loss without knowing whether the life ended or may answer again, as the word that it hears says neither, and a given-up job's line doesn't tell which count it was. Change, sight only: RunnerLost carries the tasks that were known to be at work on a life in whose place another one answers; a life that was given up as silent is told again then, unless it answered or sent a heartbeat meanwhile. Entries remember it and write it out (runner_loss_learned ended=, job_given_up ended= and losses=); these lines and runner_lost are among those that a busy second doesn't drop. Nothing decides by it yet.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
@@ -40,11 +40,20 @@
         return isinstance(news, RunnerLost) and self.learn(now, news)
 
     def learn(self, now: float, lost: RunnerLost) -> bool:
-        """Remember a loss from when its teller learned of it; return whether it was news."""
+        """Remember a loss from when its teller learned of it; return whether it was news.
+
+        One that is known is news once its life is known to have ended.
+        """
         self._expire(now)
-        if lost.loss in self._losses or lost.loss in self._returned:
+        if lost.loss in self._returned:
             return False
-        self._losses[lost.loss] = (now - lost.ago_ms / 1000, lost)
+        at = now - lost.ago_ms / 1000
+        if lost.loss in self._losses:
+            at, known = self._losses[lost.loss]
+            if set(lost.ended) <= set(known.ended):
+                return False
+            self._forget(lost.loss)
+        self._losses[lost.loss] = (at, lost)
         for task in lost.tasks:
             self._by_task.setdefault(task, []).append(lost.loss)
         if len(self._losses) > MOST_REMEMBERED:
@@ -74,6 +83,11 @@
         """Return the lives of runners that were lost under a task."""
         return [loss.runner for loss in self._by_task.get(task, ())]
 
+    def ended(self, task: TaskId) -> list[str]:
+        """Return the lives that are known to have ended with a task at work on them."""
+        losses = self._by_task.get(task, ())
+        return [loss.runner for loss in losses if task in self._losses[loss][1].ended]
+
     def _expire(self, now: float) -> None:
         for loss, (at, _) in list(self._losses.items()):
             if now >= at + KEEP_SECONDS:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -56,8 +56,8 @@
         runner = news.loss.runner
         if isinstance(news, RunnerReturned):
             return [note("runner_return_learned", runner=runner, source=source)]
-        tasks = len(news.tasks)
-        return [note("runner_loss_learned", runner=runner, tasks=tasks, source=source)]
+        tasks, ended = len(news.tasks), len(news.ended)
+        return [note("runner_loss_learned", runner=runner, tasks=tasks, ended=ended, source=source)]
 
     def outcome(self, job: JobRecord) -> Failed | None:
         """Return how a job ends that is not to be tried again; None if it may be."""
@@ -69,8 +69,13 @@
         fields: dict[str, str | int | float] = {"reason": outcome.reason}
         task = self._spent(job)
         if task is not None:
-            runners = ",".join(self._losses.runners(task.id))
-            fields |= {"index": task.id.index, "runners": runners, "retries": task.retries}
+            fields |= {
+                "index": task.id.index,
+                "runners": ",".join(self._losses.runners(task.id)),
+                "ended": ",".join(self._losses.ended(task.id)),
+                "losses": task.losses,
+                "retries": task.retries,
+            }
         return note("job_given_up", job.request.key, **fields)
 
     def _spent(self, job: JobRecord) -> TaskRecord | None:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -165,6 +165,8 @@
         if known is None or known.runner != account.runner:
             self.clean = False
             self._met = now
+        else:
+            self.losses.spoke()
         self.account = account
         self.lives.follow(account)
         effects += self._note_cold(now, account)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -1,7 +1,10 @@
 """Notices at a target that its runner is lost with all that ran on it, or answers again."""
 
+from dataclasses import dataclass
 from typing import final
 
+from msgspec.structs import replace
+
 from paddleshunt_core.events import Log
 from paddleshunt_core.leased.orders import RunnerAccount
 from paddleshunt_core.leased.runnotes import runner_lost_note
@@ -15,16 +18,35 @@
     TaskId,
 )
 
+SILENT = "silent"
+REPLACED = "replaced"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class _Silence:
+    """A loss that was told of a life that may yet answer, and what was known to be at work."""
+
+    lost: RunnerLost
+    at_work: list[TaskId]
+
 
 @final
 class RunnerLosses:
-    """Losses of one runner, as far as looks show them. Times are steady seconds."""
+    """Losses of one runner, as far as looks show them. Times are steady seconds.
+
+    A life that gives no answer until its lease is over may have ended, or be cut off, or stand
+    still, or lose what it is asked. That it has ended is known once another life answers in its
+    place, and that it took its runs along if it gave no sign after these must have been over.
+    """
 
     def __init__(self) -> None:
         self._silent_since: float | None = None
         """When a look had no answer for the first time since one had; None if the last one had."""
         self._told: LossId | None = None
         """What was told of the life that is known, as silent or lost, if it may answer again."""
+        self._silence: _Silence | None = None
+        """Its loss, if it gave no sign since that was told."""
         self._news: list[LossNews] = []
 
     def take_news(self) -> list[LossNews]:
@@ -36,9 +58,15 @@
     def answered(self) -> None:
         """Note that the life that is known answered a look."""
         self._silent_since = None
-        if self._told is not None:
-            self._news.append(RunnerReturned(self._told))
-            self._told = None
+        self._silence = None
+        self._take_back()
+
+    def spoke(self) -> None:
+        """Note a heartbeat of the life that is known: it outlived what it was lost with.
+
+        That is no answer: the heartbeat may have been held back since before the loss.
+        """
+        self._silence = None
 
     def unanswered(self, now: float) -> None:
         """Note that a look had no answer."""
@@ -53,26 +81,44 @@
 
     def given_up(self, now: float, account: RunnerAccount | None, table: RunTable) -> Log:
         """Note that what runs there can't be at work any more, as no look had an answer."""
-        return self._lose(now, account, table, "silent")
+        return self._lose(now, account, table, SILENT)
 
     def replaced(self, now: float, account: RunnerAccount | None, table: RunTable) -> list[Log]:
         """Note that the life that was known has ended; it won't answer again."""
-        logs = [self._lose(now, account, table, "replaced")] if len(table) else []
+        logs = [self._lose(now, account, table, REPLACED)] if len(table) else []
+        if self._silence is not None and account is not None and not account.leaving:
+            # Given up while it was silent: that it has ended is known by now.
+            self._news.append(replace(self._silence.lost, ended=self._silence.at_work))
         self._silent_since = None
         self._told = None
+        self._silence = None
         return logs
 
     def _lose(self, now: float, account: RunnerAccount | None, table: RunTable, how: str) -> Log:
         """Tell of a life and its runs, unless it had said that it ends."""
-        runner = account.runner if account else ""
         if account is not None and not account.leaving:
-            self._told = self._loss(now, account)
-            self._news.append(RunnerLost(self._told, *self._at_work(now, table)))
-        elif self._told is not None:
+            self._tell(now, account, table, ended=how == REPLACED)
+        else:
             # It said meanwhile that it ends: its silence was no sign of a loss.
+            self._take_back()
+        runner = account.runner if account else ""
+        return runner_lost_note(runner, how, self._since(now), table)
+
+    def _tell(self, now: float, account: RunnerAccount, table: RunTable, *, ended: bool) -> None:
+        self._told = self._loss(now, account)
+        lost = RunnerLost(self._told, *self._at_work(now, table))
+        known = {run.id.task for run in table if run.at_work}
+        at_work = [task for task in lost.tasks if task in known]
+        if ended:
+            self._news.append(replace(lost, ended=at_work))
+            return
+        self._news.append(lost)
+        self._silence = _Silence(lost, at_work)
+
+    def _take_back(self) -> None:
+        if self._told is not None:
             self._news.append(RunnerReturned(self._told))
             self._told = None
-        return runner_lost_note(runner, how, self._since(now), table)
 
     def _since(self, now: float) -> float:
         return now if self._silent_since is None else self._silent_since
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -50,6 +50,8 @@
     """What to tell the entry once a stop is done."""
     unwanted: float = 0.0
     """Since when nobody has a right to it, if it is being stopped."""
+    at_work: bool = False
+    """Whether it is known to have begun: its start was answered, or a look showed it."""
     may_have_ended: bool = False
     """Whether an end was listed that may be its own: it can't be said to have never run."""
 
@@ -62,6 +64,7 @@
     def begin(self, now: float) -> None:
         """Note that it is known to be at work; what passed before that is not its runner's time."""
         self.phase = Phase.RUNNING
+        self.at_work = True
         self.moved = self.seen = now
 
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/logline.py
@@ -24,6 +24,8 @@
 FAILURE_EVENTS = frozenset(
     {
         "job_answered",
+        "job_given_up",
+        "runner_lost",
         "task_returned",
         "run_stopping",
         "run_lapsed",
--- a/testing/core/leased/test_losses.py
+++ b/testing/core/leased/test_losses.py
@@ -69,3 +69,34 @@
         book.learn(2.0, lost(f"j-{number}", TaskId(f"job{number}", 0, 0)))
     assert len(book.all(2.0)) == MOST_REMEMBERED
     assert book.runners(TASK) == []
+
+
+ENDED = replace(lost("i-1", TASK, OTHER), ended=[TASK])
+
+
+@pytest.mark.parametrize(
+    "told", [[ENDED], [lost("i-1", TASK, OTHER), ENDED]], ids=["alone", "later"]
+)
+def test_a_life_that_is_known_to_have_ended_is_told_from_one_that_is_silent(
+    told: list[RunnerLost],
+) -> None:
+    book = LossBook()
+    assert book.ended(TASK) == []
+    assert all(book.learn(1.0, word) for word in told)
+    assert book.ended(TASK) == ["i-1"]
+    assert book.ended(OTHER) == []
+    assert book.runners(TASK) == book.runners(OTHER) == ["i-1"]
+
+
+def test_an_older_word_does_not_undo_what_is_known() -> None:
+    book = LossBook()
+    book.learn(1.0, ENDED)
+    assert not book.learn(1.1, lost("i-1", TASK, OTHER))
+    assert not book.learn(1.1, ENDED)
+    assert book.ended(TASK) == ["i-1"]
+
+
+def test_an_end_is_remembered_as_long_as_the_loss_before_it(book: LossBook) -> None:
+    book.learn(4.0, ENDED)
+    assert book.all(31.0) == [replace(ENDED, ago_ms=30_000)]
+    assert book.all(1.0 + KEEP_SECONDS) == []
--- a/testing/core/leased/test_runnerlosses.py
+++ b/testing/core/leased/test_runnerlosses.py
@@ -1,6 +1,9 @@
 """What a target tells of its silent runner: at once what was at work, and later how it ended."""
 
+from collections.abc import Callable
+
 import pytest
+from msgspec.structs import replace
 from paddleshunt_core.leased.orders import RunnerAccount
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.runnerlosses import RunnerLosses
@@ -102,3 +105,67 @@
     losses.silent(5.1, ACCOUNT, table)
     losses.given_up(5.8, LEAVING, table)
     assert losses.take_news()[1:] == [RunnerReturned(LOSS)]
+
+
+def ended(losses: RunnerLosses) -> list[list[TaskId]]:
+    """Return with which tasks lives were told to have ended, and forget it."""
+    return [news.ended for news in losses.take_news() if isinstance(news, RunnerLost)]
+
+
+@pytest.fixture
+def at_work(table: RunTable) -> RunTable:
+    """Give a table of which one task is known to be at work, and the other was only ordered."""
+    (run,) = [run for run in table if run.id.task == TASKS[0]]
+    run.begin(4.9)
+    return table
+
+
+def test_one_that_is_only_silent_is_not_known_to_have_ended(
+    losses: RunnerLosses, at_work: RunTable
+) -> None:
+    losses.silent(5.1, ACCOUNT, at_work)
+    losses.given_up(5.8, ACCOUNT, at_work)
+    assert ended(losses) == [[]]
+
+
+def test_one_replaced_is_known_to_have_ended_with_what_was_known_to_be_at_work(
+    losses: RunnerLosses, at_work: RunTable
+) -> None:
+    losses.silent(5.1, ACCOUNT, at_work)
+    losses.replaced(5.4, ACCOUNT, at_work)
+    assert ended(losses) == [[TASKS[0]]]
+
+
+def test_one_given_up_and_then_replaced_is_told_again(
+    losses: RunnerLosses, at_work: RunTable
+) -> None:
+    losses.given_up(5.8, ACCOUNT, at_work)
+    losses.replaced(8.4, ACCOUNT, RunTable())
+    lost = RunnerLost(LOSS, TASKS, ["short", "long"], [100, 800])
+    assert losses.take_news() == [lost, replace(lost, ended=[TASKS[0]])]
+
+
+def heartbeat(losses: RunnerLosses) -> None:
+    losses.spoke()
+
+
+def answer(losses: RunnerLosses) -> None:
+    losses.answered()
+
+
+@pytest.mark.parametrize("sign", [heartbeat, answer])
+def test_one_that_outlived_its_runs_is_not_told_to_have_ended_with_them(
+    sign: Callable[[RunnerLosses], None], losses: RunnerLosses, at_work: RunTable
+) -> None:
+    losses.given_up(5.8, ACCOUNT, at_work)
+    sign(losses)
+    losses.replaced(8.4, ACCOUNT, RunTable())
+    assert ended(losses) == [[]]
+
+
+def test_one_that_said_that_it_ends_is_not_told_to_have_ended(
+    losses: RunnerLosses, at_work: RunTable
+) -> None:
+    losses.given_up(5.8, ACCOUNT, at_work)
+    losses.replaced(8.4, LEAVING, RunTable())
+    assert ended(losses) == [[]]
