Reproduce: jobs told to have failed whose runners were only silent

The fleet now checks after each step, in all of its tests, that a job is told to have failed only if a task of it ended as failed as often as its queue allows or was at work on two lives that ended, as its runners know it. Tests of leased jobs that were there hold it (they cut and silence runners one at a time).

--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -1,8 +1,9 @@
 """A small deterministic fleet for leased jobs: dispatchers, workers and fake runners, in steps.
 
 Time is simulated in steps of `STEP` seconds. `Fleet.check` runs after each step: no task runs
-twice at once on runners that are up, no start brings a runner over its capacity, and no task that
-crashes its runners is started a third time after it has crashed three.
+twice at once on runners that are up, no start brings a runner over its capacity, no task that
+crashes its runners is started a third time after it has crashed three, and no job is told to have
+failed unless a task of it has.
 """
 
 from collections import Counter, deque
@@ -21,7 +22,7 @@
     StartRun,
     StopRun,
 )
-from paddleshunt_core.leased.outcomes import HandOn, JobOutcome
+from paddleshunt_core.leased.outcomes import Failed, HandOn, JobOutcome
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.wire import Frame, Hello, SpeedNews, TaskId
 from paddleshunt_core.leased.worker import Worker
@@ -31,6 +32,9 @@
 CONNECT_SECONDS = 0.25
 GOSSIP_SECONDS = 0.4
 
+GUILTY_ENDS = 2
+"""Lives of runners that end under a task, from which on its job may be told to have failed."""
+
 AWAY_SECONDS = 3.4
 """Seconds after which a runner that a task has crashed is back, as another life."""
 
@@ -92,6 +96,9 @@
         self.events: list[tuple[float, str, str]] = []
         self._late_orders: list[tuple[float, str, StartRun]] = []
         self._requests: dict[str, JobRequest] = {}
+        self._queues: dict[str, Queue] = {}
+        self.wrongly_failed: list[str] = []
+        """Jobs that were told to have failed though none of their tasks had."""
         self._next_dial: dict[tuple[str, str], float] = {}
         self._beats: dict[str, float] = {}
         self._callers = 0
@@ -123,6 +130,7 @@
             key, "spec", count, Resources(processor, 64), estimate or length, deadline
         )
         self._requests[key] = request
+        self._queues[key] = queue
         effects = self.dispatchers[entry].submit(self.now, self._callers, request, queue)
         self._act_entry(entry, effects)
         return self._callers
@@ -231,6 +239,8 @@
         assert not twice, f"at {self.now:.2f} s twice at once: {twice}"
         again = self.crashes.broken()
         assert not again, f"at {self.now:.2f} s started again after three crashes: {again}"
+        wrong = self.wrongly_failed
+        assert not wrong, f"at {self.now:.2f} s told to have failed though no task has: {wrong}"
 
     # Inside.
 
@@ -402,11 +412,25 @@
             if isinstance(effect, AnswerJob):
                 self.answers[effect.caller] = effect.outcome
                 self.answered_at[effect.caller] = self.now
+                if isinstance(effect.outcome, Failed) and not self._has_failed(effect.key):
+                    self.wrongly_failed.append(effect.key)
             elif isinstance(effect, HandOn):
                 self._hand_on(name, effect)
             else:
                 self._note(effect)
 
+    def _has_failed(self, key: str) -> bool:
+        """Whether a task of a job has failed as often as its queue allows, or taken runners along.
+
+        That is told from what became of it on the runners, not from what the targets know.
+        """
+        tasks = [TaskId(key, 0, index) for index in range(self._requests[key].count)]
+        allowed = self._queues[key].max_attempts
+        return any(
+            self.crashes.failed[task] >= allowed or self.crashes.ended_under[task] >= GUILTY_ENDS
+            for task in tasks
+        )
+
     def _hand_on(self, name: str, effect: HandOn) -> None:
         for other, node in self.entries.items():
             if other != name and node.moves:
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -39,12 +39,16 @@
 
 @dataclass
 class Crashes:
-    """Tasks that crash the runner that starts them, and what became of them on all runners."""
+    """Tasks that crash the runner that starts them, and what became of any task on all runners."""
 
     after: dict[TaskId, float] = field(default_factory=dict)
     """Seconds of work after which such a task takes its runner down."""
     crashed: Counter[TaskId] = field(default_factory=Counter)
     started_after: Counter[TaskId] = field(default_factory=Counter)
+    ended_under: Counter[TaskId] = field(default_factory=Counter)
+    """Lives of runners that ended with a task at work on them, for whatever reason."""
+    failed: Counter[TaskId] = field(default_factory=Counter)
+    """Runs of a task that ended as failed."""
 
     def started(self, task: TaskId) -> None:
         """Note a start of any task."""
@@ -111,6 +115,7 @@
         self.count = 0
 
     def crash(self) -> None:
+        self.crashes.ended_under.update(run.task for run in self.running)
         self.clear()
         self.up = False
 
@@ -183,6 +188,7 @@
 
     def _end(self, run: RunId, end: RunEnd) -> None:
         del self.running[run]
+        self.crashes.failed[run.task] += end is RunEnd.FAILED
         self.ended.add(run)
         self.count += 1
         self.finished.append(FinishedRun(self.count, run, end))
