--- a/testing/council/soakconfig.py
+++ b/testing/council/soakconfig.py
@@ -8,11 +8,14 @@
 PREFIX = "/q/"
 """Where jobs are handed in."""
 
+MAX_ATTEMPTS = 3
+"""Ends of a task by its own fault after which its job has failed."""
+
 _ROUTE = {
     "service": "svc",
     "stretch": 1.6,
     "target_latency_ms": 60,
-    "max_attempts": 3,
+    "max_attempts": MAX_ATTEMPTS,
 }
 
 
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -8,6 +8,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from time import monotonic
 from typing import Any
@@ -15,7 +16,8 @@
 import soakwords
 from paddleshunt_node.aio.httpclient import CallError, HttpClient
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
-from record import CRASHED, Record, RunSeen
+from record import CRASHED, DIED, Record, RunSeen
+from soakwire import Wire
 
 BEAT_SECONDS = 1.0
 BEAT_RETRY_SECONDS = 0.15
@@ -71,6 +73,7 @@
     ) -> None:
         self.name = name
         self.faults = Faults()
+        self.wire = Wire()
         self.up = True
         self.on_start: Callable[[], None] | None = None
         """Called once, when the next order to start arrives."""
@@ -128,7 +131,7 @@
     def _die(self, now: float) -> None:
         """End all that runs; nobody hears of it, not even those that wait for an answer."""
         for run in list(self.running.values()):
-            self._end(run, "died", now)
+            self._end(run, DIED, now)
         self._waiting.clear()
         self._finished.clear()
         self.up = False
@@ -160,11 +163,14 @@
         request = exchange.request
         if not self.up or self.faults.silent:
             return
-        if request.headers.get("x-expected-instance", self.life) != self.life:
-            exchange.respond(Response(421))
-            return
+        life = request.headers.get("x-expected-instance", self.life)
         asked = json.loads(request.body)
         kind = request.path.rpartition("/")[2]
+        if self.wire.takes(exchange, partial(self._carry_out, life, kind, asked)):
+            return
+        if life != self.life:
+            self._respond(exchange, Response(421))
+            return
         if kind == "run-start" and self.on_start is not None:
             hook, self.on_start = self.on_start, None
             hook()
@@ -260,7 +266,10 @@
         if self.up and life == self.life:
             now = monotonic()
             self.step(now)
-            self._do(now, kind, asked)
+            if kind == "hold":
+                self._take_note(now, asked)
+            else:
+                self._do(now, kind, asked)
 
     def _do(self, now: float, kind: str, asked: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if int(asked["fencing_token"]) < self._fence:
@@ -307,14 +316,9 @@
             run.due = min(run.due, now + self._rng.uniform(0.0, self._stop))
 
     def _hold(self, now: float, exchange: Exchange, asked: dict[str, Any]) -> None:
-        if int(asked["fencing_token"]) < self._fence:
+        if not self._take_note(now, asked):
             self._answer(exchange, 409, {"reason": "fence"})
             return
-        self._fence = int(asked["fencing_token"])
-        if "deadline_ms" in asked:
-            self._prolong(now, int(asked["deadline_ms"]))
-        seen = int(asked["last_seen"])
-        self._finished = [row for row in self._finished if row[0] > seen]
         wait = int(asked.get("wait_ms", 0)) / 1000
         if self._finished or not wait:
             if not self.faults.loses_answers:
@@ -322,6 +326,17 @@
         elif not self.faults.loses_answers:
             self._waiting.append((now + wait, exchange))
 
+    def _take_note(self, now: float, asked: dict[str, Any]) -> bool:
+        """Do what a look asks for beside its answer; return whether its fence was in force."""
+        if int(asked["fencing_token"]) < self._fence:
+            return False
+        self._fence = int(asked["fencing_token"])
+        if "deadline_ms" in asked:
+            self._prolong(now, int(asked["deadline_ms"]))
+        seen = int(asked["last_seen"])
+        self._finished = [row for row in self._finished if row[0] > seen]
+        return True
+
     def _prolong(self, now: float, deadline_ms: int) -> None:
         longest = self.clock_ms(now) + int(self._hold_max * 1000)
         self._deadline_ms = max(self._deadline_ms, min(deadline_ms, longest))
@@ -358,4 +373,8 @@
 
     def _answer(self, exchange: Exchange, status: int, body: dict[str, Any]) -> None:
         raw = json.dumps({"clock_ms": self.clock_ms(monotonic()), **body}).encode()
-        exchange.respond(Response(status, raw, "application/json"))
+        self._respond(exchange, Response(status, raw, "application/json"))
+
+    def _respond(self, exchange: Exchange, response: Response) -> None:
+        if not self.wire.resets(exchange):
+            exchange.respond(response)
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from time import monotonic
 
+from soakconfig import MAX_ATTEMPTS
+
 EVACUATION_SECONDS = 5.0
 """Seconds from the operator's word after which nothing may start in an evacuated hall."""
 
@@ -25,6 +27,15 @@
 CRASHED = "crashed its runner"
 """How a run ended that took its runner down."""
 
+DIED = "died"
+"""How a run ended whose runner ended by something else."""
+
+FAILED = "failed"
+"""How a run ended by its own fault, and what a caller is told of a job with such a task."""
+
+ENDED_LIVES = 2
+"""Lives of runners that ended under a task, after which its job may be called failed."""
+
 
 @dataclass
 class RunSeen:
@@ -132,6 +143,9 @@
                 self._broken("REFUSED", tries[0].sent, f"{job}: every try was refused, and it ran")
             if any(seen.outcome == "completed" for seen in tries):
                 self._check_complete(job, tries)
+            for seen in tries:
+                if seen.outcome == FAILED:
+                    self._check_failed(seen)
             self._check_gone(job, tries)
         return self.violations
 
@@ -187,5 +201,21 @@
             text = f"{job}: answered as complete, {count} of {self.tasks[job]} tasks were done"
             self._broken("PARTIAL", tries[-1].ended, text)
 
+    def _check_failed(self, told: TrySeen) -> None:
+        """Check that what was seen until a caller was told that its job failed bears that out."""
+        seen = {t: runs for t, runs in self.runs.items() if t.startswith(f"{told.job}.")}
+        if any(self._has_failed(runs, told.ended) for runs in seen.values()):
+            return
+        ways = "; ".join(
+            f"{task}: {run.describe(told.ended)}" for task, runs in seen.items() for run in runs
+        )
+        text = f"{told.job}: shown as failed by {told.entry}, and no task has failed so often"
+        self._broken("LOST", told.ended, f"{text}: {ways or 'none was started'}")
+
+    def _has_failed(self, runs: list[RunSeen], now: float) -> bool:
+        ways = [run.how for run in runs if run.end is not None and run.end <= now]
+        lives = ways.count(CRASHED) + ways.count(DIED)
+        return ways.count(FAILED) >= MAX_ATTEMPTS or lives >= ENDED_LIVES
+
     def _broken(self, rule: str, at: float, text: str) -> None:
         self.violations.append(Violation(rule, at, text))
--- a/testing/soak/test_record.py
+++ b/testing/soak/test_record.py
@@ -1,7 +1,7 @@
 """The soak's checker bites: each rule is found broken when it is."""
 
 import pytest
-from record import Record, RunSeen
+from record import CRASHED, DIED, FAILED, Record, RunSeen
 
 
 def run(number: int, began: float, runner: str = "r1", *, job: str = "job") -> RunSeen:
@@ -118,3 +118,44 @@
     record.taken_back("hall")
     record.started(run(1, 9.0))
     assert rules(record) == []
+
+
+def ended(number: int, how: str, end: float = 2.0, *, index: int = 0) -> RunSeen:
+    """Return a run that has ended."""
+    run_ = RunSeen(f"job.0.0.{index}", number, f"r{number}", 1.0, 3.0, 3.0)
+    run_.end, run_.how = end, how
+    return run_
+
+
+@pytest.mark.parametrize(
+    ("runs", "broken"),
+    [
+        pytest.param([], ["LOST"], id="nothing ran"),
+        pytest.param([ended(n, FAILED) for n in (1, 2)], ["LOST"], id="two failures"),
+        pytest.param([ended(n, FAILED) for n in (1, 2, 3)], [], id="all attempts failed"),
+        pytest.param(
+            [ended(n, FAILED, index=n) for n in (1, 2, 3)], ["LOST"], id="failures of three tasks"
+        ),
+        pytest.param([ended(n, "lapsed") for n in range(1, 9)], ["LOST"], id="lapsed runs"),
+        pytest.param([ended(1, CRASHED)], ["LOST"], id="one crash"),
+        pytest.param([ended(1, CRASHED), ended(2, DIED)], [], id="two ended lives"),
+        pytest.param(
+            [ended(1, CRASHED), ended(2, "lapsed")], ["LOST"], id="a crash and a lapsed run"
+        ),
+        pytest.param(
+            [ended(1, DIED), ended(2, DIED, index=1)], ["LOST"], id="under two of its tasks"
+        ),
+        pytest.param(
+            [ended(1, DIED), ended(2, DIED, end=4.1)], ["LOST"], id="the second after the answer"
+        ),
+    ],
+)
+def test_a_job_shown_as_failed_without_its_cause_is_found(
+    record: Record, runs: list[RunSeen], broken: list[str]
+) -> None:
+    record.tasks["job"] = 4
+    seen = record.tries["job"][0]
+    seen.outcome, seen.ended = "failed", 4.0
+    for run_ in runs:
+        record.runs.setdefault(run_.task, []).append(run_)
+    assert rules(record) == broken
