Tell a job failed only from runners that are known to have ended

Cause: one count answered two questions. Runners that gave no answer until their lease was over stopped a task, as they may have crashed (a bound on harm), and the same count told its caller that it had failed. A cut, lost answers or a runner that stands still look like a crash until the life answers again, or another one does. Change: two lives known to have ended under a task are told as failed. Two that are only lost, one beside lost sessions, and eight tries in vain stop it as before, and its caller is told at once that the outcome is unknown; whoever hands the same id in again hears so until the lives answer (then it runs) or have ended (then failed). Each life counts once, by its newest word: one that falls silent again has answered in between. Who answered again is handed on with the losses, so that one who missed it doesn't count a loss for a minute. Ends that a target explains (a run that the runner doesn't list, or has let lapse) no longer count beside a lost runner; only sessions that ended do.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -264,7 +264,7 @@
 
     # Lost runners.
 
-    def known_losses(self, now: float) -> list[RunnerLost]:
+    def known_losses(self, now: float) -> list[LossNews]:
         """Return what is remembered of lost runners, for an entry that was just met."""
         return self._retries.known_losses(now)
 
@@ -596,7 +596,6 @@
         begun = end not in NOT_BEGUN
         task.ran = task.ran or begun
         task.retries += begun
-        task.losses += end is End.LOST
         fields: dict[str, str | int | float] = {
             "target": target.name,
             "run": run.number,
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -76,7 +76,7 @@
     """When its newest run was sent to its target."""
     failures: int = 0
     losses: int = 0
-    """Runs of it that were lost with their runner or target, as far as this entry saw."""
+    """Runs of it that were lost with their target or its session: nobody told why."""
     retries: int = 0
     """Runs of it that may have begun and did not end well, for whatever reason."""
     ran: bool = False
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
@@ -6,7 +6,7 @@
 entry that placed it.
 """
 
-from collections import deque
+from dataclasses import dataclass
 from typing import final
 
 from msgspec.structs import replace
@@ -19,24 +19,49 @@
 MOST_REMEMBERED = 256
 """Losses that are remembered at once; about 300 KB with ten tasks each."""
 
-MOST_RETURNED = 64
-"""Runners that answered again, remembered so that an older word of their loss is not followed."""
+MOST_RETURNED = 256
+"""Lives that answered again, remembered so that an older word of their loss is not followed.
+
+Some 40 KB. Each is one of the runners that an entry knows of, however often it falls silent.
+"""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """A loss, and when its teller learned of it."""
+
+    at: float
+    lost: RunnerLost
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class _Answered:
+    """Since when a life had been silent the last time that it answered again, and when it did."""
+
+    at: float
+    silent_ms: int
 
 
 @final
 class LossBook:
-    """The losses that one process knows of. Times are seconds of that process's clock."""
+    """The losses that one process knows of. Times are seconds of that process's clock.
+
+    Of each life the newest word counts. One that falls silent again has answered in between, so
+    that nothing of its earlier loss stands, also if nobody told of the answer here.
+    """
 
     def __init__(self) -> None:
-        self._losses: dict[LossId, tuple[float, RunnerLost]] = {}
-        """In the order in which they were learned."""
-        self._by_task: dict[TaskId, list[LossId]] = {}
-        self._returned: deque[LossId] = deque(maxlen=MOST_RETURNED)
+        self._losses: dict[str, _Known] = {}
+        """By life, in the order in which they were learned."""
+        self._by_task: dict[TaskId, list[str]] = {}
+        self._answered: dict[str, _Answered] = {}
 
     def follow(self, now: float, news: LossNews) -> bool:
         """Follow a word on a lost runner; return whether it was news. A silent one is none."""
         if isinstance(news, RunnerReturned):
-            return self.returned(news.loss)
+            return self.returned(now, news.loss)
         return isinstance(news, RunnerLost) and self.learn(now, news)
 
     def learn(self, now: float, lost: RunnerLost) -> bool:
@@ -45,58 +70,84 @@
         One that is known is news once its life is known to have ended.
         """
         self._expire(now)
-        if lost.loss in self._returned:
+        life, silent_ms = lost.loss.runner, lost.loss.silent_ms
+        if self._has_answered(lost.loss):
             return False
         at = now - lost.ago_ms / 1000
-        if lost.loss in self._losses:
-            at, known = self._losses[lost.loss]
-            if set(lost.ended) <= set(known.ended):
+        known = self._losses.get(life)
+        if known is not None:
+            if silent_ms < known.lost.loss.silent_ms:
                 return False
-            self._forget(lost.loss)
-        self._losses[lost.loss] = (at, lost)
+            if silent_ms == known.lost.loss.silent_ms:
+                if set(lost.ended) <= set(known.lost.ended):
+                    return False
+                at = known.at
+            self._forget(life)
+        self._losses[life] = _Known(at, lost)
         for task in lost.tasks:
-            self._by_task.setdefault(task, []).append(lost.loss)
+            self._by_task.setdefault(task, []).append(life)
         if len(self._losses) > MOST_REMEMBERED:
             self._forget(next(iter(self._losses)))
         return True
 
-    def returned(self, loss: LossId) -> bool:
+    def returned(self, now: float, loss: LossId) -> bool:
         """Forget a loss, as the same life of the runner answers again; return whether it was news.
 
         The runner was cut off or stood still: nothing on it took it down.
         """
-        if loss in self._returned:
+        self._expire(now)
+        if self._has_answered(loss):
             return False
-        self._returned.append(loss)
-        if loss in self._losses:
-            self._forget(loss)
+        self._answered.pop(loss.runner, None)
+        self._answered[loss.runner] = _Answered(now, loss.silent_ms)
+        if len(self._answered) > MOST_RETURNED:
+            del self._answered[next(iter(self._answered))]
+        known = self._losses.get(loss.runner)
+        if known is not None and known.lost.loss.silent_ms <= loss.silent_ms:
+            self._forget(loss.runner)
         return True
 
-    def all(self, now: float) -> list[RunnerLost]:
-        """Return what is remembered, to hand on; each says how long it has been known."""
+    def all(self, now: float) -> list[LossNews]:
+        """Return what is remembered, to hand on; each loss says how long it has been known.
+
+        It includes who answered again: whoever heard of the loss alone would count it.
+        """
         self._expire(now)
+        answered = [
+            RunnerReturned(LossId(life, last.silent_ms)) for life, last in self._answered.items()
+        ]
+        known = self._losses.values()
         return [
-            replace(lost, ago_ms=round((now - at) * 1000)) for at, lost in self._losses.values()
+            *answered,
+            *(replace(each.lost, ago_ms=round((now - each.at) * 1000)) for each in known),
         ]
 
     def runners(self, task: TaskId) -> list[str]:
-        """Return the lives of runners that were lost under a task."""
-        return [loss.runner for loss in self._by_task.get(task, ())]
+        """Return the lives of runners that were lost under a task; each may yet answer again."""
+        return [*self._by_task.get(task, ())]
 
     def ended(self, task: TaskId) -> list[str]:
         """Return the lives that are known to have ended with a task at work on them."""
-        losses = self._by_task.get(task, ())
-        return [loss.runner for loss in losses if task in self._losses[loss][1].ended]
+        lives = self._by_task.get(task, ())
+        return [life for life in lives if task in self._losses[life].lost.ended]
 
-    def _expire(self, now: float) -> None:
-        for loss, (at, _) in list(self._losses.items()):
-            if now >= at + KEEP_SECONDS:
-                self._forget(loss)
+    def _has_answered(self, loss: LossId) -> bool:
+        """Whether the life is known to have answered since that loss."""
+        answered = self._answered.get(loss.runner)
+        return answered is not None and loss.silent_ms <= answered.silent_ms
 
-    def _forget(self, loss: LossId) -> None:
-        _, lost = self._losses.pop(loss)
-        for task in lost.tasks:
+    def _expire(self, now: float) -> None:
+        for life, known in list(self._losses.items()):
+            if now >= known.at + KEEP_SECONDS:
+                self._forget(life)
+        for life, answered in list(self._answered.items()):
+            if now < answered.at + KEEP_SECONDS:
+                break
+            del self._answered[life]
+
+    def _forget(self, life: str) -> None:
+        for task in self._losses.pop(life).lost.tasks:
             known = self._by_task[task]
-            known.remove(loss)
+            known.remove(life)
             if not known:
                 del self._by_task[task]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -15,7 +15,10 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """A task failed as often as the queue allows, takes its runners down, or is lost each time."""
+    """A task failed as often as the queue allows, or lives of runners ended with it at work.
+
+    Only what is known is told so: a run that was lost with a runner that can't be reached is not.
+    """
 
     reason: str
 
@@ -36,7 +39,10 @@
 @final
 @dataclass(frozen=True, slots=True)
 class GivenUp:
-    """Its tasks may have run, but it did not end here; it may be asked for again."""
+    """It is not known what became of it: tasks may have run, and it may be asked for again.
+
+    Asking again starts nothing that may have taken its runners down, until these answer.
+    """
 
     reason: str
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -1,7 +1,10 @@
-"""How often a task is tried again after runs that may have begun, and when its job is given up.
+"""How often a task is tried again after runs that may have begun, and what its caller is told then.
 
-Each way back to waiting counts: a run that was lost, stood still, was stopped or failed on a sick
-runner. Without such a bound a task that can't end is tried for as long as its caller waits.
+Two questions are kept apart. Whether a task may be started again is a bound on harm: a task that
+can't end, or takes its runners down, is tried for as long as its caller waits without one, so
+each way back to waiting counts, and a runner that may have crashed counts like one that has. What
+a caller may be told is bound by what is known: that a task failed is told only if lives of runners
+are known to have ended under it. Otherwise it is unknown what became of the job.
 """
 
 from typing import final
@@ -9,20 +12,20 @@
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.losses import LossBook
-from paddleshunt_core.leased.outcomes import Failed
-from paddleshunt_core.leased.wire import LossNews, RunnerLost, RunnerReturned, RunnerSilent
+from paddleshunt_core.leased.outcomes import Failed, GivenUp
+from paddleshunt_core.leased.wire import LossNews, RunnerReturned, RunnerSilent
 
 LOST_RUNNERS = 2
-"""Runners lost under a task after which its job is given up, whatever else ran on them.
+"""Runners lost under a task after which it is not started again, whatever else ran on them.
 
 One more costs the neighbours on the third runner more than it spares sound jobs that were beside
 the cause twice: measured in docs/design/crashing-tasks.md.
 """
 
 LOST_RUNS = 3
-"""Lost runs of a task after which its job is given up, if a runner was lost under one of them.
+"""The same of lost runners and runs lost with their target or its session, if a runner was lost.
 
-The others may have ended with their target or its session, which tells no reason.
+Why a session ended nobody tells: its runner may have been lost behind a cut.
 """
 
 MOST_RETRIES = 8
@@ -32,6 +35,8 @@
 """
 
 CRASHES = "crashes"
+SILENT_RUNNERS = "silent_runners"
+LOST_SESSIONS = "lost_sessions"
 RETRIES = "retries"
 
 
@@ -42,7 +47,7 @@
     def __init__(self) -> None:
         self._losses = LossBook()
 
-    def known_losses(self, now: float) -> list[RunnerLost]:
+    def known_losses(self, now: float) -> list[LossNews]:
         """Return what is remembered of lost runners, to hand on."""
         return self._losses.all(now)
 
@@ -59,16 +64,17 @@
         tasks, ended = len(news.tasks), len(news.ended)
         return [note("runner_loss_learned", runner=runner, tasks=tasks, ended=ended, source=source)]
 
-    def outcome(self, job: JobRecord) -> Failed | None:
+    def outcome(self, job: JobRecord) -> Failed | GivenUp | None:
         """Return how a job ends that is not to be tried again; None if it may be."""
-        task = self._spent(job)
-        return None if task is None else Failed(self._reason(task))
+        spent = self._spent(job)
+        return None if spent is None else spent[1]
 
-    def note_given_up(self, job: JobRecord, outcome: Failed) -> Log:
+    def note_given_up(self, job: JobRecord, outcome: Failed | GivenUp) -> Log:
         """Return the line that says for which task a job is given up, and what that cost."""
         fields: dict[str, str | int | float] = {"reason": outcome.reason}
-        task = self._spent(job)
-        if task is not None:
+        spent = self._spent(job)
+        if spent is not None:
+            task = spent[0]
             fields |= {
                 "index": task.id.index,
                 "runners": ",".join(self._losses.runners(task.id)),
@@ -78,14 +84,25 @@
             }
         return note("job_given_up", job.request.key, **fields)
 
-    def _spent(self, job: JobRecord) -> TaskRecord | None:
-        """Return a task that is not to be tried again; one that has ended well needs no try."""
-        open_tasks = (task for task in job.tasks if task.phase is not TaskPhase.DONE)
-        return next((task for task in open_tasks if self._reason(task)), None)
-
-    def _reason(self, task: TaskRecord) -> str:
-        """Return why a task is not to be tried again; empty if it may be."""
+    def _spent(self, job: JobRecord) -> tuple[TaskRecord, Failed | GivenUp] | None:
+        """Return a task that is not to be tried again, and why: one that is known to have failed
+        before others. One that has ended well needs no try.
+        """
+        spent = [
+            (task, outcome)
+            for task in job.tasks
+            if task.phase is not TaskPhase.DONE
+            if (outcome := self._outcome(task)) is not None
+        ]
+        return min(spent, key=lambda each: isinstance(each[1], GivenUp), default=None)
+
+    def _outcome(self, task: TaskRecord) -> Failed | GivenUp | None:
+        """Return how the job of a task ends that is not to be tried again; None if it may be."""
+        if len(self._losses.ended(task.id)) >= LOST_RUNNERS:
+            return Failed(CRASHES)
         runners = len(self._losses.runners(task.id))
-        if runners >= LOST_RUNNERS or (runners and task.losses >= LOST_RUNS):
-            return CRASHES
-        return RETRIES if task.retries >= MOST_RETRIES else ""
+        if runners >= LOST_RUNNERS:
+            return GivenUp(SILENT_RUNNERS)
+        if runners and runners + task.losses >= LOST_RUNS:
+            return GivenUp(LOST_SESSIONS)
+        return GivenUp(RETRIES) if task.retries >= MOST_RETRIES else None
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -61,7 +61,7 @@
     def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
         """Take the evacuated halls that another entry knows."""
 
-    def known_losses(self) -> list[RunnerLost]:
+    def known_losses(self) -> list[LossNews]:
         """Return what is remembered of lost runners."""
 
     def told_loss(self, news: LossNews, source: str) -> None:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -24,7 +24,6 @@
     Frame,
     Hello,
     LossNews,
-    RunnerLost,
     SpeedNews,
 )
 
@@ -372,7 +371,7 @@
         """Dial an entry that was heard of."""
         self._peers.met(entry)
 
-    def known_losses(self) -> list[RunnerLost]:
+    def known_losses(self) -> list[LossNews]:
         """Return what is remembered of lost runners."""
         return self._dispatcher.known_losses(self._now())
 
--- a/testing/council/soakcallers.py
+++ b/testing/council/soakcallers.py
@@ -79,14 +79,16 @@
         *,
         leaves: bool | None = None,
         crashes_after: float | None = None,
+        key: str = "",
     ) -> str:
         """Hand a job in, and return its key; by chance its caller leaves early.
 
         `crashes_after`: seconds of work after which its first task takes each runner down.
+        `key`: of a job that was handed in before.
         """
         if leaves is None:
             leaves = self._rng.random() < self._leaving
-        key = f"{self._rng.getrandbits(64):016x}"
+        key = key or f"{self._rng.getrandbits(64):016x}"
         if crashes_after is not None:
             self._deployment.crashing[f"{key}.0.0.0"] = crashes_after
         self._deployment.lengths[key] = length
