Confine no queue for runners that are only silent

Cause: each RunnerSilent counted against the queues at work as if it would last, and silences of many runners as independent. RunnerReturned took the loss back, but not the confinement that rested on it. On slowed links 11 runners fell silent 96 times in six seconds, none crashed, and three queues were confined at all three entries.

Change: a confined queue is judged again when a runner that its evidence is made of answers, or when most do, and is free at once if too little is left (reason=taken_back); what is left still counts with the next loss, and queues that it seemed to explain are judged anew. While as many lives or more that fell silent have answered again as are still out, and always for a life that came back lately, a silence is evidence only once it has lasted two leases (1.4 s). Of a life its latest silence counts. queue_confined names its runners; queue_evidence_taken_back is new.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/containment.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/containment.py
@@ -1,13 +1,14 @@
-"""Confines a queue whose tasks take runners down to a few targets, and lets it out again.
+"""Confines a queue whose tasks seem to take runners down to a few targets, and lets it out again.
 
 What shows it are losses that targets tell and entries share, so all entries see the same evidence
 and choose the same targets; nothing else is said and nothing is stored. A confined queue's jobs
 start on its few targets or are refused; the others use these only if there is no room elsewhere.
-After a while without a loss the queue gets twice as many targets, and so on until it is free.
+After a while without a loss the queue gets twice as many targets, and so on until it is free. If
+too little is left of the evidence, as a runner answers again, it is free at once.
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import final
 
 from paddleshunt_core.events import Log, note
@@ -17,7 +18,7 @@
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.suspicion import Evidence, Suspicions
 from paddleshunt_core.leased.targets import TargetRecord
-from paddleshunt_core.leased.wire import LossNews, RunnerReturned
+from paddleshunt_core.leased.wire import LossId, LossNews, RunnerReturned
 
 QUIET_SECONDS = 1.5
 """Seconds without a loss, with a target that takes work, after which a queue gets more targets.
@@ -58,8 +59,6 @@
     since: float
     """From when on losses were evidence against it."""
     began: float
-    lost_at: float
-    """When a runner with a task of it fell silent last."""
     width: int = 1
     """How many times its usual share of targets it has."""
     quiet: float = 0.0
@@ -67,6 +66,15 @@
     checked: float = 0.0
     losses: int = 0
     """Further losses while it was confined."""
+    cleared: dict[str, float] = field(default_factory=dict)
+    """Queues released as it was confined, which explained them: their `since` before."""
+
+    def lost(self, now: float) -> None:
+        """Note a further loss: it has the fewest targets again, and its quiet time begins anew."""
+        self.losses += 1
+        self.width = 1
+        self.quiet = 0.0
+        self.checked = now
 
     def steps(self) -> int:
         """Return how often it has yet to get more targets until it is free."""
@@ -97,6 +105,11 @@
     def __len__(self) -> int:
         return len(self._confined)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the passing of time may change something."""
+        return bool(self._confined) or self._suspicions.ripens
+
     def describe(self) -> dict[str, object]:
         """Return a summary of the confined queues for a dump."""
         return {
@@ -124,14 +137,15 @@
         """Follow a word on a runner; return whether it was news, and what it leads to."""
         if not self._suspicions.learn(now, news):
             return False, []
+        logs = self._judge(now, targets)
         if isinstance(news, RunnerReturned):
-            return True, []
-        return True, self._confine(now, targets, self._suspicions.lost_again(news.loss))
+            logs += self._take_back(now, news.loss, targets)
+        return True, logs
 
     def follow(self, now: float, targets: Iterable[TargetRecord], room: RoomNow) -> list[Log]:
         """Act on the passing of time; `targets` are those in halls that are not evacuated."""
         known = list(targets)
-        logs: list[Log] = []
+        logs = self._judge(now, lambda: known)
         for queue, confined in list(self._confined.items()):
             usable = room.usable(confined.bulkhead.service)
             logs += self._follow(now, queue, confined, known, usable)
@@ -207,6 +221,39 @@
             and min(queues, key=lambda q: rank(q, target.name), default="") == job.queue.name
         ]
 
+    def _judge(self, now: float, targets: Targets) -> list[Log]:
+        """Act on the losses that have become evidence."""
+        new = self._suspicions.ripe(now)
+        if not new:
+            return []
+        for queue in set[str]().union(*map(self._suspicions.queues, new)):
+            if queue in self._confined:
+                self._confined[queue].lost(now)
+        return self._confine(now, targets, self._suspicions.lost_again(new))
+
+    def _take_back(self, now: float, returned: LossId, targets: Targets) -> list[Log]:
+        """Release the queues against which too little is left, as a runner answers again."""
+        logs: list[Log] = []
+        again: set[str] = set()
+        for queue, confined in list(self._confined.items()):
+            doubtful = self._suspicions.doubtful(now, confined.evidence.losses)
+            if not doubtful:
+                continue
+            known = confined.bulkhead.known
+            left = self._suspicions.evidence(now, queue, confined.since, known, ())
+            logs.append(_taken_back_note(queue, returned, doubtful, left))
+            if left is not None:
+                confined.evidence = left
+                continue
+            logs.append(self._release(now, queue, "taken_back"))
+            # What is left may tell more with the next loss, also of those it seemed to explain.
+            self._judged[queue] = confined.since
+            for other, since in confined.cleared.items():
+                if self._judged[other] == confined.began:
+                    self._judged[other] = since
+                    again.add(other)
+        return logs + self._confine(now, targets, again)
+
     def _confine(self, now: float, targets: Targets, queues: set[str]) -> list[Log]:
         """Confine those of some queues that have enough against them."""
         known = list(targets()) if queues else []
@@ -214,7 +261,7 @@
         while (worst := self._worst(now, known, queues)) is not None:
             queue, bulkhead, evidence = worst
             since = self._judged.get(queue, float("-inf"))
-            self._confined[queue] = _Confinement(bulkhead, evidence, since, now, now, checked=now)
+            self._confined[queue] = _Confinement(bulkhead, evidence, since, now, checked=now)
             logs += [_confined_note(queue, bulkhead, evidence), *self._clear(now, queue)]
         return logs
 
@@ -257,6 +304,7 @@
                 continue
             known = confined.bulkhead.known
             if not self._suspicions.evidence(now, other, confined.since, known, (queue,)):
+                self._confined[queue].cleared[other] = confined.since
                 logs.append(self._release(now, other, f"explained_by_{queue}"))
         return logs
 
@@ -281,15 +329,9 @@
         usable: list[TargetRecord],
     ) -> list[Log]:
         bulkhead = confined.bulkhead
-        lost_at = self._suspicions.last(queue, confined.lost_at)
         passed = now - confined.checked
         confined.checked = now
-        if lost_at is not None:
-            confined.lost_at = lost_at
-            confined.losses += 1
-            confined.width = 1
-            confined.quiet = 0.0
-        elif any(target.name in bulkhead.members for target in usable):
+        if any(target.name in bulkhead.members for target in usable):
             confined.quiet += passed
         if confined.quiet >= QUIET_SECONDS:
             confined.width *= 2
@@ -319,4 +361,26 @@
         second_losses=evidence.second_losses,
         lives=evidence.lives,
         chance=round(evidence.chance, 6),
+        runners=_named(evidence.losses),
+    )
+
+
+def _taken_back_note(
+    queue: str, returned: LossId, doubtful: Iterable[LossId], left: Evidence | None
+) -> Log:
+    """Return the line that says which evidence against a queue no longer counts, and what is left.
+
+    `returned`: the runner that answers again, by which others' silence may tell less as well.
+    """
+    return note(
+        "queue_evidence_taken_back",
+        queue=queue,
+        answers=returned.runner,
+        runners=_named(doubtful),
+        second_losses_left=0 if left is None else left.second_losses,
     )
+
+
+def _named(losses: Iterable[LossId]) -> str:
+    """Return the lives of some losses, as one line names them."""
+    return ",".join(sorted({loss.runner for loss in losses})[:MOST_NAMED])
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
@@ -4,10 +4,13 @@
 A task that takes runners down shows itself by its second run: it meets a second lost runner, soon
 after its start. A sound task that was beside it is as likely to meet a second lost runner as any
 task is. So the evidence against a queue is how unlikely its tasks' second losses are by chance.
+
+A runner that only fell silent may be cut off or slow to answer: nothing crashed. While lives that
+fell silent do answer again, a silence is evidence only once it has lasted longer than they take.
 """
 
-from collections import Counter, deque
-from collections.abc import Collection
+from collections import Counter
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from typing import final
 
@@ -34,8 +37,14 @@
 MOST_KEPT = 256
 """Losses that are kept as evidence at once."""
 
-MOST_RETURNED = 64
-"""Runners that answered again, remembered so that an older word of silence is not followed."""
+MOST_RETURNED = 256
+"""Lives that answered again, remembered so that an older word of silence is not followed."""
+
+PATIENCE = 2.0
+"""How many times as long as a runner's lease a silence lasts until it is evidence while most end.
+
+A queue that does crash runners then is confined so much later (1.4 s); most returns come sooner.
+"""
 
 
 Work = dict[str, dict[TaskId, float]]
@@ -56,6 +65,17 @@
         return self.work.get(queue, {})
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Second:
+    """A task's run that met a lost runner after an earlier run had met one."""
+
+    worked: float
+    """Seconds that it had run."""
+    first: LossId
+    again: LossId
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Evidence:
@@ -67,6 +87,8 @@
     """How probable that is of sound tasks, at most."""
     lives: int
     """Runners that fell silent in the time that counts."""
+    losses: frozenset[LossId] = frozenset()
+    """What it is made of: the second losses, and the first ones of the same tasks."""
 
 
 @final
@@ -75,41 +97,76 @@
 
     def __init__(self, again: float) -> None:
         self._again = again
-        """Seconds from a loss until what was lost can be at work again."""
+        """Seconds from a loss until what was lost can be at work again: a runner's lease."""
         self._seen: dict[LossId, _Seen] = {}
-        """In the order in which they were learned."""
+        """In the order in which they were learned; of each life the latest silence only."""
         self._met: Counter[TaskId] = Counter()
         """On how many of these runners a task was at work."""
-        self._returned: deque[LossId] = deque(maxlen=MOST_RETURNED)
+        self._returned: dict[str, tuple[int, float]] = {}
+        """Of lives that answered again: the latest silence that ended so, and when it was learned.
+
+        The one that was learned last is the last.
+        """
+        self._ripe: set[LossId] = set()
+        """What was evidence when `ripe` was asked last."""
 
     def __bool__(self) -> bool:
         return bool(self._seen)
 
+    @property
+    def ripens(self) -> bool:
+        """Whether a silence may yet become evidence by lasting longer."""
+        return not self._seen.keys() <= self._ripe
+
     def learn(self, now: float, news: LossNews) -> bool:
         """Follow a word on a runner; return whether it was news."""
         self._expire(now)
+        loss = news.loss
         if isinstance(news, RunnerReturned):
-            return self._undo(news.loss)
-        if news.loss in self._seen or news.loss in self._returned:
-            return False
+            return self._undo(now, loss)
         ago = news.ago_ms / 1000 if isinstance(news, RunnerLost) else 0.0
-        if ago >= WINDOW_SECONDS:
+        if self.has_returned(loss) or ago >= WINDOW_SECONDS:
+            return False
+        known = [other.silent_ms for other in self._seen if other.runner == loss.runner]
+        if known and loss.silent_ms <= max(known):
             return False
+        for silent_ms in known:
+            # The same life is silent anew: it had answered meanwhile.
+            self._undo(now, LossId(loss.runner, silent_ms))
         work: Work = {}
         for task, queue, ms in zip(news.tasks, news.queues, news.worked_ms, strict=False):
             work.setdefault(queue, {})[task] = max(SHORTEST_WORK, ms / 1000)
-        self._seen[news.loss] = _Seen(now - ago, news.loss, work)
+        self._seen[loss] = _Seen(now - ago, loss, work)
         self._met.update(task for tasks in work.values() for task in tasks)
         if len(self._seen) > MOST_KEPT:
             self._forget(next(iter(self._seen)))
         return True
 
-    def lost_again(self, loss: LossId | None = None) -> set[str]:
-        """Return the queues of tasks that met two lost runners, one of them `loss` if it is given.
+    def ripe(self, now: float) -> set[LossId]:
+        """Return the losses that have become evidence since this was asked last."""
+        self._expire(now)
+        ripe = {each.loss for each in self._evident(now)}
+        new = ripe - self._ripe
+        self._ripe = ripe
+        return new
+
+    def has_returned(self, loss: LossId) -> bool:
+        """Whether the life has answered since it fell silent so."""
+        returned = self._returned.get(loss.runner)
+        return returned is not None and loss.silent_ms <= returned[0]
+
+    def doubtful(self, now: float, losses: Iterable[LossId]) -> set[LossId]:
+        """Return those of the losses that are no evidence any more, other than by their age."""
+        evident = {each.loss for each in self._evident(now)}
+        known = self._seen.keys() - evident
+        return {loss for loss in losses if self.has_returned(loss) or loss in known}
+
+    def lost_again(self, losses: Collection[LossId] | None = None) -> set[str]:
+        """Return the queues of tasks that met two lost runners, one of them in `losses` if given.
 
         Only of these there can be evidence.
         """
-        seen = self._seen.values() if loss is None else [self._seen[loss]]
+        seen = self._seen.values() if losses is None else [self._seen[loss] for loss in losses]
         return {
             queue
             for each in seen
@@ -117,6 +174,10 @@
             if any(self._met[task] > 1 for task in tasks)
         }
 
+    def queues(self, loss: LossId) -> set[str]:
+        """Return the queues that were at work on a runner that fell silent."""
+        return set(self._seen[loss].work)
+
     def at_work(self) -> set[str]:
         """Return the queues that were at work on runners that fell silent."""
         return {queue for seen in self._seen.values() for queue in seen.work}
@@ -125,11 +186,6 @@
         """Whether a task was at work on a runner that fell silent."""
         return task in self._met
 
-    def last(self, queue: str, since: float) -> float | None:
-        """Return when a runner fell silent last, after `since`, with a task of the queue."""
-        times = (seen.at for seen in self._seen.values() if seen.at > since and seen.of(queue))
-        return max(times, default=None)
-
     def evidence(
         self, now: float, queue: str, since: float, targets: int, explained: Collection[str]
     ) -> Evidence | None:
@@ -141,30 +197,54 @@
         self._expire(now)
         seen = [
             each
-            for each in self._seen.values()
+            for each in self._evident(now)
             if each.at > since and not any(each.of(other) for other in explained)
         ]
         seen.sort(key=lambda each: each.at)
-        ages = _second_losses(queue, seen)
-        if not ages:
+        seconds = _second_losses(queue, seen)
+        if not seconds:
             return None
         at_work = [each for each in seen if each.of(queue)]
         if len(at_work) < LEAST_PRESENT * len(seen):
             return None
         # What was at work on one lost runner runs again on one, where it meets as many losses by
         # chance as there are in its time.
-        rate = (len(seen) - len(ages)) / (WINDOW_SECONDS * max(1, targets))
+        rate = (len(seen) - len(seconds)) / (WINDOW_SECONDS * max(1, targets))
         again = sum(each.at <= now - self._again for each in at_work)
         length = 2 * _median([worked for each in seen for worked in each.of(queue).values()])
-        chance = _least_chance([rate * again * min(age, length) for age in ages])
-        return Evidence(len(ages), chance, len(seen)) if chance <= MOST_CHANCE else None
+        chance = _least_chance([rate * again * min(each.worked, length) for each in seconds])
+        if chance > MOST_CHANCE:
+            return None
+        made_of = frozenset(loss for each in seconds for loss in (each.first, each.again))
+        return Evidence(len(seconds), chance, len(seen), made_of)
+
+    def _evident(self, now: float) -> list[_Seen]:
+        """Return the silences that show something now.
 
-    def _undo(self, loss: LossId) -> bool:
-        if loss in self._returned:
+        A life that came back lately may do so again, and any life while most come back: of these
+        only silences that have lasted longer than returns take.
+        """
+        back = {life for life, (_, at) in self._returned.items() if at >= now - WINDOW_SECONDS}
+        out = {loss.runner for loss in self._seen} - back
+        mostly_back = len(back) >= len(out)
+        outlasted = now - PATIENCE * self._again
+        return [
+            each
+            for each in self._seen.values()
+            if each.at <= outlasted or not (mostly_back or each.loss.runner in back)
+        ]
+
+    def _undo(self, now: float, loss: LossId) -> bool:
+        """Take back what a life's silence shows, and that of any earlier one."""
+        if self.has_returned(loss):
             return False
-        self._returned.append(loss)
-        if loss in self._seen:
-            self._forget(loss)
+        self._returned.pop(loss.runner, None)
+        self._returned[loss.runner] = (loss.silent_ms, now)
+        if len(self._returned) > MOST_RETURNED:
+            del self._returned[next(iter(self._returned))]
+        for known in list(self._seen):
+            if self.has_returned(known):
+                self._forget(known)
         return True
 
     def _expire(self, now: float) -> None:
@@ -198,25 +278,32 @@
     return least
 
 
-def _second_losses(queue: str, seen: list[_Seen]) -> list[float]:
-    """Return how long tasks of a queue ran that were lost again, the shortest first.
+def _second_losses(queue: str, seen: list[_Seen]) -> list[_Second]:
+    """Return the second losses of tasks of a queue, that of the shortest run first.
 
     Of runners that fell silent together one counts at most: the shortest run. One on which tasks
     of several queues were lost again tells nothing.
     """
-    first: dict[TaskId, int] = {}
-    shortest: dict[int, float] = {}
+    first: dict[TaskId, tuple[int, LossId]] = {}
+    shortest: dict[int, _Second] = {}
     group, began = 0, float("-inf")
     for each in seen:
         if each.at > began + TOGETHER_SECONDS:
             group, began = group + 1, each.at
-        again: dict[str, float] = {}
+        again: dict[str, _Second] = {}
         for name, tasks in each.work.items():
             met = [
-                worked for task, worked in tasks.items() if first.setdefault(task, group) < group
+                _Second(worked, before, each.loss)
+                for task, worked in tasks.items()
+                for number, before in [first.setdefault(task, (group, each.loss))]
+                if number < group
             ]
             if met:
-                again[name] = min(met)
+                again[name] = min(met, key=_worked)
         if again.keys() == {queue}:
-            shortest[group] = min(again[queue], shortest.get(group, again[queue]))
-    return sorted(shortest.values())
+            shortest[group] = min(again[queue], shortest.get(group, again[queue]), key=_worked)
+    return sorted(shortest.values(), key=_worked)
+
+
+def _worked(second: _Second) -> float:
+    return second.worked
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -211,7 +211,7 @@
         measures.gauge("paddleshunt_sessions", "Targets in session.", lambda: len(self._links))
         measures.gauge(
             "paddleshunt_confined_queues",
-            "Queues confined to a few targets, as their tasks take runners down.",
+            "Queues confined to a few targets, as their tasks met lost runners too often.",
             lambda: self._dispatcher.confined_queues,
         )
         measures.gauge(
--- a/testing/core/leased/test_containment.py
+++ b/testing/core/leased/test_containment.py
@@ -1,6 +1,7 @@
 """A queue whose tasks crash runners: what it costs the others, and what must confine nobody."""
 
 from collections.abc import Callable
+from random import Random
 
 import pytest
 from leasedfleet import Fleet
@@ -241,3 +242,47 @@
         fleet.run(0.1)
     assert day.confined() == [set(), set()]
     assert not fleet.ends("runner_lost")
+
+
+class Silences:
+    """All runners fall silent for moments, each by itself, and answer again; none crashes."""
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self._fleet = fleet
+        self._rng = Random(seed)
+        self._due = {name: self._rng.uniform(0.0, 0.5) for name in sorted(fleet.runners)}
+
+    def follow(self, at: float, until: float) -> None:
+        """Let those fall silent, up to a time, or answer again, whose time it is."""
+        for name, due in self._due.items():
+            runner = self._fleet.runners[name]
+            if at >= due and (runner.mute or at < until):
+                runner.mute = not runner.mute
+                self._due[name] = at + self._rng.uniform(0.1, 1.0 if runner.mute else 0.8)
+
+
+@pytest.mark.parametrize("seed", [0, 1, 2, 3, 5])
+def test_runners_that_fall_silent_and_answer_again_confine_nobody(day: Day, seed: int) -> None:
+    silences = Silences(day.fleet, seed)
+    seen: list[set[str]] = []
+
+    def each(at: float) -> None:
+        silences.follow(at, 6.0)
+        seen.extend(day.confined())
+
+    day.run(8.0, each=each)
+    assert len(day.fleet.ends("runner_unreachable")) > 40
+    assert set().union(*seen) == set()
+    answers = day.fleet.answers.values()
+    assert not [a for a in answers if isinstance(a, Refused) and a.reason == "confined"]
+
+
+def test_one_runner_that_falls_silent_now_and_then_hides_no_queue_that_crashes_others(
+    day: Day,
+) -> None:
+    def each(at: float) -> None:
+        day.fleet.runners["t3"].mute = round(at * 10) % 10 in (0, 1, 2)
+
+    day.run(4.0, "bad", each=each)
+    assert day.confined() == [{"bad"}, {"bad"}]
+    assert day.lost() <= 5
