--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -32,6 +32,14 @@
 )
 """Events of a process that may decide a request which they don't name."""
 
+_ENTRY_EVENTS = frozenset({"started", "stopped", "leaving", "stood_still"})
+"""Events that say what became of an entry."""
+
+_BEGUN = re.compile(r"answer=started|end=(done|failed|stopped|lost|stuck)\b")
+"""What a line on a run says if that has begun."""
+
+_REASON = re.compile(r"reason=(\S+)")
+
 
 @final
 @dataclass(frozen=True, slots=True, order=True)
@@ -100,22 +108,47 @@
     stopped = [line for line in own if "reason=session_ended" in line.text]
     health = [line for line in around if line.event == "runner_health" and "sick" in line.text]
     if answers and "outcome=refused" in answers[-1].text:
-        return "refused: nothing of it has run", [answers[-1]]
+        return _decide_refused(own, answers[-1])
     if answers and "outcome=failed" in answers[-1].text:
         return _decide_failed(own, around, answers[-1])
+    if answers and "outcome=givenup" in answers[-1].text:
+        reason = _REASON.search(answers[-1].text)
+        why = f" ({reason[1]})" if reason else ""
+        return f"given up{why}: its tasks may have run", [*failures, answers[-1]]
+    left = [line for line in own if line.event == "caller_left"]
+    if not answers and left and left[-1] == max([*left, *stopped]):
+        return "its caller's connection ended before its answer", [*stopped, *left]
     if not answers and stopped:
-        lost = [line for line in around if line.event == "session_ended"]
-        return "its entry was lost; the targets stopped what it had started", [*lost, *stopped]
+        return _decide_stopped(around, stopped)
     if failures:
         return "delayed by failed runs", [*failures, *health, *answers]
     if answers:
         return "answered", [answers[-1]]
-    left = [line for line in own if line.event == "caller_left"]
-    if left:
-        return "its caller left", left
     return "no end in these lines: ask for the log of the entry that took it", [own[-1]]
 
 
+def _decide_refused(own: list[Line], answer: Line) -> tuple[str, list[Line]]:
+    """Return what a refusal says of the request: an earlier try of its key may have run."""
+    begun = [line for line in own if line.event.startswith("run_") and _BEGUN.search(line.text)]
+    if begun:
+        return "refused: nothing of its last try has run, but an earlier one had begun", [
+            *begun,
+            answer,
+        ]
+    return "refused: nothing of it has run", [answer]
+
+
+def _decide_stopped(around: list[Line], stopped: list[Line]) -> tuple[str, list[Line]]:
+    """Return what is known of a request without an answer whose targets ended their sessions.
+
+    Its entry may have ended, stood still or been cut off; only its own lines tell which.
+    """
+    over = [line for line in around if line.event == "session_ended"]
+    entry = [line for line in around if line.event in _ENTRY_EVENTS]
+    cause = "its targets heard no more of its entry, and stopped what it had started"
+    return cause, [*entry, *over, *stopped]
+
+
 def _decide_failed(own: list[Line], around: list[Line], answer: Line) -> tuple[str, list[Line]]:
     """Return why a job was answered as failed, and the lines that show it."""
     given_up = [line for line in own if line.event == "job_given_up"]
@@ -130,6 +163,8 @@
     if given_up:
         return "failed: one of its tasks was tried too often in vain", [*given_up, answer]
     failures = [line for line in own if line.event == "run_ended" and "end=failed" in line.text]
+    if "reason=attempts" not in answer.text:
+        return "failed: these lines don't show why", [*failures, answer]
     return "failed: its tasks failed as often as the queue allows", [*failures, answer]
 
 
