Say that a home or target has ended, and that an end isn't known, not that they were lost

`has_ended` also covers a planned leave; a result that a gate dropped for room was called the runner's lost answer. The outcomes are the same; testing/core/test_home.py and test_calls.py pass.

--- a/packages/paddleshunt-core/src/paddleshunt_core/calls.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/calls.py
@@ -128,7 +128,7 @@
         effects: list[Effect] = []
         for call in list(self._calls.values()):
             if has_ended(call.home):
-                effects += self._end(call, Unknown(f"its home on {call.home.host} was lost"))
+                effects += self._end(call, Unknown(f"its home on {call.home.host} has ended"))
             elif now > call.deadline + ANSWER_GRACE:
                 effects += self._end(call, _late(call))
             elif now >= call.probe_at:
--- a/packages/paddleshunt-core/src/paddleshunt_core/entry.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/entry.py
@@ -256,7 +256,7 @@
         if member is not None:
             return member
         if self.members.has_ended(parsed.home):
-            return Unknown(f"its home on {parsed.home.host} was lost")
+            return Unknown(f"its home on {parsed.home.host} has ended")
         return NotAccepted("its home is not known to this entry", RETRY_MS)
 
     def _regular_news(self, now: float) -> list[Effect]:
--- a/packages/paddleshunt-core/src/paddleshunt_core/home.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/home.py
@@ -152,7 +152,7 @@
         for submission, index in link.outstanding:
             job = self._jobs.get(submission)
             if job is not None:
-                job.lose(index, f"target {incarnation.host} was lost with it")
+                job.lose(index, f"its target {incarnation.host} has ended")
                 effects += self._settle(now, job)
         return effects
 
@@ -304,7 +304,7 @@
             return
         touched[job.submission] = job
         if result.ok is None:
-            job.lose(result.index, "the runner's answer was lost")
+            job.lose(result.index, "how it ended is not known any more")
             return
         self._forecast.learn(now - out.sent)
         job.finish(result.index, ok=result.ok, payload=result.payload)
