Take a life that is known to have ended as evidence at once

RunnerLost.ended says that another life answers in its place. Where most silences end in returns such a loss needs no wait; it is news to the entry's judgement also if the silence was known.

Measured: testing/core/leased/test_suspicion.py, test_silences.py and test_containment.py pass.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/suspicion.py
@@ -6,15 +6,23 @@
 task is. So the evidence against a queue is how unlikely its tasks' second losses are by chance.
 
 A runner that only fell silent may be cut off or slow to answer: nothing crashed. While lives that
-fell silent do answer again, a silence is evidence only once it has lasted longer than they take.
+fell silent do answer again, a silence is evidence only once it has lasted longer than they take,
+or the life is known to have ended.
 """
 
 from collections import Counter
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import final
 
-from paddleshunt_core.leased.wire import LossId, LossNews, RunnerLost, RunnerReturned, TaskId
+from paddleshunt_core.leased.wire import (
+    LossId,
+    LossNews,
+    RunnerLost,
+    RunnerReturned,
+    RunnerSilent,
+    TaskId,
+)
 
 WINDOW_SECONDS = 10.0
 """Seconds for which a loss is evidence: a task is tried again within its caller's patience."""
@@ -59,6 +67,8 @@
     at: float
     loss: LossId
     work: Work
+    ended: bool = False
+    """Whether the life is known to have ended, as another one answers in its place."""
 
     def of(self, queue: str) -> dict[TaskId, float]:
         """Return the seconds of work of the tasks of a queue."""
@@ -124,23 +134,9 @@
         loss = news.loss
         if isinstance(news, RunnerReturned):
             return self._undo(now, loss)
-        ago = news.ago_ms / 1000 if isinstance(news, RunnerLost) else 0.0
-        if self.has_returned(loss) or ago >= WINDOW_SECONDS:
-            return False
-        known = [other.silent_ms for other in self._seen if other.runner == loss.runner]
-        if known and loss.silent_ms <= max(known):
-            return False
-        for silent_ms in known:
-            # The same life is silent anew: it had answered meanwhile.
-            self._undo(now, LossId(loss.runner, silent_ms))
-        work: Work = {}
-        for task, queue, ms in zip(news.tasks, news.queues, news.worked_ms, strict=False):
-            work.setdefault(queue, {})[task] = max(SHORTEST_WORK, ms / 1000)
-        self._seen[loss] = _Seen(now - ago, loss, work)
-        self._met.update(task for tasks in work.values() for task in tasks)
-        if len(self._seen) > MOST_KEPT:
-            self._forget(next(iter(self._seen)))
-        return True
+        if isinstance(news, RunnerLost):
+            return self._lost(now, news, now - news.ago_ms / 1000, ended=bool(news.ended))
+        return self._lost(now, news, now, ended=False)
 
     def ripe(self, now: float) -> set[LossId]:
         """Return the losses that have become evidence since this was asked last."""
@@ -231,9 +227,37 @@
         return [
             each
             for each in self._seen.values()
-            if each.at <= outlasted or not (mostly_back or each.loss.runner in back)
+            if each.ended or each.at <= outlasted or not (mostly_back or each.loss.runner in back)
         ]
 
+    def _lost(self, now: float, news: RunnerLost | RunnerSilent, at: float, *, ended: bool) -> bool:
+        """Note a silence that was learned of `at` a time; return whether that is news."""
+        loss = news.loss
+        if loss in self._seen:
+            return ended and self._end(loss)
+        if self.has_returned(loss) or at <= now - WINDOW_SECONDS:
+            return False
+        known = [other.silent_ms for other in self._seen if other.runner == loss.runner]
+        if known and loss.silent_ms < max(known):
+            return False
+        for silent_ms in known:
+            # The same life is silent anew: it had answered meanwhile.
+            self._undo(now, LossId(loss.runner, silent_ms))
+        work: Work = {}
+        for task, queue, ms in zip(news.tasks, news.queues, news.worked_ms, strict=False):
+            work.setdefault(queue, {})[task] = max(SHORTEST_WORK, ms / 1000)
+        self._seen[loss] = _Seen(at, loss, work, ended)
+        self._met.update(task for tasks in work.values() for task in tasks)
+        if len(self._seen) > MOST_KEPT:
+            self._forget(next(iter(self._seen)))
+        return True
+
+    def _end(self, loss: LossId) -> bool:
+        """Note that a life that was silent has ended; return whether that is news."""
+        known = self._seen[loss]
+        self._seen[loss] = replace(known, ended=True)
+        return not known.ended
+
     def _undo(self, now: float, loss: LossId) -> bool:
         """Take back what a life's silence shows, and that of any earlier one."""
         if self.has_returned(loss):
--- a/testing/core/leased/test_suspicion.py
+++ b/testing/core/leased/test_suspicion.py
@@ -165,6 +165,23 @@
     assert not suspicions.ripens
 
 
+def test_a_life_that_is_known_to_have_ended_is_evidence_at_once_whatever_others_do() -> None:
+    suspicions = told_returns(2)
+    suspicions.learn(1.0, silent("i-0", FIRST))
+    suspicions.learn(1.9, silent("i-1", SECOND))
+    for number, work in enumerate((FIRST, SECOND)):
+        tasks = [TaskId(job, 0, 0) for job in work]
+        queues, worked = zip(*work.values(), strict=True)
+        loss = LossId(f"i-{number}", 1000)
+        lost = RunnerLost(loss, tasks, list(queues), list(worked))
+        assert not suspicions.learn(2.0, lost)
+        ended = RunnerLost(loss, tasks, list(queues), list(worked), ended=tasks)
+        assert suspicions.learn(2.1, ended)
+        assert not suspicions.learn(2.2, ended)
+        assert suspicions.ripe(2.2) == {loss}
+    assert suspicions.evidence(2.2, "short", 0.0, TARGETS, ()) is not None
+
+
 def test_one_life_that_answers_again_delays_no_evidence_of_others() -> None:
     suspicions = told_returns(1)
     suspicions.learn(1.0, silent("i-0", FIRST))
