Judge a runner's speed by the moment that a look shows, not by when it was read

Cause: `note_progress` counted all the time up to the reading of a look's answer as time in which the runner worked. If the target's process stood still in between, the runs had made no progress in it by that answer, and the next tick took the runner for slow: it stopped its runs and gave it nothing for two seconds. Two tests of test_late_heartbeats failed by that in a whole run on, as full garbage collections held the tests' process for 0.1 s (0.110 s at most by gc.callbacks in a run of half of the tests). Change: evidence on the speed ends with the moment that the look shows, as the limits of stuck and hung runs do; what passed since counts with the next look. The same for ends that are listed.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
@@ -25,18 +25,22 @@
 """A run on a slow runner is stopped if what is left takes so many times its estimate."""
 
 
-def note_progress(now: float, run: Run, percent: int, health: RunnerHealth) -> None:
-    """Take a look's word that `percent` of a run is done, also as evidence on the runner."""
+def note_progress(now: float, shown: float, run: Run, percent: int, health: RunnerHealth) -> None:
+    """Take a look's word that `percent` of a run is done, also as evidence on the runner.
+
+    A look that is read late shows the moment `shown`: what passed since is not its runner's time.
+    """
+    seconds = max(0.0, shown - run.seen)
     if percent > run.percent:
         work = run.estimate * (percent - run.percent) / 100
-        health.progressed(now, work, now - run.seen)
+        health.progressed(now, work, seconds)
         run.percent = percent
         run.moved = now
         run.still = 0
-    elif now > run.seen:
-        health.progressed(now, 0.0, now - run.seen)
+    elif shown > run.seen:
+        health.progressed(now, 0.0, seconds)
         run.still += 1
-    run.seen = now
+    run.seen = max(run.seen, shown)
 
 
 def is_stuck(now: float, run: Run, patience: float = 1.0) -> bool:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -230,11 +230,11 @@
         self._failed_looks = 0
         self.losses.answered()
         self._last_seen = max(self._last_seen, answer.listed)
-        for finished in answer.finished:
-            effects += self._listed(now, finished)
-        running = {row.run: row.percent for row in answer.running}
         # This process may have stood still before it read the answer: it shows an earlier moment.
         shown = min(now, answer.sent + self._waited)
+        for finished in answer.finished:
+            effects += self._listed(now, shown, finished)
+        running = {row.run: row.percent for row in answer.running}
         effects += self._stop_foreign(running, answer)
         for run in self.table:
             if answer.unread_end:
@@ -412,7 +412,7 @@
             effect for run in runs for effect in stop(now, run, End.STUCK, "runner_stands_still")
         ]
 
-    def _listed(self, now: float, finished: FinishedRun) -> list[Effect]:
+    def _listed(self, now: float, shown: float, finished: FinishedRun) -> list[Effect]:
         self._last_seen = max(self._last_seen, finished.number)
         self._foreign.discard(finished.run)
         run = self.table.get(finished.run)
@@ -421,8 +421,8 @@
         end = _ENDS[finished.end]
         if finished.end is RunEnd.DONE:
             work = run.estimate * (100 - run.percent) / 100
-            self.health.progressed(now, work, now - run.seen)
-            took = max(now - run.ordered, MIN_SECONDS)
+            self.health.progressed(now, work, max(0.0, shown - run.seen))
+            took = max(shown - run.ordered, MIN_SECONDS)
             self.health.done(now, run.estimate / took, run.ordered)
         elif finished.end is RunEnd.FAILED:
             self.health.failed(now)
@@ -447,7 +447,7 @@
             run.begin(now)
         run.doubted = None
         run.settled = now if run.phase is Phase.RUNNING else run.settled
-        note_progress(now, run, percent, self.health)
+        note_progress(now, shown, run, percent, self.health)
         if run.phase is Phase.RUNNING and is_stuck(shown, run, self.health.patience(run.moved)):
             self.health.suspect(now)
             return [*stop(now, run, End.STUCK, "no_progress")]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -45,7 +45,7 @@
     moved: float = 0.0
     """When `percent` last rose."""
     seen: float = 0.0
-    """When `percent` was last read."""
+    """Which moment the last look at `percent` showed."""
     ending: End = End.STOPPED
     """What to tell the entry once a stop is done."""
     unwanted: float = 0.0
--- a/testing/core/leased/test_progress.py
+++ b/testing/core/leased/test_progress.py
@@ -26,7 +26,7 @@
 def watch(run: Run, *looks: tuple[float, int]) -> RunnerHealth:
     health = RunnerHealth()
     for at, percent in looks:
-        note_progress(at, run, percent, health)
+        note_progress(at, at, run, percent, health)
     return health
 
 
