--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 $(READY): constraints.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
-		setuptools pytest pytest-timeout hypothesis ruff mypy pillow hdrhistogram \
+		setuptools pytest pytest-timeout pytest-xdist hypothesis ruff mypy pillow hdrhistogram \
 		msgspec xxhash pynng cheroot urllib3 aioprometheus python-json-logger click httptools
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
 		$(foreach p,$(PACKAGES),-e packages/paddleshunt-$(p))
@@ -20,8 +20,10 @@
 demo: $(READY)
 	$(BIN)/paddleshuntd demo --out demo-out
 
+# Which tests run beside which: testing/sidebyside.py.
+WORKERS ?= 2
 test: $(READY)
-	$(BIN)/python -m pytest testing
+	$(BIN)/python -m pytest testing -n $(WORKERS)
 
 lint: $(READY)
 	$(BIN)/ruff format --check $(SOURCES)
--- a/testing/knownred.py
+++ b/testing/knownred.py
@@ -73,12 +73,19 @@
                 item.add_marker(pytest.mark.xfail(reason=reason, strict=True, run=True))
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
-        """Note a listed test's failure."""
+        """Note a listed test, also one that ran at another worker, and its failure."""
+        if report.nodeid in self._known:
+            self._collected.add(report.nodeid)
         if report.skipped and hasattr(report, "wasxfail") and report.nodeid in self._known:
             self._failed.add(report.nodeid)
 
     def pytest_sessionfinish(self, session: pytest.Session) -> None:
-        """Fail the run if a listed test is none of the project's any more, or did not fail."""
+        """Fail the run if a listed test is none of the project's any more, or did not fail.
+
+        A worker runs a part of the tests; the run that started it judges them together.
+        """
+        if hasattr(session.config, "workerinput"):
+            return
         if self._unproved() and session.exitstatus in (
             pytest.ExitCode.OK,
             pytest.ExitCode.NO_TESTS_COLLECTED,
--- a/testing/test_knownred.py
+++ b/testing/test_knownred.py
@@ -16,12 +16,11 @@
 BAD = "testing/test_it.py::test_bad"
 
 
-@pytest.fixture
-def project(pytester: pytest.Pytester) -> pytest.Pytester:
+@pytest.fixture(params=["-p no:xdist", "-n 2"], ids=["alone", "two-workers"])
+def project(pytester: pytest.Pytester, request: pytest.FixtureRequest) -> pytest.Pytester:
     """A project with one test that passes and one that fails, and the plugin."""
-    pytester.makeini(
-        "[pytest]\ntestpaths = testing\naddopts = -p knownred -p no:hypothesispytest\n"
-    )
+    addopts = f"-p knownred -p no:hypothesispytest {request.param}"
+    pytester.makeini(f"[pytest]\ntestpaths = testing\naddopts = {addopts}\n")
     folder = pytester.mkdir("testing")
     (folder / "test_it.py").write_text(TESTS)
     return pytester
