--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bulkhead.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bulkhead.py
@@ -7,8 +7,7 @@
 from collections.abc import Iterable
 from typing import final
 
-from xxhash import xxh64_intdigest
-
+from paddleshunt_core.leased.ranks import rank as rank
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import RunnerState
 
@@ -73,8 +72,3 @@
         if target not in self._ranks:
             self._ranks[target] = rank(self._queue, target)
         return self._ranks[target]
-
-
-def rank(queue: str, target: str) -> int:
-    """Return a target's place in a queue's order of choice; less goes first."""
-    return xxh64_intdigest(f"{queue}\n{target}".encode())
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/entrychoice.py
@@ -10,8 +10,7 @@
 from collections import deque
 from typing import final
 
-from xxhash import xxh64_intdigest
-
+from paddleshunt_core.leased.ranks import rank
 from paddleshunt_core.leased.wire import EntryAddress
 
 SESSIONS = 8
@@ -120,5 +119,5 @@
 
     def _rank_of(self, name: str) -> int:
         if name not in self._ranks:
-            self._ranks[name] = xxh64_intdigest(f"{self._target}\n{name}".encode())
+            self._ranks[name] = rank(self._target, name)
         return self._ranks[name]
--- /dev/null
+++ b/testing/core/leased/test_ranks.py
@@ -0,0 +1,19 @@
+"""Places in an order of choice."""
+
+import pytest
+from paddleshunt_core.leased.ranks import rank
+
+
+@pytest.mark.parametrize(
+    ("chooser", "candidate", "place"),
+    [
+        ("q", "t0", 14553787785617413897),
+        ("t0", "q", 9201089083285690654),
+        ("queue", "bánh", 17572876079035387619),
+    ],
+    ids=["one", "the-other-way", "not-ascii"],
+)
+def test_a_place_is_the_same_in_all_processes_and_releases(
+    chooser: str, candidate: str, place: int
+) -> None:
+    assert rank(chooser, candidate) == place
