Count up to a hundredth of a run as done before its runner can tell it

Cause: a runner tells progress in whole hundredths, and until the next one all time counted as time without work. Two looks and a tick after the start of a batch of runs of 5 s and more, that was enough for the runner to count as slow: its runs were stopped, and it was given nothing for two seconds. Change: between two hundredths as much counts as done as time has passed, up to one of them, and the next one counts so much less. What a slow or hung runner gains by it is one hundredth of a run's estimate. A runner at a fifth of the speed, or hung, is noticed within the same bounds as before.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
@@ -30,19 +30,33 @@
 
     A look that is read late shows the moment `shown`: what passed since is not its runner's time.
     """
-    seconds = max(0.0, shown - run.seen)
     if percent > run.percent:
-        work = run.estimate * (percent - run.percent) / 100
-        health.progressed(now, work, seconds)
+        _note_work(now, shown, run, percent, 0.0, health)
         run.percent = percent
         run.moved = now
         run.still = 0
     elif shown > run.seen:
-        health.progressed(now, 0.0, seconds)
+        # A runner tells whole hundredths: what it may have done of the next one is no stand-still.
+        ahead = max(run.ahead, min(shown - run.moved, run.estimate / 100))
+        _note_work(now, shown, run, run.percent, ahead, health)
         run.still += 1
     run.seen = max(run.seen, shown)
 
 
+def note_done(now: float, shown: float, run: Run, health: RunnerHealth) -> None:
+    """Take a look's word that a run has ended well, as evidence on the runner."""
+    _note_work(now, shown, run, 100, 0.0, health)
+
+
+def _note_work(
+    now: float, shown: float, run: Run, percent: int, ahead: float, health: RunnerHealth
+) -> None:
+    """Count what a run has done since the last look, with what is `ahead` of its percent."""
+    work = run.estimate * (percent - run.percent) / 100 + ahead - run.ahead
+    run.ahead = ahead
+    health.progressed(now, work, max(0.0, shown - run.seen))
+
+
 def is_stuck(now: float, run: Run, patience: float = 1.0) -> bool:
     """Whether a run has made no progress for so long that it is to run elsewhere.
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -24,6 +24,7 @@
     HUNG_RUNS,
     is_better_elsewhere,
     is_stuck,
+    note_done,
     note_progress,
     stands_still,
 )
@@ -420,8 +421,7 @@
             return []
         end = _ENDS[finished.end]
         if finished.end is RunEnd.DONE:
-            work = run.estimate * (100 - run.percent) / 100
-            self.health.progressed(now, work, max(0.0, shown - run.seen))
+            note_done(now, shown, run, self.health)
             took = max(shown - run.ordered, MIN_SECONDS)
             self.health.done(now, run.estimate / took, run.ordered)
         elif finished.end is RunEnd.FAILED:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -42,6 +42,8 @@
     still: int = 0
     """Looks in a row that showed no progress."""
     percent: int = 0
+    ahead: float = 0.0
+    """Seconds beyond `percent` that it may have done and that are counted, up to a hundredth."""
     moved: float = 0.0
     """When `percent` last rose."""
     seen: float = 0.0
--- a/testing/core/leased/test_progress.py
+++ b/testing/core/leased/test_progress.py
@@ -35,6 +35,33 @@
     assert health.speed(2.0) == pytest.approx(0.5)
 
 
+def slow_at(estimate: float, speed: float, until: float) -> float | None:
+    """Return when a runner with eight runs of this estimate first counts as slow, if it does."""
+    health = RunnerHealth()
+    runs = [run_of(estimate) for _ in range(8)]
+    for step in range(1, int(until / 0.045) + 1):
+        worked = 0.045 * step
+        for run in runs:
+            note_progress(
+                1.0 + worked, 1.0 + worked, run, int(100 * speed * worked / estimate), health
+            )
+        if health.is_slow(1.0 + worked):
+            return worked
+    return None
+
+
+@pytest.mark.parametrize("estimate", [0.2, 0.6, 3.2, 5.0, 10.0, 60.0])
+def test_a_runner_is_not_slow_for_what_no_whole_percent_can_tell(estimate: float) -> None:
+    assert slow_at(estimate, 1.0, min(estimate, 2.0)) is None
+
+
+@pytest.mark.parametrize(("estimate", "soon"), [(0.6, 0.1), (3.2, 0.2), (10.0, 0.4)])
+@pytest.mark.parametrize("speed", [0.0, 0.2])
+def test_a_slow_runner_is_noticed_soon(estimate: float, soon: float, speed: float) -> None:
+    found = slow_at(estimate, speed, 2.0)
+    assert found is not None and found < soon + 0.01
+
+
 @pytest.mark.parametrize(
     ("estimate", "patience"), [(0.05, STUCK_LEAST), (0.2, 0.2), (5.0, STUCK_SECONDS)]
 )
