--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/progress.py
@@ -25,18 +25,36 @@
 """A run on a slow runner is stopped if what is left takes so many times its estimate."""
 
 
-def note_progress(now: float, run: Run, percent: int, health: RunnerHealth) -> None:
-    """Take a look's word that `percent` of a run is done, also as evidence on the runner."""
+def note_progress(now: float, shown: float, run: Run, percent: int, health: RunnerHealth) -> None:
+    """Take a look's word that `percent` of a run is done, also as evidence on the runner.
+
+    A look that is read late shows the moment `shown`: what passed since is not its runner's time.
+    """
     if percent > run.percent:
-        work = run.estimate * (percent - run.percent) / 100
-        health.progressed(now, work, now - run.seen)
+        _note_work(now, shown, run, percent, 0.0, health)
         run.percent = percent
         run.moved = now
         run.still = 0
-    elif now > run.seen:
-        health.progressed(now, 0.0, now - run.seen)
+    elif shown > run.seen:
+        # A runner tells whole hundredths: what it may have done of the next one is no stand-still.
+        ahead = max(run.ahead, min(shown - run.moved, run.estimate / 100))
+        _note_work(now, shown, run, run.percent, ahead, health)
         run.still += 1
-    run.seen = now
+    run.seen = max(run.seen, shown)
+
+
+def note_done(now: float, shown: float, run: Run, health: RunnerHealth) -> None:
+    """Take a look's word that a run has ended well, as evidence on the runner."""
+    _note_work(now, shown, run, 100, 0.0, health)
+
+
+def _note_work(
+    now: float, shown: float, run: Run, percent: int, ahead: float, health: RunnerHealth
+) -> None:
+    """Count what a run has done since the last look, with what is `ahead` of its percent."""
+    work = run.estimate * (percent - run.percent) / 100 + ahead - run.ahead
+    run.ahead = ahead
+    health.progressed(now, work, max(0.0, shown - run.seen))
 
 
 def is_stuck(now: float, run: Run, patience: float = 1.0) -> bool:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -42,10 +42,12 @@
     still: int = 0
     """Looks in a row that showed no progress."""
     percent: int = 0
+    ahead: float = 0.0
+    """Seconds beyond `percent` that it may have done and that are counted, up to a hundredth."""
     moved: float = 0.0
     """When `percent` last rose."""
     seen: float = 0.0
-    """When `percent` was last read."""
+    """Which moment the last look at `percent` showed."""
     ending: End = End.STOPPED
     """What to tell the entry once a stop is done."""
     unwanted: float = 0.0
