--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -40,6 +40,13 @@
 
 _REASON = re.compile(r"reason=(\S+)")
 
+_UNKNOWN = {
+    "silent_runners": "two runners were lost under one of its tasks and may yet answer",
+    "lost_sessions": "a runner and sessions with targets were lost under one of its tasks",
+    "retries": "one of its tasks was tried too often in vain",
+}
+"""What is known, by its reason, of a job whose task is not started again."""
+
 
 @final
 @dataclass(frozen=True, slots=True, order=True)
@@ -112,9 +119,7 @@
     if answers and "outcome=failed" in answers[-1].text:
         return _decide_failed(own, around, answers[-1])
     if answers and "outcome=givenup" in answers[-1].text:
-        reason = _REASON.search(answers[-1].text)
-        why = f" ({reason[1]})" if reason else ""
-        return f"given up{why}: its tasks may have run", [*failures, answers[-1]]
+        return _decide_unknown(own, around, answers[-1])
     left = [line for line in own if line.event == "caller_left"]
     if not answers and left and left[-1] == max([*left, *stopped]):
         return "its caller's connection ended before its answer", [*stopped, *left]
@@ -149,19 +154,38 @@
     return cause, [*entry, *over, *stopped]
 
 
+def _decide_unknown(own: list[Line], around: list[Line], answer: Line) -> tuple[str, list[Line]]:
+    """Return why it is not known what became of a job, and the lines that show it."""
+    given_up = _given_up(own)
+    reason = _reason(answer)
+    if given_up and reason in _UNKNOWN:
+        shown = [*_lost_runners(around, answer), *given_up, answer]
+        return f"given up: {_UNKNOWN[reason]}; its tasks may have run", shown
+    failures = [line for line in own if line.event == "run_ended" and "end=failed" in line.text]
+    why = f" ({reason})" if reason else ""
+    return f"given up{why}: its tasks may have run", [*failures, answer]
+
+
+def _given_up(own: list[Line]) -> list[Line]:
+    return [line for line in own if line.event == "job_given_up"]
+
+
+def _lost_runners(around: list[Line], answer: Line) -> list[Line]:
+    """Return the lines on lost runners that name a run of the job."""
+    return [line for line in around if line.event == "runner_lost" and answer.job in line.text]
+
+
+def _reason(line: Line) -> str:
+    found = _REASON.search(line.text)
+    return found[1] if found else ""
+
+
 def _decide_failed(own: list[Line], around: list[Line], answer: Line) -> tuple[str, list[Line]]:
     """Return why a job was answered as failed, and the lines that show it."""
-    given_up = [line for line in own if line.event == "job_given_up"]
-    if given_up and "reason=crashes" in given_up[-1].text:
-        key = answer.job
-        lost = [line for line in around if line.event == "runner_lost" and key in line.text]
-        return "failed: runners were lost again and again under one of its tasks", [
-            *lost,
-            *given_up,
-            answer,
-        ]
-    if given_up:
-        return "failed: one of its tasks was tried too often in vain", [*given_up, answer]
+    given_up = _given_up(own)
+    if given_up and _reason(given_up[-1]) == "crashes":
+        cause = "failed: two runners ended with one of its tasks at work on them"
+        return cause, [*_lost_runners(around, answer), *given_up, answer]
     failures = [line for line in own if line.event == "run_ended" and "end=failed" in line.text]
     if "reason=attempts" not in answer.text:
         return "failed: these lines don't show why", [*failures, answer]
