Faults at many runners at once in the soak of the real programs

Series of one to three faults that overlap, drawn apart from the others: calls are put off, answers reset or connections mute at 0.4 to all of the runners, each 0.3 to all of its calls, for 0.5 to 6 s; in half of the series jobs come that take their runners down as well. `make soak` has them (ARGS=--no-wide for none); the seeds that are listed were found without, and play as they did.

--- a/testing/council/soakwire.py
+++ b/testing/council/soakwire.py
@@ -27,6 +27,12 @@
 
 KINDS = (UNANSWERED, RESETS, MUTE)
 
+RUNNERS = (0.4, 1.0)
+"""Share of the runners that are troubled together."""
+
+CALLS = (0.3, 1.0)
+"""Share of the calls that are hit at each of them; of connections, if they fall mute."""
+
 
 @dataclass(slots=True)
 class _Trouble:
@@ -98,3 +104,10 @@
         """Return the trouble of a kind that there is now."""
         trouble = self._troubles.get(kind)
         return trouble if trouble is not None and monotonic() < trouble.until else None
+
+
+def trouble_many(wires: list[Wire], kind: str, rng: Random, seconds: float) -> None:
+    """Trouble a large share of the wires together, each its own share of the calls."""
+    number = max(1, round(rng.uniform(*RUNNERS) * len(wires)))
+    for wire in rng.sample(wires, number):
+        wire.trouble(kind, rng.uniform(*CALLS), seconds, Random(rng.random()))
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -14,6 +14,8 @@
 
 from deployment import HALLS, Deployment, Process
 from soakcallers import Callers
+from soakwire import KINDS as WIRE_KINDS
+from soakwire import trouble_many
 
 MEAN_GAP = 0.35
 """Mean seconds between two faults."""
@@ -152,6 +154,10 @@
     async def _inject(self, fault: Fault) -> None:
         if fault.kind in (*RUNNER_KINDS, LOSES_STOPS, SHRINKS):
             await self._trouble_runner(fault)
+        elif fault.kind in WIRE_KINDS:
+            wires = [runner.wire for runner in self._deployment.runners.values()]
+            trouble_many(wires, fault.kind, Random(fault.whom), fault.seconds)
+            await asyncio.sleep(fault.seconds)
         elif fault.kind in STORE_KINDS:
             await self._trouble_store(fault)
         elif fault.kind == CONFIGURE:
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -22,6 +22,7 @@
 from faults import Injector, schedule
 from record import Record, Violation
 from soakcallers import Callers
+from widefaults import wide_schedule
 
 KNOWN = Path(__file__).parent / "seeds.toml"
 
@@ -37,12 +38,16 @@
 
 @dataclass(frozen=True)
 class Size:
-    """How large a soak is, and how busy: jobs a second, and seconds of faults."""
+    """How large a soak is, and how busy: jobs a second, and seconds of faults.
+
+    `wide`: whether there are faults at many runners at once. Older seeds have none.
+    """
 
     entries: int = 3
     targets: int = 6
     rate: float = 8.0
     seconds: float = 15.0
+    wide: bool = False
 
 
 def known_seeds(*, ci: bool) -> list[int]:
@@ -86,7 +91,10 @@
         injector = Injector(deployment, crashing)
         handing_in = asyncio.ensure_future(callers.run())
         watching = asyncio.ensure_future(deployment.watch_versions())
-        await injector.run(schedule(seed, size.seconds))
+        faults = schedule(seed, size.seconds)
+        if size.wide:
+            faults += wide_schedule(seed, size.seconds)
+        await injector.run(sorted(faults, key=lambda fault: fault.at))
         handing_in.cancel()
         await _recover(deployment, callers, record)
         watching.cancel()
@@ -129,6 +137,7 @@
 @click.option("--entries", default=3)
 @click.option("--targets", default=6)
 @click.option("--rate", default=8.0, help="Jobs a second.")
+@click.option("--wide/--no-wide", default=True, help="Whether there are faults at many runners.")
 @click.option("--at-once", default=1, help="Soaks played at the same time.")
 @click.option("--logs", type=click.Path(path_type=Path), default=None, help="Where logs are kept.")
 def main(
@@ -138,6 +147,7 @@
     entries: int,
     targets: int,
     rate: float,
+    wide: bool,
     at_once: int,
     logs: Path | None,
 ) -> None:
@@ -148,7 +158,8 @@
     numbers = known_seeds(ci=False) if known else list(range(int(first), int(end)))
     folder = logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    size = Size(entries, targets, rate, seconds)
+    # The seeds that are known were found without wide faults, and stay as they were.
+    size = Size(entries, targets, rate, seconds, wide and not known)
     if at_once > 1:
         sys.exit(_in_parts(numbers, at_once, size, folder))
     broken = 0
@@ -173,6 +184,7 @@
         f"--targets={size.targets}",
         f"--rate={size.rate}",
         f"--seconds={size.seconds}",
+        "--wide" if size.wide else "--no-wide",
         f"--logs={folder}",
     ]
     length = -(-len(numbers) // parts)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -1,11 +1,14 @@
 """A short soak of the real programs; `make soak` plays longer ones, and more seeds."""
 
 import asyncio
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
 from faults import CRASHING, EVACUATE, LOSES_STOPS, ODD_WORDS, SHRINKS, WEIGHTS, schedule
 from soak import Result, Size, known_seeds, play
+from soakwire import KINDS as WIRE_KINDS
+from widefaults import wide_schedule
 
 
 async def play_at_once(seeds: list[int], folder: Path) -> list[Result]:
@@ -33,3 +36,19 @@
 def test_all_kinds_of_faults_come() -> None:
     kinds = {fault.kind for seed in range(20) for fault in schedule(seed, 15.0)}
     assert kinds == {*WEIGHTS, LOSES_STOPS, EVACUATE, CRASHING, SHRINKS, ODD_WORDS}
+
+
+def test_a_seed_gives_one_schedule_of_wide_faults() -> None:
+    assert wide_schedule(3, 20.0) == wide_schedule(3, 20.0)
+    assert wide_schedule(3, 20.0) != wide_schedule(4, 20.0)
+
+
+def test_all_kinds_of_wide_faults_come_and_overlap() -> None:
+    schedules = [wide_schedule(seed, 15.0) for seed in range(20)]
+    assert {fault.kind for faults in schedules for fault in faults} == {*WIRE_KINDS, CRASHING}
+    assert any(
+        one.at + one.seconds > other.at
+        for faults in schedules
+        for one, other in pairwise(faults)
+        if one.kind != other.kind
+    )
