Call no job failed for runners that were lost with it

Change: failed is told only of ends that runners list as failed. Tests changed, each stricter: crashing jobs were expected to be told failed in the end; nobody knows that. The fleet's check allows failed only after failed ends.

--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -41,6 +41,7 @@
 _REASON = re.compile(r"reason=(\S+)")
 
 _UNKNOWN = {
+    "ended_runners": "two runners ended with one of its tasks at work on them",
     "silent_runners": "two runners were lost under one of its tasks and may yet answer",
     "lost_sessions": "a runner and sessions with targets were lost under one of its tasks",
     "retries": "one of its tasks was tried too often in vain",
@@ -117,7 +118,7 @@
     if answers and "outcome=refused" in answers[-1].text:
         return _decide_refused(own, answers[-1])
     if answers and "outcome=failed" in answers[-1].text:
-        return _decide_failed(own, around, answers[-1])
+        return _decide_failed(own, answers[-1])
     if answers and "outcome=givenup" in answers[-1].text:
         return _decide_unknown(own, around, answers[-1])
     left = [line for line in own if line.event == "caller_left"]
@@ -180,12 +181,8 @@
     return found[1] if found else ""
 
 
-def _decide_failed(own: list[Line], around: list[Line], answer: Line) -> tuple[str, list[Line]]:
+def _decide_failed(own: list[Line], answer: Line) -> tuple[str, list[Line]]:
     """Return why a job was answered as failed, and the lines that show it."""
-    given_up = _given_up(own)
-    if given_up and _reason(given_up[-1]) == "crashes":
-        cause = "failed: two runners ended with one of its tasks at work on them"
-        return cause, [*_lost_runners(around, answer), *given_up, answer]
     failures = [line for line in own if line.event == "run_ended" and "end=failed" in line.text]
     if "reason=attempts" not in answer.text:
         return "failed: these lines don't show why", [*failures, answer]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -15,9 +15,9 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """A task failed as often as the queue allows, or lives of runners ended with it at work.
+    """A task failed as often as the queue allows, by the word of the runners that ran it.
 
-    Only what is known is told so: a run that was lost with a runner that can't be reached is not.
+    Only that is told so: what became of a run that was lost with its runner nobody knows.
     """
 
     reason: str
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -3,8 +3,9 @@
 Two questions are kept apart. Whether a task may be started again is a bound on harm: a task that
 can't end, or takes its runners down, is tried for as long as its caller waits without one, so
 each way back to waiting counts, and a runner that may have crashed counts like one that has. What
-a caller may be told is bound by what is known: that a task failed is told only if lives of runners
-are known to have ended under it. Otherwise it is unknown what became of the job.
+a caller may be told is bound by what is known. No target knows what a run did after it was seen
+last: it may have ended well, or its lease may have run out, before its runner's life ended. So
+a task that is not started again for lost runners has not failed: its outcome is unknown.
 """
 
 from typing import final
@@ -12,7 +13,7 @@
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.jobs import JobRecord, TaskPhase, TaskRecord
 from paddleshunt_core.leased.losses import LossBook
-from paddleshunt_core.leased.outcomes import Failed, GivenUp
+from paddleshunt_core.leased.outcomes import GivenUp
 from paddleshunt_core.leased.wire import LossNews, RunnerReturned, RunnerSilent
 
 LOST_RUNNERS = 2
@@ -34,7 +35,7 @@
 A task that is no fault of this meets a lost, a hanging and a slow runner in turn and has some left.
 """
 
-CRASHES = "crashes"
+ENDED_RUNNERS = "ended_runners"
 SILENT_RUNNERS = "silent_runners"
 LOST_SESSIONS = "lost_sessions"
 RETRIES = "retries"
@@ -64,12 +65,12 @@
         tasks, ended = len(news.tasks), len(news.ended)
         return [note("runner_loss_learned", runner=runner, tasks=tasks, ended=ended, source=source)]
 
-    def outcome(self, job: JobRecord) -> Failed | GivenUp | None:
+    def outcome(self, job: JobRecord) -> GivenUp | None:
         """Return how a job ends that is not to be tried again; None if it may be."""
         spent = self._spent(job)
         return None if spent is None else spent[1]
 
-    def note_given_up(self, job: JobRecord, outcome: Failed | GivenUp) -> Log:
+    def note_given_up(self, job: JobRecord, outcome: GivenUp) -> Log:
         """Return the line that says for which task a job is given up, and what that cost."""
         fields: dict[str, str | int | float] = {"reason": outcome.reason}
         spent = self._spent(job)
@@ -84,25 +85,18 @@
             }
         return note("job_given_up", job.request.key, **fields)
 
-    def _spent(self, job: JobRecord) -> tuple[TaskRecord, Failed | GivenUp] | None:
-        """Return a task that is not to be tried again, and why: one that is known to have failed
-        before others. One that has ended well needs no try.
-        """
-        spent = [
-            (task, outcome)
-            for task in job.tasks
-            if task.phase is not TaskPhase.DONE
-            if (outcome := self._outcome(task)) is not None
-        ]
-        return min(spent, key=lambda each: isinstance(each[1], GivenUp), default=None)
-
-    def _outcome(self, task: TaskRecord) -> Failed | GivenUp | None:
+    def _spent(self, job: JobRecord) -> tuple[TaskRecord, GivenUp] | None:
+        """Return a task that is not to be tried again, and why; one that is done needs no try."""
+        open_tasks = (task for task in job.tasks if task.phase is not TaskPhase.DONE)
+        spent = ((task, self._outcome(task)) for task in open_tasks)
+        return next(((task, outcome) for task, outcome in spent if outcome is not None), None)
+
+    def _outcome(self, task: TaskRecord) -> GivenUp | None:
         """Return how the job of a task ends that is not to be tried again; None if it may be."""
-        if len(self._losses.ended(task.id)) >= LOST_RUNNERS:
-            return Failed(CRASHES)
         runners = len(self._losses.runners(task.id))
         if runners >= LOST_RUNNERS:
-            return GivenUp(SILENT_RUNNERS)
+            ended = len(self._losses.ended(task.id))
+            return GivenUp(ENDED_RUNNERS if ended >= LOST_RUNNERS else SILENT_RUNNERS)
         if runners and runners + task.losses >= LOST_RUNS:
             return GivenUp(LOST_SESSIONS)
         return GivenUp(RETRIES) if task.retries >= MOST_RETRIES else None
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -32,9 +32,6 @@
 CONNECT_SECONDS = 0.25
 GOSSIP_SECONDS = 0.4
 
-GUILTY_ENDS = 2
-"""Lives of runners that end under a task, from which on its job may be told to have failed."""
-
 AWAY_SECONDS = 3.4
 """Seconds after which a runner that a task has crashed is back, as another life."""
 
@@ -420,16 +417,9 @@
                 self._note(effect)
 
     def _has_failed(self, key: str) -> bool:
-        """Whether a task of a job has failed as often as its queue allows, or taken runners along.
-
-        That is told from what became of it on the runners, not from what the targets know.
-        """
+        """Whether a task of a job has failed as often as its queue allows, as the runners know."""
         tasks = [TaskId(key, 0, index) for index in range(self._requests[key].count)]
-        allowed = self._queues[key].max_attempts
-        return any(
-            self.crashes.failed[task] >= allowed or self.crashes.ended_under[task] >= GUILTY_ENDS
-            for task in tasks
-        )
+        return any(self.crashes.failed[task] >= self._queues[key].max_attempts for task in tasks)
 
     def _hand_on(self, name: str, effect: HandOn) -> None:
         for other, node in self.entries.items():
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -45,8 +45,6 @@
     """Seconds of work after which such a task takes its runner down."""
     crashed: Counter[TaskId] = field(default_factory=Counter)
     started_after: Counter[TaskId] = field(default_factory=Counter)
-    ended_under: Counter[TaskId] = field(default_factory=Counter)
-    """Lives of runners that ended with a task at work on them, for whatever reason."""
     failed: Counter[TaskId] = field(default_factory=Counter)
     """Runs of a task that ended as failed."""
 
@@ -115,7 +113,6 @@
         self.count = 0
 
     def crash(self) -> None:
-        self.crashes.ended_under.update(run.task for run in self.running)
         self.clear()
         self.up = False
 
