Don't call a job unrun of which this entry placed an earlier try

Cause: whether nothing of a job has run was told of the present try alone. A caller whose first try was answered 504, or who left, was refused at its second with 503, which says that nothing has run.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -190,7 +190,7 @@
         if held is not None:
             return [*effects, self._hand_over(now, caller, held)]
         if self.turned_away is not None:
-            return [*effects, AnswerJob(caller, request.key, self.turned_away, 0.0)]
+            return [*effects, self._refuse(caller, request, self.turned_away)]
         expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
         job = new_job(caller, request, queue, now, expected)
         job.place_from = now + self._caller_delay
@@ -210,7 +210,7 @@
             wait = min(wait, NO_TARGET_WAIT)
         if self._ends is not None and now + wait + LEAVING_LENGTHS * job.length > self._ends:
             leaving = Refused("leaving", 0.0, elsewhere=True)
-            return [*effects, AnswerJob(caller, request.key, leaving, 0.0)]
+            return [*effects, self._refuse(caller, request, leaving)]
         if now + wait > job.refuse_after:
             refusal = self._refusal(caller, request, "no_room", wait)
             return [*effects, room_note(now, job, wait, room), refusal]
@@ -431,7 +431,13 @@
     def _refusal(
         self, caller: int, request: JobRequest, reason: str, retry_after: float
     ) -> AnswerJob:
-        return AnswerJob(caller, request.key, Refused(reason, retry_after), 0.0)
+        return self._refuse(caller, request, Refused(reason, retry_after))
+
+    def _refuse(self, caller: int, request: JobRequest, refused: Refused) -> AnswerJob:
+        """Refuse a job, unless an earlier try of it may have run: it is not known to be unrun."""
+        ran = self._jobs.may_have_run(request.key)
+        outcome: JobOutcome = GivenUp(refused.reason) if ran else refused
+        return AnswerJob(caller, request.key, outcome, 0.0)
 
     def _check_job(self, now: float, job: JobRecord, confined_room: RoomNow | None) -> list[Effect]:
         """Give a job up if it can't be of use; `confined_room`: the room if a queue is confined."""
@@ -454,7 +460,8 @@
 
     def _give_up(self, now: float, job: JobRecord, reason: str, retry_after: float) -> AnswerJob:
         """Answer a job that can't be of use; the answer says truly whether it has run."""
-        outcome = GivenUp(reason) if job.begun else Refused(reason, retry_after)
+        ran = job.begun or job.may_have_run
+        outcome = GivenUp(reason) if ran else Refused(reason, retry_after)
         return self._answer(now, job, outcome)
 
     def _retry_after(self, now: float, job: JobRecord) -> float:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobbook.py
@@ -39,11 +39,16 @@
         """Return the job of a key."""
         return self._by_key.get(key)
 
+    def may_have_run(self, key: str) -> bool:
+        """Whether an earlier try of a job was placed here: it can't be said to have never run."""
+        return any(self._numbers.get(key, ()))
+
     def add(self, job: JobRecord) -> None:
         """Hold a job.
 
         One that came before goes on counting its runs: a word on one may still be under way.
         """
+        job.may_have_run = self.may_have_run(job.request.key)
         for task, number in zip(job.tasks, self._numbers.pop(job.request.key, ()), strict=False):
             task.number = number
         self._by_caller[job.caller] = job
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -107,6 +107,8 @@
     expected: Expectation
     is_awaited: bool = True
     """Whether its caller was still there once all that had come meanwhile was handled."""
+    may_have_run: bool = False
+    """Whether an earlier try of it was placed at this entry."""
     place_from: float = 0.0
     """Before it nothing of the job is placed: its caller may have left already."""
 
--- a/testing/core/leased/test_dispatcher.py
+++ b/testing/core/leased/test_dispatcher.py
@@ -402,3 +402,18 @@
     heard = dispatcher.told_loss(1.0, other, "e1")
     assert heard
     assert not any(isinstance(effect, HandOn) for effect in heard)
+
+
+def test_a_job_that_ran_before_is_not_refused_as_one_that_did_not() -> None:
+    """Its caller would take the second answer for the whole: that nothing of it has run."""
+    fleet = Fleet(entries=1, targets=1)
+    fleet.settle()
+    first = fleet.submit("e0", "job", count=1, length=3.0, estimate=0.3, deadline=1.0)
+    fleet.run(1.5)
+    assert fleet.answers[first] == GivenUp("deadline")
+    fleet.submit("e0", "beside", count=8, length=3.0)
+    fleet.run(0.1)
+    for key, outcome in (("job", GivenUp), ("new", Refused)):
+        again = fleet.submit("e0", key, count=8, length=3.0)
+        fleet.run(2.0)
+        assert isinstance(fleet.answers[again], outcome)
