Run the tests at three workers, so that the simulations have one of their own

Cause: at two workers the simulations begin only as a scope of tests in real time ends. Change: WORKERS is 3; the tests in real time are still in two scopes, never beside one of their own.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/paddleshuntd demo --out demo-out
 
 # Which tests run beside which: testing/sidebyside.py.
-WORKERS ?= 2
+WORKERS ?= 3
 test: $(READY)
 	$(BIN)/python -m pytest testing -n $(WORKERS)
 
