--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -41,7 +41,7 @@
 _REASON = re.compile(r"reason=(\S+)")
 
 _UNKNOWN = {
-    "ended_runners": "two runners ended with one of its tasks at work on them",
+    "ended_runners": "two runners that had one of its tasks have ended",
     "silent_runners": "two runners were lost under one of its tasks and may yet answer",
     "lost_sessions": "a runner and sessions with targets were lost under one of its tasks",
     "retries": "one of its tasks was tried too often in vain",
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -195,7 +195,7 @@
         job = new_job(caller, request, queue, now, expected)
         job.place_from = now + self._caller_delay
         job.is_awaited = self._caller_delay == 0
-        given_up = self._retries.outcome(job)
+        given_up = self._retries.handed_in(now, job)
         if given_up is not None:
             why = self._retries.note_given_up(job, given_up)
             return [*effects, why, AnswerJob(caller, request.key, given_up, 0.0)]
@@ -294,7 +294,7 @@
 
     def _check_retries(self, now: float, job: JobRecord) -> list[Effect]:
         """Give a job up if one of its tasks has been tried in vain too often."""
-        outcome = self._retries.outcome(job)
+        outcome = self._retries.outcome(now, job)
         if outcome is None:
             return []
         why = self._retries.note_given_up(job, outcome)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import replace as replace_field
 from typing import final
 
 from msgspec.structs import replace
@@ -42,10 +43,11 @@
 @final
 @dataclass(frozen=True, slots=True)
 class _Known:
-    """A loss, and when its teller learned of it."""
+    """A loss, when its teller learned of it, and since when it is kept."""
 
     at: float
     lost: RunnerLost
+    kept: float
 
 
 @final
@@ -82,7 +84,7 @@
 
         One that is known is news once its life is known to have ended.
         """
-        self._expire(now)
+        self.expire(now)
         life, silent_ms = lost.loss.runner, lost.loss.silent_ms
         if self._has_answered(lost.loss):
             return False
@@ -96,7 +98,7 @@
                     return False
                 at = known.at
             self._forget(life)
-        self._losses[life] = _Known(at, lost)
+        self._losses[life] = _Known(at, lost, at)
         for task in lost.tasks:
             self._by_task.setdefault(task, []).append(life)
         if len(self._losses) > MOST_REMEMBERED:
@@ -108,7 +110,7 @@
 
         The runner was cut off or stood still: nothing on it took it down.
         """
-        self._expire(now)
+        self.expire(now)
         if self._has_answered(loss):
             return False
         self._answered.pop(loss.runner, None)
@@ -125,16 +127,31 @@
 
         It includes who answered again: whoever heard of the loss alone would count it.
         """
-        self._expire(now)
+        self.expire(now)
         answered = [
             RunnerReturned(LossId(life, last.silent_ms)) for life, last in self._answered.items()
         ]
         known = self._losses.values()
         return [
             *answered,
-            *(replace(each.lost, ago_ms=round((now - each.at) * 1000)) for each in known),
+            *(replace(each.lost, ago_ms=round((now - each.kept) * 1000)) for each in known),
         ]
 
+    def expire(self, now: float) -> None:
+        """Forget what is too old to say anything."""
+        for life, known in list(self._losses.items()):
+            if now >= known.kept + KEEP_SECONDS:
+                self._forget(life)
+        for life, answered in list(self._answered.items()):
+            if now < answered.at + KEEP_SECONDS:
+                break
+            del self._answered[life]
+
+    def keep(self, now: float, task: TaskId) -> None:
+        """Remember for longer which lives have ended under a task, as it is asked for yet."""
+        for life in self.ended(task):
+            self._losses[life] = replace_field(self._losses[life], kept=now)
+
     def runners(self, task: TaskId) -> list[str]:
         """Return the lives of runners that were lost under a task; each may yet answer again."""
         return [*self._by_task.get(task, ())]
@@ -160,15 +177,6 @@
         answered = self._answered.get(loss.runner)
         return answered is not None and loss.silent_ms <= answered.silent_ms
 
-    def _expire(self, now: float) -> None:
-        for life, known in list(self._losses.items()):
-            if now >= known.at + KEEP_SECONDS:
-                self._forget(life)
-        for life, answered in list(self._answered.items()):
-            if now < answered.at + KEEP_SECONDS:
-                break
-            del self._answered[life]
-
     def _forget(self, life: str) -> None:
         for task in self._losses.pop(life).lost.tasks:
             known = self._by_task[task]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -41,7 +41,8 @@
 class GivenUp:
     """It is not known what became of it: tasks may have run, and it may be asked for again.
 
-    Asking again starts nothing that may have taken its runners down, until these answer.
+    Asking again starts nothing under which two runners were lost, until these answer; other
+    counts of tries begin anew.
     """
 
     reason: str
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -65,8 +65,20 @@
         tasks, ended = len(news.tasks), len(news.ended)
         return [note("runner_loss_learned", runner=runner, tasks=tasks, ended=ended, source=source)]
 
-    def outcome(self, job: JobRecord) -> GivenUp | None:
+    def handed_in(self, now: float, job: JobRecord) -> GivenUp | None:
+        """Return how a job ends that has just come and is not to be begun; None if it may be.
+
+        What is known to have ended under it is remembered for as long as it is asked for.
+        """
+        outcome = self.outcome(now, job)
+        if outcome is not None and outcome.reason == ENDED_RUNNERS:
+            for task in job.tasks:
+                self._losses.keep(now, task.id)
+        return outcome
+
+    def outcome(self, now: float, job: JobRecord) -> GivenUp | None:
         """Return how a job ends that is not to be tried again; None if it may be."""
+        self._losses.expire(now)
         spent = self._spent(job)
         return None if spent is None else spent[1]
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -347,6 +347,9 @@
         """Whether a run may start under a lease that ends at `until`."""
         if not self.clean or self._foreign or self.state() is not RunnerState.READY:
             return False
+        if self._failed_looks:
+            # It may have ended: what is ordered now could not be told from what took it down.
+            return False
         if not self._lease.is_enough(now, until):
             return False
         if self.level is Health.GOOD:
@@ -359,7 +362,7 @@
             return "runner_not_looked_at"
         if self._foreign:
             return "foreign_runs"
-        return "runner_not_ready"
+        return "runner_unanswered" if self._failed_looks else "runner_not_ready"
 
     def _started(self, now: float, run: Run) -> list[Effect]:
         if run.phase is Phase.STARTING:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -86,7 +86,10 @@
     def replaced(self, now: float, account: RunnerAccount | None, table: RunTable) -> list[Log]:
         """Note that the life that was known has ended; it won't answer again."""
         logs = [self._lose(now, account, table, REPLACED)] if len(table) else []
-        if self._silence is not None and account is not None and not account.leaving:
+        if account is not None and account.leaving:
+            # It said meanwhile that it ends: its silence was no sign of a loss.
+            self._take_back()
+        elif self._silence is not None:
             # Given up while it was silent: that it has ended is known by now.
             self._news.append(replace(self._silence.lost, ended=self._silence.at_work))
         self._silent_since = None
@@ -113,7 +116,8 @@
             self._news.append(replace(lost, ended=at_work))
             return
         self._news.append(lost)
-        self._silence = _Silence(lost, at_work)
+        if lost.tasks or self._silence is None:
+            self._silence = _Silence(lost, at_work)
 
     def _take_back(self) -> None:
         if self._told is not None:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -208,8 +208,8 @@
     `tasks` were at work on it, each once; `queues` and `worked_ms` say in their order which queue
     each is of, and for how many milliseconds it had run when the runner fell silent. Whoever hands
     it on later says with `ago_ms` how long it has known. `ended` are those of the tasks that were
-    known to be at work on a life that is known to have ended, as another one answers in its place;
-    while the life is only silent it is empty, and the same loss may be told again with it.
+    seen at work last on a life that is known to have ended since, as another one answers in its
+    place; while the life is only silent it is empty, and the same loss may be told again with it.
     """
 
     loss: LossId
--- a/testing/cli/test_explain.py
+++ b/testing/cli/test_explain.py
@@ -21,7 +21,7 @@
         ("refused.log", "5d319e9a4e82dd8c", "refused: nothing of it has run"),
         ("entry-lost.log", "89768747958c8a53", "its targets heard no more of its entry"),
         ("sick-runner.log", "ebcea14ac1581af3", "delayed by failed runs"),
-        ("crashing.log", "ffc7e705080eae43", "given up: two runners ended with one of its tasks"),
+        ("crashing.log", "ffc7e705080eae43", "given up: two runners that had one of its tasks"),
     ],
     ids=["refused", "entry-lost", "sick-runner", "crashing"],
 )
@@ -128,7 +128,7 @@
     [
         (
             "ended_runners",
-            "given up: two runners ended with one of its tasks at work on them",
+            "given up: two runners that had one of its tasks have ended",
         ),
         (
             "silent_runners",
--- /dev/null
+++ b/testing/core/leased/test_lost_looks.py
@@ -0,0 +1,109 @@
+"""The bound on harm while a runner's answers are lost: no task takes more runners down by that."""
+
+from random import Random
+
+import pytest
+from leasedfleet import STEP, Fleet
+from paddleshunt_core.leased.bounds import Bounds, lease_times
+from paddleshunt_core.leased.losses import KEEP_SECONDS
+from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartAnswer, StartRun
+from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnercontrol import Effect, RunnerControl
+from paddleshunt_core.leased.runtable import Run
+from paddleshunt_core.leased.wire import End, RunId, RunnerReturned, TaskId
+from paddleshunt_core.leased.worker import Worker
+
+TASK = TaskId("job", 0, 0)
+BAD = TaskId("bad", 0, 0)
+ROOM = Resources(8000, 8000, 0)
+
+
+class LooksLost(Fleet):
+    """A fleet whose runners answer orders, and lose a share of the looks."""
+
+    share = 0.0
+    rng = Random(0)
+
+    def _step_target(self, name: str) -> None:
+        runner = self.runners[name]
+        runner.mute = self.rng.random() < self.share
+        super()._step_target(name)
+        runner.mute = False
+
+
+@pytest.mark.parametrize("share", [0.5, 0.7])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_crashing_task_is_bounded_while_looks_are_lost(
+    seed: int, share: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It is started right after a look without an answer, which the runner outlived."""
+    look_failed = Worker.look_failed
+
+    def noted_later(self: Worker, now: float, *, other_life: bool = False) -> list[Effect]:
+        # A look whose answer is lost is noted after what was ordered while it was awaited.
+        return look_failed(self, now + STEP / 2, other_life=other_life)
+
+    monkeypatch.setattr(Worker, "look_failed", noted_later)
+    fleet = LooksLost(entries=2, targets=12)
+    fleet.settle()
+    fleet.share, fleet.rng = share, Random(seed)
+    fleet.submit_crashing("e0", "bad", count=1, deadline=6.0)
+    fleet.run(6.5)
+    assert fleet.crashes.crashed[BAD] <= 2
+
+
+def test_a_crashing_job_is_bounded_for_as_long_as_it_is_sent_again() -> None:
+    fleet = Fleet(entries=2, targets=12)
+    fleet.settle()
+    for second in range(2 * round(KEEP_SECONDS) + 10):
+        fleet.submit_crashing("e0", "bad", count=1, deadline=1.0)
+        if second % 20 == 10:
+            fleet.submit_crashing("e1", f"other{second}", count=1, deadline=1.0)
+        fleet.run(1.0)
+    assert fleet.crashes.crashed[BAD] == 2
+
+
+def account(sequence: int = 1, *, leaving: bool = False) -> RunnerAccount:
+    return RunnerAccount("i-1", "svc", "hall", ROOM, leaving, None, sequence=sequence)
+
+
+def run_of(task: TaskId) -> Run:
+    return Run(RunId(task, 1), "e0", "spec", Resources(1000, 64), 0.4, 9.0, "q")
+
+
+@pytest.fixture
+def control() -> RunnerControl:
+    """Give the control of a runner with one run at work."""
+    control = RunnerControl(lease_times(Bounds()))
+    control.runner_spoke(0.0, account())
+    control.looked(0.1, LookAnswer(0.05, [], []))
+    run = run_of(TASK)
+    control.add(0.2, [run])
+    control.start_answered(0.21, run.id, StartAnswer.STARTED)
+    return control
+
+
+def test_nothing_is_started_after_a_look_without_an_answer_until_one_has_one(
+    control: RunnerControl,
+) -> None:
+    control.next_look(0.26, renew=True)
+    control.look_failed(0.3)
+    later = run_of(TaskId("later", 0, 0))
+    assert not any(isinstance(effect, StartRun) for effect in control.add(0.31, [later]))
+    assert control.take_ends() == [(later, End.NO_ROOM)]
+    control.looked(0.4, LookAnswer(0.35, [], []))
+    again = run_of(TaskId("again", 0, 0))
+    assert any(isinstance(effect, StartRun) for effect in control.add(0.41, [again]))
+
+
+@pytest.mark.parametrize("given_up", [False, True], ids=["silent", "given_up"])
+def test_a_silent_life_that_says_it_ends_takes_its_loss_back(
+    given_up: bool, control: RunnerControl
+) -> None:
+    control.next_look(0.26, renew=True)
+    control.look_failed(0.3)
+    control.look_failed(0.35)
+    if given_up:
+        control.look_failed(5.0)
+    control.runner_left(5.1, "i-1")
+    assert isinstance(control.losses.take_news()[-1], RunnerReturned)
--- a/testing/core/leased/test_retries.py
+++ b/testing/core/leased/test_retries.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 from paddleshunt_core.leased.catalog import Queue
 from paddleshunt_core.leased.jobs import JobRecord, JobRequest, TaskPhase, new_job
+from paddleshunt_core.leased.losses import KEEP_SECONDS
 from paddleshunt_core.leased.outcomes import GivenUp
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.retries import (
@@ -48,7 +49,7 @@
     retries = Retries()
     for number in range(runners):
         retries.learn(1.0, word(number, job), "t")
-    assert retries.outcome(job) == (given_up if runners >= LOST_RUNNERS else None)
+    assert retries.outcome(5.0, job) == (given_up if runners >= LOST_RUNNERS else None)
 
 
 @pytest.mark.parametrize("last", [loss, end])
@@ -58,10 +59,10 @@
     retries = Retries()
     retries.learn(1.0, end(0, job), "t")
     retries.learn(1.0, loss(1, job), "t")
-    assert retries.outcome(job) == GivenUp(SILENT_RUNNERS)
+    assert retries.outcome(5.0, job) == GivenUp(SILENT_RUNNERS)
     retries.learn(4.0, last(1, job), "t")
     known = GivenUp(ENDED_RUNNERS) if last is end else GivenUp(SILENT_RUNNERS)
-    assert retries.outcome(job) == known
+    assert retries.outcome(5.0, job) == known
 
 
 @pytest.mark.parametrize(
@@ -79,7 +80,7 @@
     job.tasks[1].losses = sessions
     for number in range(runners):
         retries.learn(1.0, loss(number, job), "t")
-    assert retries.outcome(job) == outcome
+    assert retries.outcome(5.0, job) == outcome
 
 
 def test_a_runner_that_is_only_silent_counts_for_nothing(job: JobRecord) -> None:
@@ -87,15 +88,15 @@
     for number in range(LOST_RUNNERS):
         silent = RunnerSilent(LossId(f"i-{number}", number), [job.tasks[1].id], ["q"], [10])
         assert retries.learn(1.0, silent, "t") == []
-    assert retries.outcome(job) is None
+    assert retries.outcome(5.0, job) is None
 
 
 def test_each_way_back_counts_against_one_bound(job: JobRecord) -> None:
     retries = Retries()
     job.tasks[0].retries = MOST_RETRIES - 1
-    assert retries.outcome(job) is None
+    assert retries.outcome(5.0, job) is None
     job.tasks[0].retries = MOST_RETRIES
-    assert retries.outcome(job) == GivenUp(RETRIES)
+    assert retries.outcome(5.0, job) == GivenUp(RETRIES)
 
 
 def test_a_runner_that_answers_again_gives_the_job_its_try_back(job: JobRecord) -> None:
@@ -103,7 +104,7 @@
     for number in range(LOST_RUNNERS):
         retries.learn(1.0, loss(number, job), "t")
     assert retries.learn(1.1, RunnerReturned(LossId("i-0", 0)), "t")
-    assert retries.outcome(job) is None
+    assert retries.outcome(5.0, job) is None
 
 
 def test_a_task_that_has_ended_well_is_held_against_nobody(job: JobRecord) -> None:
@@ -112,14 +113,14 @@
     job.tasks[1].phase = TaskPhase.DONE
     for number in range(LOST_RUNNERS):
         retries.learn(1.0, loss(number, job), "t")
-    assert retries.outcome(job) is None
+    assert retries.outcome(5.0, job) is None
 
 
 def test_the_line_names_the_runners_that_the_task_took_down(job: JobRecord) -> None:
     retries = Retries()
     for number in range(LOST_RUNNERS):
         retries.learn(1.0, loss(number, job), "t")
-    outcome = retries.outcome(job)
+    outcome = retries.outcome(5.0, job)
     assert outcome is not None
     line = retries.note_given_up(job, outcome)
     assert (line.event, line.submission) == ("job_given_up", "job")
@@ -149,4 +150,24 @@
             retries.learn(1.0 + number, other, "t")
         retries.learn(1.1 + number, loss(number, job), "t")
     given_up = GivenUp(SILENT_RUNNERS) if losses - shared >= LOST_RUNNERS else None
-    assert retries.outcome(job) == given_up
+    assert retries.outcome(5.0, job) == given_up
+
+
+def test_a_loss_counts_no_longer_than_it_is_remembered(job: JobRecord) -> None:
+    """Also where no further word comes."""
+    retries = Retries()
+    for number in range(LOST_RUNNERS):
+        retries.learn(1.0, loss(number, job), "t")
+    assert retries.outcome(0.9 + KEEP_SECONDS, job) == GivenUp(SILENT_RUNNERS)
+    assert retries.outcome(1.0 + KEEP_SECONDS, job) is None
+
+
+@pytest.mark.parametrize(("word", "kept"), [(loss, False), (end, True)], ids=["silent", "ended"])
+def test_lives_that_ended_are_remembered_while_their_job_is_handed_in(
+    word: Word, kept: bool, job: JobRecord
+) -> None:
+    retries = Retries()
+    for number in range(LOST_RUNNERS):
+        retries.learn(1.0, word(number, job), "t")
+    assert retries.handed_in(50.0, job) is not None
+    assert (retries.handed_in(70.0, job) is not None) == kept
--- a/testing/core/leased/test_runnerlosses.py
+++ b/testing/core/leased/test_runnerlosses.py
@@ -145,6 +145,19 @@
     assert losses.take_news() == [lost, replace(lost, ended=[TASKS[0]])]
 
 
+def test_one_lost_twice_in_one_silence_keeps_what_it_ended_with(
+    losses: RunnerLosses, at_work: RunTable
+) -> None:
+    losses.given_up(5.8, ACCOUNT, at_work)
+    late = RunTable()
+    run = Run(RunId(TaskId("c", 0, 0), 1), "e0", "spec", Resources(1000, 64), 0.4, 9.0, "late")
+    run.began = 5.9
+    late.add(run)
+    losses.given_up(6.6, ACCOUNT, late)
+    losses.replaced(8.4, ACCOUNT, RunTable())
+    assert ended(losses) == [[], [], [TASKS[0]]]
+
+
 def heartbeat(losses: RunnerLosses) -> None:
     losses.spoke()
 
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -33,9 +33,6 @@
 FAILED = "failed"
 """How a run ended by its own fault, and what a caller is told of a job with such a task."""
 
-ENDED_LIVES = 2
-"""Lives of runners that ended under a task, after which its job may be called failed."""
-
 
 @dataclass
 class RunSeen:
@@ -214,8 +211,7 @@
 
     def _has_failed(self, runs: list[RunSeen], now: float) -> bool:
         ways = [run.how for run in runs if run.end is not None and run.end <= now]
-        lives = ways.count(CRASHED) + ways.count(DIED)
-        return ways.count(FAILED) >= MAX_ATTEMPTS or lives >= ENDED_LIVES
+        return ways.count(FAILED) >= MAX_ATTEMPTS
 
     def _broken(self, rule: str, at: float, text: str) -> None:
         self.violations.append(Violation(rule, at, text))
