The soak's rule LOST allows `failed` only after failed ends

No process knows that a run ended with its runner (it may have been done unheard before), and none is told failed for that any more; so the soak finds it if one is. Before, two lives that had ended under a task were enough.

--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -33,9 +33,6 @@
 FAILED = "failed"
 """How a run ended by its own fault, and what a caller is told of a job with such a task."""
 
-ENDED_LIVES = 2
-"""Lives of runners that ended under a task, after which its job may be called failed."""
-
 
 @dataclass
 class RunSeen:
@@ -213,9 +210,9 @@
         self._broken("LOST", told.ended, f"{text}: {ways or 'none was started'}")
 
     def _has_failed(self, runs: list[RunSeen], now: float) -> bool:
+        """Whether a task's runs have; no process can know that one ended with its runner."""
         ways = [run.how for run in runs if run.end is not None and run.end <= now]
-        lives = ways.count(CRASHED) + ways.count(DIED)
-        return ways.count(FAILED) >= MAX_ATTEMPTS or lives >= ENDED_LIVES
+        return ways.count(FAILED) >= MAX_ATTEMPTS
 
     def _broken(self, rule: str, at: float, text: str) -> None:
         self.violations.append(Violation(rule, at, text))
--- a/testing/soak/test_record.py
+++ b/testing/soak/test_record.py
@@ -138,7 +138,7 @@
         ),
         pytest.param([ended(n, "lapsed") for n in range(1, 9)], ["LOST"], id="lapsed runs"),
         pytest.param([ended(1, CRASHED)], ["LOST"], id="one crash"),
-        pytest.param([ended(1, CRASHED), ended(2, DIED)], [], id="two ended lives"),
+        pytest.param([ended(1, CRASHED), ended(2, DIED)], ["LOST"], id="two ended lives"),
         pytest.param(
             [ended(1, CRASHED), ended(2, "lapsed")], ["LOST"], id="a crash and a lapsed run"
         ),
@@ -146,7 +146,9 @@
             [ended(1, DIED), ended(2, DIED, index=1)], ["LOST"], id="under two of its tasks"
         ),
         pytest.param(
-            [ended(1, DIED), ended(2, DIED, end=4.1)], ["LOST"], id="the second after the answer"
+            [ended(n, FAILED, end=4.1 if n == 3 else 2.0) for n in (1, 2, 3)],
+            ["LOST"],
+            id="the last failure after the answer",
         ),
     ],
 )
