--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -210,6 +210,7 @@
         self._broken("LOST", told.ended, f"{text}: {ways or 'none was started'}")
 
     def _has_failed(self, runs: list[RunSeen], now: float) -> bool:
+        """Whether a task's runs have; no process can know that one ended with its runner."""
         ways = [run.how for run in runs if run.end is not None and run.end <= now]
         return ways.count(FAILED) >= MAX_ATTEMPTS
 
--- a/testing/soak/test_record.py
+++ b/testing/soak/test_record.py
@@ -146,9 +146,9 @@
             [ended(1, DIED), ended(2, DIED, index=1)], ["LOST"], id="under two of its tasks"
         ),
         pytest.param(
-            [ended(1, FAILED), ended(2, FAILED), ended(3, FAILED, end=4.1)],
+            [ended(n, FAILED, end=4.1 if n == 3 else 2.0) for n in (1, 2, 3)],
             ["LOST"],
-            id="the last after the answer",
+            id="the last failure after the answer",
         ),
     ],
 )
