--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
@@ -157,7 +157,7 @@
         return [*self._by_task.get(task, ())]
 
     def ended(self, task: TaskId) -> list[str]:
-        """Return the lives that are known to have ended with a task at work on them."""
+        """Return the lives that are known to have ended since a task was seen at work on them."""
         lives = self._by_task.get(task, ())
         return [life for life in lives if task in self._losses[life].lost.ended]
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -19,7 +19,10 @@
 )
 
 SILENT = "silent"
+"""How a life was lost that gave no answer until its lease was over."""
+
 REPLACED = "replaced"
+"""How a life was lost in whose place another one answers."""
 
 
 @final
@@ -37,7 +40,7 @@
 
     A life that gives no answer until its lease is over may have ended, or be cut off, or stand
     still, or lose what it is asked. That it has ended is known once another life answers in its
-    place, and that it took its runs along if it gave no sign after these must have been over.
+    place; what its runs did after they were seen last is not known even then.
     """
 
     def __init__(self) -> None:
