Show which start of a runner a heartbeat and a list are of

Cause: a runner may start again under the id that it had, and no line told its lives apart. Change: `born` is read of heartbeats and lists; `heartbeat_late` says it, and whether the word that is passed over said that the runner leaves; `runner_answers` tells that another start answers looks. No decision goes by it yet.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -28,6 +28,8 @@
     """Seconds for which it stays slow yet, after its start."""
     kind: str = ""
     """The label that says what kind of host it is; empty if none does."""
+    born: int | None = None
+    """When this life started (ms since 1970), by its host's clock; None if it is not told."""
 
 
 @final
@@ -138,3 +140,5 @@
     partial: bool = False
     listed: int = 0
     unread_end: bool = False
+    born: int | None = None
+    """When the life that answered started (ms since 1970); None if it is not told."""
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -34,6 +34,7 @@
 from paddleshunt_core.leased.runnotes import (
     ended_note,
     lapsed_note,
+    late_note,
     rejected_note,
     resized_note,
 )
@@ -104,6 +105,8 @@
         self._last_seen = 0
         self._lease = RunnerLease(times)
         self._failed_looks = 0
+        self._listed_born: int | None = None
+        """Which start of the runner the last list was of, if it said so."""
         self._waited = 0.0
         """Seconds that the last look may have waited at the runner."""
         self._met = float("-inf")
@@ -156,7 +159,7 @@
         """Follow the runner's account of itself, unless it is late; it may be of another life."""
         if self.lives.judge(account) is Claim.LATE:
             self.lives.pass_over(account)
-            return [note("heartbeat_late", runner=account.runner, sequence=account.sequence)]
+            return [late_note(account, known=self._listed_born)]
         known = self.account
         if self._check_account.contradicts(known, account):
             return [contradiction_note(account)]
@@ -231,6 +234,10 @@
         if self._failed_looks >= UNREACHABLE_LOOKS:
             effects.append(note("runner_reachable"))
         self._failed_looks = 0
+        if answer.born is not None and answer.born != self._listed_born:
+            was, now_born = self._listed_born or 0, answer.born
+            effects.append(note("runner_answers", was_born_ms=was, born_ms=now_born))
+            self._listed_born = answer.born
         self.losses.answered()
         self._last_seen = max(self._last_seen, answer.listed)
         # This process may have stood still before it read the answer: it shows an earlier moment.
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
@@ -46,6 +46,21 @@
     return note("run_lapsed", str(run.id.task), **fields)
 
 
+def late_note(account: RunnerAccount, known: int | None) -> Log:
+    """Return the line on an account that is passed over; `known`: when the life that lists began.
+
+    0 stands for a start that was not told.
+    """
+    fields: dict[str, str | int | float] = {
+        "runner": account.runner,
+        "sequence": account.sequence,
+        "leaving": account.leaving,
+        "born_ms": account.born or 0,
+        "listed_born_ms": known or 0,
+    }
+    return note("heartbeat_late", **fields)
+
+
 def resized_note(account: RunnerAccount, before: Resources) -> Log:
     """Return the line that says what a runner that goes on running has now, and had before."""
     now = account.capacity
