Show that a runner which comes back under its id is taken for its last life

What callers saw: work was given to a runner 2 s after it had said that it leaves, and jobs took long, as tasks that had been done were told as lost and done again. Cause: the target compares ids alone; the heartbeats and ends of the next life are judged by the last one's numbers.

--- a/testing/council/councilsystem.py
+++ b/testing/council/councilsystem.py
@@ -50,6 +50,10 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.clock_from = 0.0
+        """When its clock began, in steady seconds."""
+        self.fence = 0
+        """The highest token that this life has seen."""
         self.tasks: dict[tuple[str, int], tuple[float, float]] = {}
         self.ends = 0
         """Ends listed so far; numbers only rise, also past those that were taken note of."""
@@ -59,8 +63,14 @@
     def answer(
         self, path: str, asked: dict[str, object], headers: dict[str, str]
     ) -> tuple[int, object] | None:
+        if headers.get("x-expected-instance", self.life) != self.life:
+            return super().answer(path, asked, headers)
         now = time.monotonic()
-        self.clock = int(now * 1000)
+        self.clock = int((now - self.clock_from) * 1000)
+        token = int(str(asked.get("fencing_token", 0)))
+        if token < self.fence:
+            return 409, {"clock_ms": self.clock, "reason": "fence"}
+        self.fence = token
         if path.endswith("/run-start"):
             key = (str(asked["task"]), int(str(asked["run"])))
             self.tasks[key] = (now, int(str(asked["spec"])) / 1000)
@@ -79,6 +89,14 @@
         ]
         return super().answer(path, asked, headers)
 
+    def come_back(self, born: int | None) -> None:
+        """Crash, and start again under the same id: nothing of before is known any more."""
+        self.born = born
+        self.clock_from = time.monotonic()
+        self.fence = self.ends = 0
+        self.tasks.clear()
+        self.finished = []
+
     def _end(self, key: tuple[str, int], how: str) -> None:
         if self.tasks.pop(key, None) is not None:
             self.ends += 1
--- a/testing/council/standins.py
+++ b/testing/council/standins.py
@@ -46,6 +46,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.life = "i-1"
+        self.born: int | None = None
+        """When this life started (ms since 1970), told with each answer; None to tell nothing."""
         self.clock = 5000
         self.status = 200
         self.reason = ""
@@ -61,6 +63,8 @@
         if headers.get("x-expected-instance", self.life) != self.life:
             return 421, {}
         content: dict[str, object] = {"clock_ms": self.clock, "reason": self.reason}
+        if self.born is not None:
+            content["born"] = self.born
         if path.endswith("/hold"):
             content |= {"running": self.running, "finished": self.finished}
         return self.status, content
