--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/accounts.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/accounts.py
@@ -21,7 +21,7 @@
     def contradicts(self, known: RunnerAccount | None, told: RunnerAccount) -> bool:
         """Whether `told` is to be passed over, as the known account says otherwise."""
         said, self._said = self._said, None
-        if known is None or known.runner != told.runner or _agree(known, told):
+        if known is None or not known.runner.agrees(told.runner) or _agree(known, told):
             return False
         if said is not None and said.runner == told.runner and _agree(said, told):
             return False
@@ -33,7 +33,7 @@
     """Return the line on an account that is passed over."""
     return note(
         "heartbeat_contradicts",
-        runner=account.runner,
+        runner=str(account.runner),
         service=shown(account.service),
         hall=shown(account.hall),
         labels=shown(",".join(account.labels)),
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -1,10 +1,11 @@
 """Which life of a runner a heartbeat speaks for: it may be late, or from a life that has ended.
 
 A cut can hold a heartbeat back until its sender has crashed and another life has registered at the
-same address. So only a life that is not known to have ended is followed, and one that would replace
-a known life is followed once the runner itself has said which of them it is. One that is denied so
-may be the next life all the same, which registers while the last one drains: it is heard again once
-that has ended.
+same address, under the same id even. So only a life that is not known to have ended is followed,
+and one that would replace a known life is followed once the runner itself has said which of them
+it is: its lists of runs say whose they are. Nothing else orders lives, as hosts' clocks may be set.
+One that is denied so may be the next life all the same, which registers while the last one drains:
+it is heard again once that has ended.
 
 A number far ahead may be another writer's: followed, it would make all that the life says seem
 late. So one counts only if the account of that life before it was as far ahead, and earlier.
@@ -15,6 +16,7 @@
 from typing import final
 
 from paddleshunt_core.leased.orders import RunnerAccount
+from paddleshunt_core.leased.runnerlife import RunnerLife
 
 PAST_LIVES = 32
 """Ended lives that are remembered: some per day, and a cut holds a heartbeat back for seconds."""
@@ -43,21 +45,26 @@
     """The lives of one runner: the one that is followed, and those that have ended."""
 
     def __init__(self) -> None:
-        self._current = ""
+        self._current: RunnerLife | None = None
         self._sequence = 0
         self._leap: int | None = None
         """The number of the last account, if it was far ahead of those before."""
-        self._past: deque[str] = deque(maxlen=PAST_LIVES)
-        self._denied: deque[str] = deque(maxlen=PAST_LIVES)
+        self._past: deque[RunnerLife] = deque(maxlen=PAST_LIVES)
+        self._denied: deque[RunnerLife] = deque(maxlen=PAST_LIVES)
         """Lives that the runner has denied to be while the followed one lives."""
 
+    @property
+    def current(self) -> RunnerLife | None:
+        """The life that is followed; it may not have given an account of itself yet."""
+        return self._current
+
     def judge(self, account: RunnerAccount) -> Claim:
         """Return what an account that has just come is worth."""
-        if account.runner in self._past:
+        if self._has_ended(account.runner):
             return Claim.LATE
-        if not self._current:
+        if self._current is None:
             return Claim.NEW
-        if account.runner != self._current:
+        if not self._current.agrees(account.runner):
             return Claim.LATE if account.runner in self._denied else Claim.DOUBTFUL
         if 0 < account.sequence <= self._sequence or not self._goes_on(account):
             return Claim.LATE
@@ -71,34 +78,48 @@
 
     def pass_over(self, account: RunnerAccount) -> None:
         """Note an account that was judged late: the next one may go on from a number far ahead."""
-        if account.runner != self._current or account.sequence <= self._sequence:
+        if not self.is_current(account.runner) or account.sequence <= self._sequence:
             return
         if self._leap is None or not 0 <= self._leap - account.sequence <= MOST_SKIPPED:
             self._leap = account.sequence
 
+    def is_current(self, life: RunnerLife) -> bool:
+        """Whether a life may be the one that is followed, as far as both are told."""
+        return self._current is not None and self._current.agrees(life)
+
     def follow(self, account: RunnerAccount) -> None:
         """Follow the life that an account is of."""
-        if account.runner != self._current:
-            self.end()
-        self._current = account.runner
+        self.answered_as(account.runner)
         self._leap = None
         self._sequence = max(self._sequence, account.sequence)
 
+    def answered_as(self, life: RunnerLife) -> None:
+        """Follow the life that the runner itself has said to be."""
+        if not self.is_current(life):
+            self.end()
+            self._current = life
+        elif life.born:
+            self._current = life
+
     def end(self, *, answered: bool = True) -> None:
         """Note that the followed life has ended; one that never `answered` may yet come."""
-        if self._current and answered:
+        if self._current is not None and answered:
             self.note_ended(self._current)
-        self._current = ""
+        self._current = None
         self._sequence = 0
         self._leap = None
         self._denied.clear()
 
-    def deny(self, runner: str) -> None:
+    def deny(self, life: RunnerLife) -> None:
         """Note that the runner says it is not this life: it may be the one after the followed."""
-        if runner not in self._denied:
-            self._denied.append(runner)
+        if life not in self._denied:
+            self._denied.append(life)
 
-    def note_ended(self, runner: str) -> None:
+    def note_ended(self, life: RunnerLife) -> None:
         """Note that a life has ended; it is never followed again."""
-        if runner not in self._past:
-            self._past.append(runner)
+        if life not in self._past:
+            self._past.append(life)
+
+    def _has_ended(self, life: RunnerLife) -> bool:
+        """Whether a life is known to have ended; one that doesn't tell its start goes by its id."""
+        return life in self._past or (not life.born and any(map(life.agrees, self._past)))
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/losses.py
@@ -12,6 +12,7 @@
 
 from msgspec.structs import replace
 
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import LossId, LossNews, RunnerLost, RunnerReturned, TaskId
 
 KEEP_SECONDS = 60.0
@@ -68,10 +69,10 @@
     """
 
     def __init__(self) -> None:
-        self._losses: dict[str, _Known] = {}
+        self._losses: dict[RunnerLife, _Known] = {}
         """By life, in the order in which they were learned."""
-        self._by_task: dict[TaskId, list[str]] = {}
-        self._answered: dict[str, _Answered] = {}
+        self._by_task: dict[TaskId, list[RunnerLife]] = {}
+        self._answered: dict[RunnerLife, _Answered] = {}
 
     def follow(self, now: float, news: LossNews) -> bool:
         """Follow a word on a lost runner; return whether it was news. A silent one is none."""
@@ -85,7 +86,7 @@
         One that is known is news once its life is known to have ended.
         """
         self.expire(now)
-        life, silent_ms = lost.loss.runner, lost.loss.silent_ms
+        life, silent_ms = lost.loss.life, lost.loss.silent_ms
         if self._has_answered(lost.loss):
             return False
         at = now - lost.ago_ms / 1000
@@ -113,13 +114,13 @@
         self.expire(now)
         if self._has_answered(loss):
             return False
-        self._answered.pop(loss.runner, None)
-        self._answered[loss.runner] = _Answered(now, loss.silent_ms)
+        self._answered.pop(loss.life, None)
+        self._answered[loss.life] = _Answered(now, loss.silent_ms)
         if len(self._answered) > MOST_RETURNED:
             del self._answered[next(iter(self._answered))]
-        known = self._losses.get(loss.runner)
+        known = self._losses.get(loss.life)
         if known is not None and known.lost.loss.silent_ms <= loss.silent_ms:
-            self._forget(loss.runner)
+            self._forget(loss.life)
         return True
 
     def all(self, now: float) -> list[LossNews]:
@@ -129,7 +130,7 @@
         """
         self.expire(now)
         answered = [
-            RunnerReturned(LossId(life, last.silent_ms)) for life, last in self._answered.items()
+            RunnerReturned(LossId.of(life, last.silent_ms)) for life, last in self._answered.items()
         ]
         known = self._losses.values()
         return [
@@ -152,16 +153,16 @@
         for life in self.ended(task):
             self._losses[life] = replace_field(self._losses[life], kept=now)
 
-    def runners(self, task: TaskId) -> list[str]:
+    def runners(self, task: TaskId) -> list[RunnerLife]:
         """Return the lives of runners that were lost under a task; each may yet answer again."""
         return [*self._by_task.get(task, ())]
 
-    def ended(self, task: TaskId) -> list[str]:
+    def ended(self, task: TaskId) -> list[RunnerLife]:
         """Return the lives that are known to have ended since a task was seen at work on them."""
         lives = self._by_task.get(task, ())
         return [life for life in lives if task in self._losses[life].lost.ended]
 
-    def was_shared(self, life: str, job: str) -> bool:
+    def was_shared(self, life: RunnerLife, job: str) -> bool:
         """Whether a life was lost together with others that had no task of a job."""
         at = self._losses[life].at
         others = [
@@ -174,10 +175,10 @@
 
     def _has_answered(self, loss: LossId) -> bool:
         """Whether the life is known to have answered since that loss."""
-        answered = self._answered.get(loss.runner)
+        answered = self._answered.get(loss.life)
         return answered is not None and loss.silent_ms <= answered.silent_ms
 
-    def _forget(self, life: str) -> None:
+    def _forget(self, life: RunnerLife) -> None:
         for task in self._losses.pop(life).lost.tasks:
             known = self._by_task[task]
             known.remove(life)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import RunId
 
 
@@ -13,7 +14,7 @@
 class RunnerAccount:
     """What a runner says of itself: its life, pool, size and whether it is leaving."""
 
-    runner: str
+    runner: RunnerLife
     service: str
     hall: str
     capacity: Resources
@@ -28,8 +29,6 @@
     """Seconds for which it stays slow yet, after its start."""
     kind: str = ""
     """The label that says what kind of host it is; empty if none does."""
-    born: int | None = None
-    """When this life started (ms since 1970), by its host's clock; None if it is not told."""
 
 
 @final
@@ -132,6 +131,7 @@
     `partial`: some of it could not be read, so a run that it doesn't show may be there as well.
     `listed` is the highest number of an end that it lists, also of one that is no run of ours.
     `unread_end`: it lists an end of which the run could not be read, so any run may have ended.
+    `born` says which life of the id that was asked gave it (ms since 1970); 0: that is not told.
     """
 
     sent: float
@@ -140,5 +140,4 @@
     partial: bool = False
     listed: int = 0
     unread_end: bool = False
-    born: int | None = None
-    """When the life that answered started (ms since 1970); None if it is not told."""
+    born: int = 0
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
@@ -78,7 +78,7 @@
         account = control.account
         return RunnerReport(
             service=account.service if account else "",
-            runner=account.runner if account else "",
+            runner=account.runner.id if account else "",
             state=control.state() if link.retired is None else RunnerState.LEAVING,
             health=control.level,
             capacity=account.capacity if account else NOTHING,
@@ -86,6 +86,7 @@
             labels=account.labels if account else (),
             cold_ms=round(control.cold(now) * 1000),
             kind=account.kind if account else "",
+            born=account.runner.born if account else 0,
         )
 
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/retries.py
@@ -59,7 +59,7 @@
         """
         if isinstance(news, RunnerSilent) or not self._losses.follow(now, news):
             return []
-        runner = news.loss.runner
+        runner = str(news.loss.life)
         if isinstance(news, RunnerReturned):
             return [note("runner_return_learned", runner=runner, source=source)]
         tasks, ended = len(news.tasks), len(news.ended)
@@ -90,8 +90,8 @@
             task = spent[0]
             fields |= {
                 "index": task.id.index,
-                "runners": ",".join(self._losses.runners(task.id)),
-                "ended": ",".join(self._losses.ended(task.id)),
+                "runners": ",".join(map(str, self._losses.runners(task.id))),
+                "ended": ",".join(map(str, self._losses.ended(task.id))),
                 "losses": task.losses,
                 "retries": task.retries,
             }
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -30,6 +30,7 @@
 )
 from paddleshunt_core.leased.resources import NOTHING, Resources
 from paddleshunt_core.leased.runnerlease import RunnerLease
+from paddleshunt_core.leased.runnerlife import RunnerLife, as_told
 from paddleshunt_core.leased.runnerlosses import RunnerLosses
 from paddleshunt_core.leased.runnotes import (
     ended_note,
@@ -105,8 +106,6 @@
         self._last_seen = 0
         self._lease = RunnerLease(times)
         self._failed_looks = 0
-        self._listed_born: int | None = None
-        """Which start of the runner the last list was of, if it said so."""
         self._waited = 0.0
         """Seconds that the last look may have waited at the runner."""
         self._met = float("-inf")
@@ -159,17 +158,17 @@
         """Follow the runner's account of itself, unless it is late; it may be of another life."""
         if self.lives.judge(account) is Claim.LATE:
             self.lives.pass_over(account)
-            return [late_note(account, known=self._listed_born)]
+            return [late_note(account, self.lives.current)]
         known = self.account
         if self._check_account.contradicts(known, account):
             return [contradiction_note(account)]
         effects: list[Effect] = []
-        if known is not None and known.runner != account.runner:
-            effects += self._runner_replaced(now, account.runner)
-        if known is None or known.runner != account.runner:
-            self.clean = False
-            self._met = now
-        else:
+        if not self.lives.is_current(account.runner):
+            if self.lives.current is not None:
+                effects += self._runner_replaced(now, account.runner)
+            self._meet(now)
+            known = None
+        elif known is not None:
             self.losses.spoke()
         self.account = account
         self.lives.follow(account)
@@ -177,7 +176,7 @@
         if known is not None and known.capacity != account.capacity:
             effects.append(resized_note(account, known.capacity))
         if account.leaving and not (known and known.leaving):
-            effects.append(note("runner_leaving", runner=account.runner))
+            effects.append(note("runner_leaving", runner=str(account.runner)))
         return effects
 
     def cold(self, now: float) -> float:
@@ -192,16 +191,23 @@
         if not account.cold or was_cold:
             return []
         left = round(account.cold * 1000)
-        return [note("runner_cold", runner=account.runner, left_ms=left)]
+        return [note("runner_cold", runner=str(account.runner), left_ms=left)]
 
-    def runner_left(self, now: float, runner: str) -> list[Effect]:
+    def runner_left(self, now: float, life: RunnerLife) -> list[Effect]:
         """Take the runner's word that it ends now."""
-        self.lives.note_ended(runner)
-        if self.account is None or self.account.runner != runner:
+        current = self.lives.current
+        if current is None or not current.agrees(life):
+            self.lives.note_ended(life)
             return []
-        # What still runs there ends with a runner that left as it said: none of it took it down.
-        self.account = replace(self.account, leaving=True)
-        return self._runner_replaced(now, "")
+        if self.account is not None:
+            # What still runs there ends with a runner that left as it said: it took nothing down.
+            self.account = replace(self.account, leaving=True)
+        if current.born and not life.born:
+            # It may be the late word of an earlier life: nothing is started until the runner says
+            # otherwise, and what runs goes on until looks show that it has ended.
+            return [note("runner_leaving", runner=str(current))]
+        self.lives.note_ended(life)
+        return self._runner_replaced(now, None)
 
     def next_look(self, now: float, *, renew: bool) -> Look:
         """Return the look to send now; it counts as sent, and renews if an entry's session lives.
@@ -230,14 +236,28 @@
 
     def looked(self, now: float, answer: LookAnswer) -> list[Effect]:
         """Take the runner's lists of what runs and what has ended."""
-        effects: list[Effect] = []
-        if self._failed_looks >= UNREACHABLE_LOOKS:
-            effects.append(note("runner_reachable"))
+        effects = self._reached()
+        life = self._life_of(answer)
+        if life is not None and not self.lives.is_current(life):
+            # What it was asked was meant for the last life: its lists are read with the next look.
+            return effects + self._runner_replaced(now, life, answered=self.clean)
+        if life is not None:
+            self.lives.answered_as(life)
+        return effects + self._read_lists(now, answer)
+
+    def _reached(self) -> list[Effect]:
+        """Note that the runner answered."""
+        was_unreachable = self._failed_looks >= UNREACHABLE_LOOKS
         self._failed_looks = 0
-        if answer.born is not None and answer.born != self._listed_born:
-            was, now_born = self._listed_born or 0, answer.born
-            effects.append(note("runner_answers", was_born_ms=was, born_ms=now_born))
-            self._listed_born = answer.born
+        return [note("runner_reachable")] if was_unreachable else []
+
+    def _life_of(self, answer: LookAnswer) -> RunnerLife | None:
+        """Return the life that gave an answer, if it says so."""
+        current = self.lives.current
+        return RunnerLife(current.id, answer.born) if current and answer.born else None
+
+    def _read_lists(self, now: float, answer: LookAnswer) -> list[Effect]:
+        effects: list[Effect] = []
         self.losses.answered()
         self._last_seen = max(self._last_seen, answer.listed)
         # This process may have stood still before it read the answer: it shows an earlier moment.
@@ -260,10 +280,9 @@
         return effects + self._leave_hung(now, shown)
 
     def look_failed(self, now: float, *, other_life: bool = False) -> list[Effect]:
-        """Take a renewal that got no answer, or the answer that another life runs there."""
+        """Take a renewal that got no answer, or the answer that another id runs there."""
         if other_life:
-            # A life that has never answered may be the next one, which the last one makes wait.
-            return self._runner_replaced(now, "", answered=self.clean)
+            return self._runner_replaced(now, None, answered=self.clean)
         effects: list[Effect] = []
         self.losses.unanswered(now)
         self._failed_looks += 1
@@ -291,7 +310,7 @@
             case StartAnswer.UNKNOWN:
                 return self._doubt(now, run)
             case StartAnswer.OTHER_LIFE:
-                return self._runner_replaced(now, "")
+                return self._runner_replaced(now, None)
             case StartAnswer.UNHEALTHY:
                 self.health.suspect(now)
             case _:
@@ -483,23 +502,35 @@
             effects.append(StopRun(id_))
         return effects
 
-    def _runner_replaced(self, now: float, runner: str, *, answered: bool = True) -> list[Effect]:
-        """End all that an earlier life of the runner had: it died with it."""
-        was = self.account.runner if self.account else ""
-        effects: list[Effect] = [note("runner_replaced", was=was, now=runner)]
+    def _runner_replaced(
+        self, now: float, life: RunnerLife | None, *, answered: bool = True
+    ) -> list[Effect]:
+        """End all that an earlier life of the runner had: it died with it.
+
+        `life`: the one that is known to answer in its place, if any is. An earlier life that has
+        never `answered` may be the next one, which the last one makes wait.
+        """
+        was = self.lives.current
+        effects: list[Effect] = [note("runner_replaced", was=as_told(was), now=as_told(life))]
         effects += self.losses.replaced(now, self.account, self.table)
         for run in self.table:
             effects += self._ended(run, End.LOST, "runner_replaced")
         self.health = RunnerHealth(self._cold_overrun)
         self._cold_until = float("-inf")
         self._last_seen = 0
-        self.clean = False
         self._foreign = set()
+        self.account = None
         self.lives.end(answered=answered)
-        if not runner:
-            self.account = None
+        self._meet(now)
+        if life is not None:
+            self.lives.answered_as(life)
         return effects
 
+    def _meet(self, now: float) -> None:
+        """Start nothing before a look that is sent from now on shows nothing foreign at work."""
+        self.clean = False
+        self._met = now
+
     def _ended(self, run: Run, end: End, reason: str) -> list[Effect]:
         self.table.drop(run)
         return [self._tell(run, end, reason)]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -107,7 +107,7 @@
         else:
             # It said meanwhile that it ends: its silence was no sign of a loss.
             self._take_back()
-        runner = account.runner if account else ""
+        runner = str(account.runner) if account else ""
         return runner_lost_note(runner, how, self._since(now), table)
 
     def _tell(self, now: float, account: RunnerAccount, table: RunTable, *, ended: bool) -> None:
@@ -131,7 +131,7 @@
         return now if self._silent_since is None else self._silent_since
 
     def _loss(self, now: float, account: RunnerAccount) -> LossId:
-        return LossId(account.runner, int(self._since(now) * 1000))
+        return LossId.of(account.runner, int(self._since(now) * 1000))
 
     def _at_work(self, now: float, table: RunTable) -> tuple[list[TaskId], list[str], list[int]]:
         """Return the tasks at work in order, the queue of each, and its milliseconds of work.
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnotes.py
@@ -5,6 +5,7 @@
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.orders import RunnerAccount
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife, as_told
 from paddleshunt_core.leased.runtable import Run
 from paddleshunt_core.leased.wire import End
 
@@ -46,17 +47,13 @@
     return note("run_lapsed", str(run.id.task), **fields)
 
 
-def late_note(account: RunnerAccount, known: int | None) -> Log:
-    """Return the line on an account that is passed over; `known`: when the life that lists began.
-
-    0 stands for a start that was not told.
-    """
+def late_note(account: RunnerAccount, known: RunnerLife | None) -> Log:
+    """Return the line on an account that is passed over; `known`: the life that is followed."""
     fields: dict[str, str | int | float] = {
-        "runner": account.runner,
+        "runner": str(account.runner),
         "sequence": account.sequence,
         "leaving": account.leaving,
-        "born_ms": account.born or 0,
-        "listed_born_ms": known or 0,
+        "known": as_told(known),
     }
     return note("heartbeat_late", **fields)
 
@@ -65,7 +62,7 @@
     """Return the line that says what a runner that goes on running has now, and had before."""
     now = account.capacity
     fields: dict[str, str | int | float] = {
-        "runner": account.runner,
+        "runner": str(account.runner),
         "processor": now.processor,
         "processor_before": before.processor,
         "memory": now.memory,
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -6,6 +6,7 @@
 
 from paddleshunt_core.leased.bounds import LeaseTimes
 from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.wire import Frame, Health, RunId, RunnerReport, RunnerState
 
@@ -61,14 +62,14 @@
     cold_until: float = 0.0
     """When its runner was, or will be, warm after its start."""
 
-    runner: str = ""
+    runner: RunnerLife | None = None
     """The life of its runner that reported last."""
 
     def take_report(self, now: float, report: RunnerReport) -> None:
         """Adopt a report; another life of the runner has yet to show how it differs."""
-        if self.runner != report.runner:
+        if self.runner != report.life:
             self.deviation = 1.0
-            self.runner = report.runner
+            self.runner = report.life
         # One that says it is warm stays known to have been cold until now, at the latest.
         cold_until = now + report.cold_ms / 1000
         self.cold_until = cold_until if report.cold_ms else min(self.cold_until, now)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -11,6 +11,7 @@
 from paddleshunt_core.leased.catalog import Catalog
 from paddleshunt_core.leased.evacuation import EvacuatedHalls
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife
 
 
 @final
@@ -129,7 +130,7 @@
 
     `labels` say what kind of host the runner's is, and in which rack it stands; `kind` is the one
     of them that is no rack, empty if none is. `cold_ms` is how much longer it stays slow after its
-    start; 0 once it is warm.
+    start; 0 once it is warm. `runner` and `born` name its life.
     """
 
     service: str
@@ -141,6 +142,12 @@
     labels: tuple[str, ...] = ()
     cold_ms: int = 0
     kind: str = ""
+    born: int = 0
+
+    @property
+    def life(self) -> RunnerLife:
+        """The life of the runner that it is about."""
+        return RunnerLife(self.runner, self.born)
 
 
 @final
@@ -195,10 +202,24 @@
 
 @final
 class LossId(msgspec.Struct, frozen=True, array_like=True):
-    """A loss of a runner: its life, and since when it was silent by its target's steady clock."""
+    """A loss of a runner: since when it was silent by its target's steady clock, and its life.
+
+    `born` comes last, so that processes of the version before read the rest.
+    """
 
     runner: str
     silent_ms: int
+    born: int = 0
+
+    @property
+    def life(self) -> RunnerLife:
+        """The life of the runner that was lost."""
+        return RunnerLife(self.runner, self.born)
+
+    @classmethod
+    def of(cls, life: RunnerLife, silent_ms: int) -> "LossId":
+        """Return the loss of a life."""
+        return cls(life.id, silent_ms, life.born)
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -18,6 +18,7 @@
 from paddleshunt_core.leased.orders import Look, LookAnswer, RunnerAccount, StartAnswer
 from paddleshunt_core.leased.reporting import Reporter
 from paddleshunt_core.leased.runnercontrol import Effect, RunnerControl
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.runtable import Run
 from paddleshunt_core.leased.session import Session, good_echo_age
 from paddleshunt_core.leased.standstill import StandStill
@@ -94,7 +95,7 @@
         """Return a summary of the state for a dump."""
         control = self._control
         return {
-            "runner": control.account.runner if control.account else "",
+            "runner": str(control.account.runner) if control.account else "",
             "runs": len(control.table),
             "free": control.free(),
             "health": control.health.level(now).name,
@@ -217,17 +218,22 @@
         """Return what an account of the runner is worth."""
         return self._control.lives.judge(account)
 
-    def life_denied(self, runner: str) -> None:
+    @property
+    def life(self) -> RunnerLife | None:
+        """The life of the runner that is followed."""
+        return self._control.lives.current
+
+    def life_denied(self, life: RunnerLife) -> None:
         """Note that the runner says it is not this life: it has ended, or is yet to come."""
-        self._control.lives.deny(runner)
+        self._control.lives.deny(life)
 
     def runner_spoke(self, now: float, account: RunnerAccount) -> list[Effect]:
         """Take the runner's account of itself."""
         return self._control.runner_spoke(now, account)
 
-    def runner_left(self, now: float, runner: str) -> list[Effect]:
+    def runner_left(self, now: float, life: RunnerLife) -> list[Effect]:
         """Take the runner's word that it ends now."""
-        return self._control.runner_left(now, runner)
+        return self._control.runner_left(now, life)
 
     def next_look(self, now: float) -> Look:
         """Return the look to send now; it counts as sent.
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -16,6 +16,7 @@
     StopRun,
 )
 from paddleshunt_core.leased.outcomes import JobOutcome
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import EntryAddress
 
 from paddleshunt_node.aio.httpserver import Request, Response
@@ -28,7 +29,7 @@
 @final
 @dataclass(frozen=True, slots=True)
 class OtherLife:
-    """Another life of the runner answered than the one meant."""
+    """A runner of another id answered than the one meant."""
 
 
 @final
@@ -40,8 +41,8 @@
 class RunnerPort(Protocol):
     """The runner beside a target."""
 
-    def expect(self, runner: str) -> None:
-        """Mean this life of the runner with what follows; empty for any."""
+    def expect(self, life: RunnerLife | None) -> None:
+        """Mean this life of the runner with what follows; None for any."""
 
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         """Order a start, unless `may_send` says no right before the order leaves."""
@@ -49,8 +50,8 @@
     async def stop(self, order: StopRun) -> bool:
         """Order a stop; return whether the runner confirmed it."""
 
-    async def lives(self, runner: str) -> bool | None:
-        """Ask whether this life of the runner is the one there; None: no answer."""
+    async def lives(self, life: RunnerLife) -> bool | None:
+        """Ask whether this life of the runner is the one there; None: that isn't said."""
 
     async def look(self, look: Look) -> LookAnswer | OtherLife | Superseded | None:
         """Renew the lease and look at what runs; None: no answer."""
@@ -103,9 +104,9 @@
 @final
 @dataclass(frozen=True, slots=True)
 class RunnerEnds:
-    """A runner's word that it ends now."""
+    """A runner's word that it ends now; an id alone may be of any of its lives."""
 
-    runner: str
+    runner: RunnerLife
 
 
 class RegistrationCodec(Protocol):
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -13,6 +13,7 @@
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
 from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.runnercontrol import Effect
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import Entries, EntryAddress, EntryChanges, Frame, Hello
 from paddleshunt_core.leased.worker import Worker
 
@@ -101,8 +102,12 @@
         self._names: dict[str, str] = {}
         """Entries by the address at which they were met."""
         self._said: dict[PeerLink, float] = {}
-        self._claims: dict[str, RunnerAccount] = {}
+        self._claims: dict[RunnerLife, RunnerAccount] = {}
         """Accounts of other lives than the known one that the runner has not confirmed."""
+        self._life_meant: RunnerLife | None = None
+        """The life that orders and looks are meant for."""
+        self._changes = 0
+        """How often that has changed."""
         self._choice = EntryChoice(config.name, config.hall)
         self._dialer = Dialer(
             self, config.address, self._times.session, self._may_dial, self._dial_failed
@@ -210,8 +215,8 @@
         """Follow the runner's account of itself."""
         if self._worker.judge(account) in (Claim.NEW, Claim.DOUBTFUL):
             self._claims.clear()
-            self._runner.expect(account.runner)
-            self._around.event("runner_found", runner=account.runner, service=account.service)
+            name = str(account.runner)
+            self._around.event("runner_found", runner=name, service=account.service)
         self._act(self._worker.runner_spoke(self._now(), account))
 
     async def _confirm(self, account: RunnerAccount) -> None:
@@ -220,24 +225,34 @@
         Without an answer, or if it is denied, the claim stays until the known life is found to have
         ended: it may be the next one, which registers while this one drains.
         """
+        changes = self._changes
         answer = await self._runner.lives(account.runner)
+        if changes != self._changes:
+            # It may be of before that change; a claim that stands has been asked about again.
+            return
         account = self._claims.get(account.runner, account)
-        claim = self._worker.judge(account)
         event = {True: "life_confirmed", False: "life_denied", None: "life_unanswered"}[answer]
-        self._around.event(event, runner=account.runner)
+        self._around.event(event, runner=str(account.runner))
+        claim = self._worker.judge(account)
         if answer is False:
             self._worker.life_denied(account.runner)
-        elif claim is Claim.NEW or (answer and claim is Claim.DOUBTFUL):
+        elif claim in (Claim.NEW, Claim.CURRENT) or (answer and claim is Claim.DOUBTFUL):
             self._follow(account)
 
-    def _life_ended(self) -> None:
-        """Expect any life; ask again for one that had no answer while the last one was known."""
-        self._runner.expect("")
+    def _meet_life(self) -> None:
+        """Mean the life that is followed now, if it is another one; ask again about claims."""
+        life = self._worker.life
+        if life == self._life_meant:
+            return
+        self._life_meant = life
+        self._changes += 1
+        self._runner.expect(life)
         for account in list(self._claims.values()):
             self._around.spawn(self._confirm(account))
 
     def _runner_ends(self, now: float, ends: RunnerEnds) -> None:
-        self._around.event("runner_left", runner=ends.runner)
+        self._around.event("runner_left", runner=str(ends.runner))
+        self._claims.pop(ends.runner, None)
         self._act(self._worker.runner_left(now, ends.runner))
 
     async def _look_for_ever(self) -> None:
@@ -260,8 +275,6 @@
             if isinstance(answer, Superseded):
                 continue
             self._act(self._worker.look_failed(now, other_life=isinstance(answer, OtherLife)))
-            if isinstance(answer, OtherLife):
-                self._life_ended()
             # The first failure may be one lost answer, and the lease is running: look at once.
             failures += 1
             if failures > 1:
@@ -299,6 +312,7 @@
         self._act(self._worker.stop_answered(self._now(), order.run, done=done))
 
     def _act(self, effects: list[Effect]) -> None:
+        self._meet_life()
         for effect in effects:
             match effect:
                 case StartRun():
--- a/testing/core/leased/test_crashes.py
+++ b/testing/core/leased/test_crashes.py
@@ -160,7 +160,7 @@
         fleet.run(0.3)
         name = busy_runner(fleet)
         runner = fleet.runners[name]
-        life = f"{name}-{runner.life}"
+        life = runner.named(name)
         runner.crash()
         fleet.workers[name].runner_left(fleet.now, life)
     fleet.run(3.0)
--- a/testing/core/leased/test_incarnations.py
+++ b/testing/core/leased/test_incarnations.py
@@ -8,11 +8,12 @@
 from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.runnercontrol import RunnerControl
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import RunnerState
 
 ROOM = Resources(8000, 8000)
-FIRST = RunnerAccount("i-1", "svc", "hall", ROOM, False, None, sequence=5)
-NEXT = replace(FIRST, runner="i-2", sequence=1)
+FIRST = RunnerAccount(RunnerLife("i-1"), "svc", "hall", ROOM, False, None, sequence=5)
+NEXT = replace(FIRST, runner=RunnerLife("i-2"), sequence=1)
 
 
 @pytest.mark.parametrize(
@@ -134,3 +135,73 @@
     found = control()
     assert found.runner_left(3.0, FIRST.runner) == []
     assert found.account == NEXT
+
+
+def born(start: int, sequence: int = 1) -> RunnerAccount:
+    """Return an account of a life of `FIRST`'s id that tells its start."""
+    return replace(FIRST, runner=RunnerLife(FIRST.runner.id, start), sequence=sequence)
+
+
+def known(start: int) -> RunnerControl:
+    """Return the control of a runner whose life has said 9 and has answered a look."""
+    found = RunnerControl(lease_times(Bounds()))
+    found.runner_spoke(1.0, born(start, 9))
+    found.looked(1.1, LookAnswer(1.05, [], [], born=start))
+    return found
+
+
+@pytest.mark.parametrize("start", [6000, 4000], ids=["later", "clock_set_back"])
+def test_another_life_under_the_same_id_has_to_be_confirmed(start: int) -> None:
+    assert known(5000).lives.judge(born(start)) is Claim.DOUBTFUL
+
+
+def test_a_word_that_tells_no_start_goes_by_its_id() -> None:
+    assert known(5000).lives.judge(replace(FIRST, sequence=9)) is Claim.LATE
+    assert known(5000).lives.judge(replace(FIRST, sequence=10)) is Claim.CURRENT
+
+
+@pytest.mark.parametrize("start", [6000, 4000], ids=["later", "clock_set_back"])
+def test_the_lists_decide_which_life_of_an_id_is_there(start: int) -> None:
+    found = known(5000)
+    found.looked(2.1, LookAnswer(2.0, [], [], born=start))
+    assert found.lives.current == RunnerLife("i-1", start)
+    assert found.account is None
+    assert found.state() is RunnerState.DOWN
+    assert found.lives.judge(born(5000, 10)) is Claim.LATE
+    assert found.lives.judge(born(7000)) is Claim.DOUBTFUL
+    found.runner_spoke(2.2, born(start))
+    assert found.state() is RunnerState.READY
+
+
+def test_ends_are_acknowledged_anew_in_each_life() -> None:
+    found = known(5000)
+    found.looked(1.3, LookAnswer(1.2, [], [], listed=57, born=5000))
+    assert found.next_look(1.4, renew=False).last_seen == 57
+    found.looked(2.1, LookAnswer(2.0, [], [], born=6000))
+    assert found.next_look(2.2, renew=False).last_seen == 0
+
+
+def test_a_life_heard_of_before_the_one_that_answers_may_be_yet_to_come() -> None:
+    """The heartbeat of the next life may come before the last one's answer to a look is read."""
+    found = RunnerControl(lease_times(Bounds()))
+    found.runner_spoke(1.0, born(6000))
+    found.looked(1.1, LookAnswer(1.05, [], [], born=5000))
+    assert found.lives.current == RunnerLife("i-1", 5000)
+    assert found.lives.judge(born(6000, 2)) is Claim.DOUBTFUL
+
+
+def test_an_id_that_has_left_serves_again_in_its_next_life() -> None:
+    found = known(5000)
+    found.runner_left(2.0, RunnerLife("i-1", 5000))
+    assert found.lives.judge(born(5000, 10)) is Claim.LATE
+    assert found.lives.judge(born(6000)) is Claim.NEW
+
+
+def test_a_word_of_an_end_that_names_no_start_is_believed_until_the_runner_says_otherwise() -> None:
+    """It may be the late word of an earlier life under the id: what runs must go on."""
+    found = known(5000)
+    found.runner_left(2.0, RunnerLife("i-1"))
+    assert found.lives.current == RunnerLife("i-1", 5000)
+    assert found.state() is RunnerState.LEAVING
+    found.runner_spoke(2.5, born(5000, 10))
+    assert found.state() is RunnerState.READY
--- a/testing/core/leased/test_losswords.py
+++ b/testing/core/leased/test_losswords.py
@@ -17,6 +17,7 @@
     SILENT_RUNNERS,
     Retries,
 )
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import LossId, LossNews, RunnerLost, RunnerReturned, TaskId
 
 LIVES = 4
@@ -24,7 +25,7 @@
 QUEUE = Queue("q", "host", "/q/", "svc")
 EXAMPLES = 500
 
-State = dict[TaskId, tuple[set[str], set[str]]]
+State = dict[TaskId, tuple[set[RunnerLife], set[RunnerLife]]]
 """Of each task the lives that count as lost under it, and those known to have ended so."""
 
 
@@ -32,7 +33,7 @@
 class Life:
     """What became of one life: when it fell silent, with what at work, and how that ended."""
 
-    name: str
+    name: RunnerLife
     silences: list[tuple[int, list[TaskId]]]
     """It answered again after each but the last."""
     answered: bool
@@ -45,7 +46,7 @@
         said: list[LossNews] = []
         last = len(self.silences) - 1
         for number, (silent_ms, tasks) in enumerate(self.silences):
-            loss = LossId(self.name, silent_ms)
+            loss = LossId.of(self.name, silent_ms)
             said.append(RunnerLost(loss, tasks))
             if number < last or self.answered:
                 said.append(RunnerReturned(loss))
@@ -54,6 +55,11 @@
         return said
 
 
+def named(number: int) -> RunnerLife:
+    """Return the name of a life: each second one bears an id again, with a clock set back."""
+    return RunnerLife(f"i-{number // 2}", 1000 - number)
+
+
 @st.composite
 def lives(draw: st.DrawFn) -> list[Life]:
     found = []
@@ -64,7 +70,7 @@
         answered = draw(st.booleans())
         known = [task for task in silences[-1][1] if draw(st.booleans())]
         ended = known if not answered and draw(st.booleans()) else None
-        found.append(Life(f"i-{number}", silences, answered, ended))
+        found.append(Life(named(number), silences, answered, ended))
     return found
 
 
@@ -90,9 +96,9 @@
 def expected(words: Iterable[LossNews]) -> State:
     """Work out what counts: of each life its latest silence, if no answer after it was told of."""
     state: State = {task: (set(), set()) for task in TASKS}
-    by_life: dict[str, list[LossNews]] = {}
+    by_life: dict[RunnerLife, list[LossNews]] = {}
     for word in words:
-        by_life.setdefault(word.loss.runner, []).append(word)
+        by_life.setdefault(word.loss.life, []).append(word)
     for life, about in by_life.items():
         answered = [word.loss.silent_ms for word in about if isinstance(word, RunnerReturned)]
         last = max(word.loss.silent_ms for word in about)
@@ -143,9 +149,9 @@
     truth, words = case
     book = told(words)
     for life in truth:
-        about = [word for word in words if word.loss.runner == life.name]
+        about = [word for word in words if word.loss.life == life.name]
         moment, tasks = life.silences[-1]
-        if RunnerReturned(LossId(life.name, moment)) in about:
+        if RunnerReturned(LossId.of(life.name, moment)) in about:
             tasks = []
         elif not any(word.loss.silent_ms == moment for word in about):
             continue
@@ -176,7 +182,7 @@
 
 
 def says_ended(words: list[LossNews], life: Life) -> bool:
-    return any(isinstance(w, RunnerLost) and w.ended and w.loss.runner == life.name for w in words)
+    return any(isinstance(w, RunnerLost) and w.ended and w.loss.life == life.name for w in words)
 
 
 @settings(max_examples=EXAMPLES, deadline=None)
--- a/testing/core/leased/test_release.py
+++ b/testing/core/leased/test_release.py
@@ -60,7 +60,7 @@
         self.fleet.runners[name].leaving = True
         self.run(HEARD_SECONDS)
         self.run(DRAIN_SECONDS, watched=name)
-        life = f"{name}-{self.fleet.runners[name].life}"
+        life = self.fleet.runners[name].named(name)
         worker = self.fleet.workers[name]
         self.fleet._act_target(name, worker.runner_left(self.fleet.now, life))
 
--- a/testing/council/test_late_heartbeats.py
+++ b/testing/council/test_late_heartbeats.py
@@ -8,6 +8,7 @@
 from paddleshunt_core.leased.incarnations import Claim
 from paddleshunt_core.leased.orders import RunnerAccount
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife
 
 KEY = "5c0e7a21d94b36f8"
 HEARTBEAT = "/paddleshunt/Instances.Heartbeat/"
@@ -19,7 +20,9 @@
 
 
 def of_next(sequence: int) -> RunnerAccount:
-    return RunnerAccount("i-2", "svc", "hall", Resources(), False, None, sequence=sequence)
+    return RunnerAccount(
+        RunnerLife("i-2"), "svc", "hall", Resources(), False, None, sequence=sequence
+    )
 
 
 async def in_second_life(system: System) -> None:
--- a/testing/council/test_late_looks.py
+++ b/testing/council/test_late_looks.py
@@ -7,6 +7,7 @@
 from councilsystem import System, play
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.orders import Look, LookAnswer, StartAnswer, StartRun, StopRun
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_node.aio.ports import OtherLife, RunnerPort, Superseded
 
 BOUNDS = Bounds()
@@ -21,8 +22,8 @@
         self.seconds = seconds
         self._started = 0
 
-    def expect(self, runner: str) -> None:
-        self._port.expect(runner)
+    def expect(self, life: RunnerLife | None) -> None:
+        self._port.expect(life)
 
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         answer = await self._port.start(order, may_send)
--- a/testing/council/test_outside.py
+++ b/testing/council/test_outside.py
@@ -62,6 +62,7 @@
     "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
     "labels": ["a"],
     "sequence": 4,
+    "born": 1764734759000,
 }
 STEP: Word = {"count": 4, "cpu": 500, "mem_mb": 256, "gpu": 0, "estimated_ms": 900}
 JOB: Word = {
@@ -94,6 +95,7 @@
 REPLY: Word = {
     "clock_ms": 5000,
     "reason": "",
+    "born": 1764734759000,
     "running": [[NAME, 2, "", 41, 3], [NAME, 3, "", 5, 3]],
     "finished": [[58, NAME, 1, "done", ""]],
 }
@@ -179,7 +181,7 @@
     request = Request("POST", path + runner, {}, body)
     read = Registration(refused.append).read(request)
     if isinstance(read, RunnerAccount | RunnerEnds):
-        assert is_runner_id(read.runner) and not refused
+        assert is_runner_id(read.runner.id) and not refused
     else:
         assert isinstance(read, Response) and read.status == 400 and refused
 
--- a/testing/council/test_registration.py
+++ b/testing/council/test_registration.py
@@ -6,6 +6,7 @@
 from paddleshunt_core.leased.orders import RunnerAccount
 from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_council.registration import DEREGISTER, HEARTBEAT, Registration
 from paddleshunt_node.aio.httpserver import Request, Response
 from paddleshunt_node.aio.ports import RunnerEnds
@@ -23,7 +24,7 @@
 
 def test_a_heartbeat_is_an_account() -> None:
     assert read("/paddleshunt/Instances.Heartbeat/i-7", BEAT) == RunnerAccount(
-        "i-7",
+        RunnerLife("i-7"),
         "s",
         "hall",
         Resources(16000, 32768, 1),
@@ -36,8 +37,30 @@
     )
 
 
-def test_a_runner_says_that_it_ends() -> None:
-    assert read("/paddleshunt/Instances.Deregister/i-7") == RunnerEnds("i-7")
+@pytest.mark.parametrize(
+    ("body", "born"), [(b"", 0), (b"{}", 0), (b'{"born":17}', 17)], ids=["empty", "untold", "told"]
+)
+def test_a_runner_says_that_it_ends(body: bytes, born: int) -> None:
+    ends = read("/paddleshunt/Instances.Deregister/i-7", body)
+    assert ends == RunnerEnds(RunnerLife("i-7", born))
+
+
+ODD_STARTS = [b"null", b'"17"', b"1.5", b"-1", b"true", b"[17]", b"9" * 30]
+
+
+@pytest.mark.parametrize("born", ODD_STARTS, ids=bytes.decode)
+@pytest.mark.parametrize("path", [HEARTBEAT, DEREGISTER])
+def test_a_word_whose_start_is_odd_is_refused(path: str, born: bytes) -> None:
+    body = BEAT.replace(b'"sequence":4', b'"sequence":4,"born":' + born)
+    answer = read(path + "i-7", body)
+    assert isinstance(answer, Response)
+    assert answer.status == 400
+
+
+def test_a_heartbeat_names_its_life() -> None:
+    account = read(HEARTBEAT + "i-7", beat(born=17))
+    assert isinstance(account, RunnerAccount)
+    assert account.runner == RunnerLife("i-7", 17)
 
 
 @pytest.mark.parametrize(
--- a/testing/council/test_returning.py
+++ b/testing/council/test_returning.py
@@ -10,6 +10,9 @@
 
 Proof: the target's lines had `heartbeat_late` for each heartbeat from the start on, one with the
 word that it leaves among them, and neither `runner_replaced` nor `runner_leaving`.
+
+Cause: an identity that was none. A life is its id and its start now, and the runner's own lists say
+which life is there; clocks order nothing, as the second return here, with a clock set back, shows.
 """
 
 import asyncio
--- a/testing/council/test_standstill.py
+++ b/testing/council/test_standstill.py
@@ -6,6 +6,7 @@
 from councilsystem import System, play, until_true
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.orders import Look, LookAnswer, StartAnswer, StartRun, StopRun
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_node.aio.ports import OtherLife, RunnerPort, Superseded
 
 BOUNDS = Bounds()
@@ -25,8 +26,8 @@
         self.orders: list[StartRun] = []
         self.answers: list[StartAnswer] = []
 
-    def expect(self, runner: str) -> None:
-        self._port.expect(runner)
+    def expect(self, life: RunnerLife | None) -> None:
+        self._port.expect(life)
 
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         self.orders.append(order)
--- a/testing/council/test_withdrawn.py
+++ b/testing/council/test_withdrawn.py
@@ -11,6 +11,7 @@
 import pytest
 from councilsystem import System, play, until_true
 from paddleshunt_core.leased.orders import Look, LookAnswer, StartAnswer, StartRun, StopRun
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_node.aio.httpclient import Answer
 from paddleshunt_node.aio.ports import OtherLife, RunnerPort, Superseded
 
@@ -28,8 +29,8 @@
         self.waiting = 0
         self.opened = asyncio.Event()
 
-    def expect(self, runner: str) -> None:
-        self._port.expect(runner)
+    def expect(self, life: RunnerLife | None) -> None:
+        self._port.expect(life)
 
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         self.waiting += 1
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -24,6 +24,7 @@
 )
 from paddleshunt_core.leased.outcomes import Failed, HandOn, JobOutcome
 from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import Frame, Hello, SpeedNews, TaskId
 from paddleshunt_core.leased.worker import Worker
 
@@ -52,6 +53,14 @@
     """Whether the entry owes the target an answer."""
 
 
+@dataclass(frozen=True)
+class Call:
+    """What a target's call bears: the life that it means, none for any, and its token."""
+
+    life: RunnerLife | None
+    token: int
+
+
 @dataclass
 class Node:
     """A process: up, frozen or down."""
@@ -77,7 +86,8 @@
         bounds: Bounds | None = None,
         capacity: Resources = CAPACITY,
     ) -> None:
-        self.times = lease_times(bounds or Bounds())
+        self.bounds = bounds or Bounds()
+        self.times = lease_times(self.bounds)
         self.now = 0.0
         self.lengths: dict[str, float] = {}
         self.entries = {f"e{n}": Node(f"e{n}") for n in range(entries)}
@@ -91,7 +101,10 @@
         self.answers: dict[int, JobOutcome] = {}
         self.answered_at: dict[int, float] = {}
         self.events: list[tuple[float, str, str]] = []
-        self._late_orders: list[tuple[float, str, StartRun]] = []
+        self._late_orders: list[tuple[float, str, Call, StartRun]] = []
+        self._calls = dict.fromkeys(self.targets, Call(None, 1))
+        self._meant: dict[tuple[str, str], RunnerLife] = {}
+        """The last life that a target meant by an id; the token rises when it returns."""
         self._requests: dict[str, JobRequest] = {}
         self._queues: dict[str, Queue] = {}
         self.wrongly_failed: list[str] = []
@@ -159,6 +172,7 @@
                     self._hear_speeds(name, dispatcher.speeds.known(), other)
         else:
             self.workers[name] = Worker(self.times)
+            self._calls[name] = Call(None, self._calls[name].token)
 
     def freeze(self, name: str) -> None:
         self._node(name).frozen = True
@@ -355,7 +369,7 @@
         if runner.up and self.now >= self._beats.get(name, 0.0):
             self._beats[name] = self.now + 0.3
             account = RunnerAccount(
-                f"{name}-{runner.life}",
+                runner.named(name),
                 "svc",
                 "hall",
                 runner.capacity,
@@ -368,15 +382,47 @@
             self._act_target(name, worker.runner_spoke(self.now, account))
         self._act_target(name, worker.tick(self.now))
         look = worker.next_look(self.now)
-        account_life = worker.account.runner if worker.account else ""
+        call = self._call(name)
         if not runner.up or runner.mute:
             self._act_target(name, worker.look_failed(self.now))
-        elif account_life not in ("", f"{name}-{runner.life}"):
+        elif call.life is not None and not call.life.shares_id(runner.named(name)):
             self._act_target(name, worker.look_failed(self.now, other_life=True))
+        elif not runner.hears(call.token):
+            self._act_target(name, worker.look_failed(self.now))
         else:
-            answer = runner.look(self.now, look.last_seen, look.until)
+            until = None if look.until is None else self._until(name, call, look.until)
+            answer = runner.look(self.now, look.last_seen, until)
             self._act_target(name, worker.looked(self.now + STEP / 2, answer))
 
+    def _call(self, name: str) -> Call:
+        """Return what a call that a target makes now bears: the life it means, and its token."""
+        life, last = self.workers[name].life, self._calls[name]
+        if life != last.life:
+            before = None if life is None else self._meant.get((name, life.id))
+            returned = life is not None and before is not None and not life.agrees(before)
+            self._calls[name] = Call(life, last.token + returned)
+            if life is not None:
+                self._meant[name, life.id] = life
+        return self._calls[name]
+
+    def _until(self, name: str, call: Call, until: float) -> float:
+        """Return until when a runner takes a lease that was meant for a life's clock.
+
+        Another life's clock starts anew: it is far behind, and the lease is cut to the longest.
+        """
+        meant, runner = call.life, self.runners[name]
+        if meant is None or meant == runner.named(name):
+            return until
+        return self.now + self.bounds.hold_max
+
+    def _start(self, name: str, call: Call, order: StartRun) -> StartAnswer:
+        """Let a runner carry an order out that was meant so."""
+        runner = self.runners[name]
+        if call.life is not None and not call.life.shares_id(runner.named(name)):
+            return StartAnswer.OTHER_LIFE
+        meant = replace(order, until=self._until(name, call, order.until))
+        return runner.start(self.now, meant, call.token)
+
     def _act_target(self, name: str, effects: list[object]) -> None:
         runner = self.runners[name]
         worker = self.workers[name]
@@ -387,12 +433,12 @@
                     answer = StartAnswer.WITHDRAWN
                 elif runner.late is not None:
                     due = self.now + runner.late
-                    self._late_orders.append((due, name, effect))
+                    self._late_orders.append((due, name, self._call(name), effect))
                     answer = StartAnswer.UNKNOWN
                 elif not runner.up or runner.mute:
                     answer = StartAnswer.UNKNOWN
                 else:
-                    answer = runner.start(self.now, effect)
+                    answer = self._start(name, self._call(name), effect)
                     if runner.loses_answers:
                         answer = StartAnswer.UNKNOWN
                 self._act_target(name, worker.start_answered(self.now, effect.run, answer))
@@ -446,6 +492,6 @@
         due = [order for order in self._late_orders if order[0] <= self.now]
         for order in due:
             self._late_orders.remove(order)
-            _, name, start = order
+            _, name, call, start = order
             if self.runners[name].up:
-                self.runners[name].start(self.now, start)
+                self._start(name, call, start)
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -12,8 +12,12 @@
     StartRun,
 )
 from paddleshunt_core.leased.resources import NOTHING, Resources
+from paddleshunt_core.leased.runnerlife import RunnerLife
 from paddleshunt_core.leased.wire import RunId, TaskId
 
+FIRST_BORN = 1_764_000_000_000
+"""When the first lives started, in milliseconds since 1970."""
+
 COLD_OVERRUN = 1.5
 """How many times as long a task takes on a cold runner."""
 
@@ -78,6 +82,12 @@
         self.needs: dict[RunId, Resources] = {}
         self.up = True
         self.life = 1
+        self.id_number = 1
+        """Rises with each life that has an id of its own."""
+        self.born = FIRST_BORN
+        """When this life started, by its host's clock; 0 if the runner doesn't tell."""
+        self.token = 0
+        """The highest token that this life has seen."""
         self.speed = 1.0
         self.cold_until = 0.0
         """Until when it works at 1 / `COLD_OVERRUN` of its speed, as after a start."""
@@ -111,18 +121,36 @@
         self.ended: set[RunId] = set()
         self.lease_until = 0.0
         self.count = 0
+        self.token = 0
 
     def crash(self) -> None:
         self.clear()
         self.up = False
 
-    def restart(self) -> None:
+    def restart(self, *, same_id: bool = False, later_ms: int = 1000) -> None:
+        """Start another life, which bears the old id or a new one.
+
+        Its host's clock says that it started so much later; earlier, if the clock was set back.
+        """
         self.clear()
         self.up = True
         self.leaving = False
         self.life += 1
+        self.id_number += not same_id
+        self.born += later_ms if self.born else 0
         self.crashed_at = None
 
+    def named(self, name: str) -> RunnerLife:
+        """Return what the runner of a target says it is."""
+        return RunnerLife(f"{name}-{self.id_number}", self.born)
+
+    def hears(self, token: int) -> bool:
+        """Take note of a call's token; return whether the call is in force."""
+        if token < self.token:
+            return False
+        self.token = token
+        return True
+
     @property
     def used(self) -> Resources:
         total = NOTHING
@@ -144,9 +172,11 @@
             if task.done >= task.length:
                 self._end(run, RunEnd.FAILED if self.fails else RunEnd.DONE)
 
-    def start(self, now: float, order: StartRun) -> StartAnswer:
+    def start(self, now: float, order: StartRun, token: int | None = None) -> StartAnswer:
         if self.refuses:
             return StartAnswer.NOT_SENT
+        if token is not None and not self.hears(token):
+            return StartAnswer.FENCED
         if now > order.until:
             return StartAnswer.LATE
         self.lease_until = max(self.lease_until, order.until)
@@ -181,7 +211,7 @@
             RunningRun(run, min(99, int(100 * task.done / task.length)))
             for run, task in self.running.items()
         ]
-        return LookAnswer(sent, running, list(self.finished))
+        return LookAnswer(sent, running, list(self.finished), born=self.born)
 
     def _end(self, run: RunId, end: RunEnd) -> None:
         del self.running[run]
