--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -445,7 +445,7 @@
             elif isinstance(effect, StopRun):
                 done = runner.up and not runner.mute and not runner.loses_stops
                 if done:
-                    runner.stop(effect.run)
+                    runner.stop(self.now, effect.run)
                 self._act_target(name, worker.stop_answered(self.now, effect.run, done=done))
             else:
                 self._note(effect)
--- a/testing/leasedrunner.py
+++ b/testing/leasedrunner.py
@@ -100,6 +100,8 @@
         self.refuses = False
         self.loses_answers = False
         self.loses_stops = False
+        self.stop_seconds = 0.0
+        """Seconds for which a run works on after an order to stop it."""
         self.late: float | None = None
         self.starts: Counter[TaskId] = Counter()
         self.rejected = 0
@@ -117,6 +119,8 @@
 
     def clear(self) -> None:
         self.running: dict[RunId, RunnerTask] = {}
+        self.stopping: dict[RunId, float] = {}
+        """When a run that was told to stop ends."""
         self.finished: list[FinishedRun] = []
         self.ended: set[RunId] = set()
         self.lease_until = 0.0
@@ -162,6 +166,9 @@
         if now > self.lease_until:
             for run in list(self.running):
                 self._end(run, RunEnd.LAPSED)
+        for run, end in list(self.stopping.items()):
+            if now >= end and run in self.running:
+                self._end(run, RunEnd.STOPPED)
         for run, task in list(self.running.items()):
             task.done += seconds * self.speed / (COLD_OVERRUN if now < self.cold_until else 1.0)
             if task.done >= self.crashes.after.get(run.task, float("inf")):
@@ -198,10 +205,13 @@
         self.running[run] = RunnerTask(need, self.lengths[run.task.job])
         return StartAnswer.STARTED
 
-    def stop(self, run: RunId) -> None:
-        if run in self.running:
+    def stop(self, now: float, run: RunId) -> None:
+        if run not in self.running:
+            self.ended.add(run)
+        elif self.stop_seconds:
+            self.stopping.setdefault(run, now + self.stop_seconds)
+        else:
             self._end(run, RunEnd.STOPPED)
-        self.ended.add(run)
 
     def look(self, sent: float, last_seen: int, until: float | None) -> LookAnswer:
         if until is not None:
@@ -215,6 +225,7 @@
 
     def _end(self, run: RunId, end: RunEnd) -> None:
         del self.running[run]
+        self.stopping.pop(run, None)
         self.crashes.failed[run.task] += end is RunEnd.FAILED
         self.ended.add(run)
         self.count += 1
