Keep a runner's last life's runs until the next one under its id has shown what it has

What callers saw: in the core's fleet, a task of theirs was at work at two runners at once. Cause: an order on its way when a runner crashes is carried out by the next life of its id, and its run was told as lost before that life had said what it runs. Change: such runs count as stopping until a look with a higher token has an answer; what it lists is stopped, what it doesn't list is lost. They are no loss of the next life. A lease that a stray order may have brought counts as the longest there is. What a target gives up for silence is superseded: the token rises, so that an order that is still on its way is refused by whatever life hears the next call first. Why it holds: a runner does nothing for a token below the highest it has seen, so an answered look of the higher token parts what was carried out from what never will be. Left open: an order that reaches the next life before any call does, after its run was given up for silence.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/bounds.py
@@ -93,6 +93,16 @@
     session: float
     hold: float
     stop: float
+    hold_max: float
+
+    @property
+    def strayed(self) -> float:
+        """Longest lease in seconds that a runner takes by an order for its life before.
+
+        That life's clock was ahead, so all that bounds it is `hold_max`, by a clock that may be
+        slow for longer than `overrun` allows for.
+        """
+        return self.hold_max + (self.hold_max - self.hold) * CLOCK_DRIFT
 
     @property
     def reply_pause(self) -> float:
@@ -178,4 +188,5 @@
             f"resend {bounds.resend} s, hold {bounds.hold_max} s and stop {bounds.stop} s"
             " leave no time for leases"
         )
-    return LeaseTimes(session / HEARTBEATS_A_SESSION, session, hold, bounds.stop)
+    heartbeat = session / HEARTBEATS_A_SESSION
+    return LeaseTimes(heartbeat, session, hold, bounds.stop, bounds.hold_max)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/orders.py
@@ -56,7 +56,13 @@
     run: RunId
 
 
-Order = StartRun | StopRun
+@final
+@dataclass(frozen=True, slots=True)
+class Supersede:
+    """Have the runner refuse what it was ordered until now and has not carried out yet."""
+
+
+Order = StartRun | StopRun | Supersede
 
 
 class StartAnswer(Enum):
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -19,6 +19,7 @@
     StartAnswer,
     StartRun,
     StopRun,
+    Supersede,
 )
 from paddleshunt_core.leased.progress import (
     HUNG_RUNS,
@@ -269,16 +270,40 @@
         for run in self.table:
             if answer.unread_end:
                 run.note_unread_end()
-            if run.id in running:
+            if run.outlived:
+                effects += self._look_for_outlived(now, run, answer, listed=run.id in running)
+            elif run.id in running:
                 effects += self._progressed(now, shown, run, running[run.id])
-            elif answer.partial:
-                continue
-            elif run.doubted is not None and run.doubted < answer.sent:
-                effects += stop(now, run, End.NOT_STARTED, "start_unanswered")
-            elif run.settled is not None and run.settled < answer.sent:
-                effects += self._vanished(run)
+            elif not answer.partial:
+                effects += self._look_for(now, run, answer)
         return effects + self._leave_hung(now, shown)
 
+    def _look_for(self, now: float, run: Run, answer: LookAnswer) -> list[Effect]:
+        """Decide on a run that a full list doesn't show."""
+        if run.doubted is not None and run.doubted < answer.sent:
+            return [*stop(now, run, End.NOT_STARTED, "start_unanswered")]
+        if run.settled is not None and run.settled < answer.sent:
+            return self._vanished(run)
+        return []
+
+    def _look_for_outlived(
+        self, now: float, run: Run, answer: LookAnswer, *, listed: bool
+    ) -> list[Effect]:
+        """Decide on a run that was ordered of the life before; an order may be carried out late.
+
+        A look that the present life has answered bore a higher token, so what it doesn't show by
+        then never begins there. Until then the task must not be placed elsewhere.
+        """
+        if listed:
+            self._lease.may_have_strayed(now)
+            run.outlived = False
+            run.settled = None
+            run.ordered = now
+            return [StopRun(run.id)]
+        if answer.partial or answer.sent < self._met:
+            return []
+        return self._ended(run, End.LOST, "runner_replaced")
+
     def look_failed(self, now: float, *, other_life: bool = False) -> list[Effect]:
         """Take a renewal that got no answer, or the answer that another id runs there."""
         if other_life:
@@ -294,6 +319,8 @@
             for run in self.table:
                 effects.append(lapsed_note(run, self._lease.over_for(now)))
                 effects += self._ended(run, End.LOST, "lease_lapsed")
+            # An order that is still on its way may reach a life whose clock starts anew.
+            effects.append(Supersede())
         return effects
 
     def start_answered(self, now: float, id_: RunId, answer: StartAnswer) -> list[Effect]:
@@ -309,7 +336,7 @@
                 return self._no_room(run)
             case StartAnswer.UNKNOWN:
                 return self._doubt(now, run)
-            case StartAnswer.OTHER_LIFE:
+            case StartAnswer.OTHER_LIFE if not run.outlived:
                 return self._runner_replaced(now, None)
             case StartAnswer.UNHEALTHY:
                 self.health.suspect(now)
@@ -507,14 +534,22 @@
     ) -> list[Effect]:
         """End all that an earlier life of the runner had: it died with it.
 
+        An order that is on its way may be carried out by the next life if that bears the same id.
+
         `life`: the one that is known to answer in its place, if any is. An earlier life that has
         never `answered` may be the next one, which the last one makes wait.
         """
         was = self.lives.current
         effects: list[Effect] = [note("runner_replaced", was=as_told(was), now=as_told(life))]
         effects += self.losses.replaced(now, self.account, self.table)
+        strays = life is not None and was is not None and was.shares_id(life)
         for run in self.table:
-            effects += self._ended(run, End.LOST, "runner_replaced")
+            if strays:
+                run.outlive(now)
+            else:
+                effects += self._ended(run, End.LOST, "runner_replaced")
+        if strays:
+            self._lease.may_have_strayed(now)
         self.health = RunnerHealth(self._cold_overrun)
         self._cold_until = float("-inf")
         self._last_seen = 0
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlease.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlease.py
@@ -40,6 +40,10 @@
         """Note that an order brings the runner a lease until `end`."""
         self._end = max(self._end, end)
 
+    def may_have_strayed(self, now: float) -> None:
+        """Note that the runner's next life may by now have carried an order out for the last."""
+        self._end = max(self._end, now + self._times.strayed)
+
     def stood_still(self, seconds: float) -> None:
         """Note that the runner's clock may not have moved for so long, as its host was suspended.
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -8,7 +8,7 @@
 from paddleshunt_core.events import Log
 from paddleshunt_core.leased.orders import RunnerAccount
 from paddleshunt_core.leased.runnotes import runner_lost_note
-from paddleshunt_core.leased.runtable import RunTable
+from paddleshunt_core.leased.runtable import Run, RunTable
 from paddleshunt_core.leased.wire import (
     LossId,
     LossNews,
@@ -78,7 +78,7 @@
 
     def silent(self, now: float, account: RunnerAccount | None, table: RunTable) -> None:
         """Note that looks in a row had no answer, with runs at work: it may have been lost."""
-        if account is not None and not account.leaving and len(table):
+        if account is not None and not account.leaving and _own(table):
             self._told = self._loss(now, account)
             self._news.append(RunnerSilent(self._told, *self._at_work(now, table)))
 
@@ -88,7 +88,7 @@
 
     def replaced(self, now: float, account: RunnerAccount | None, table: RunTable) -> list[Log]:
         """Note that the life that was known has ended; it won't answer again."""
-        logs = [self._lose(now, account, table, REPLACED)] if len(table) else []
+        logs = [self._lose(now, account, table, REPLACED)] if _own(table) else []
         if account is not None and account.leaving:
             # It said meanwhile that it ends: its silence was no sign of a loss.
             self._take_back()
@@ -108,12 +108,12 @@
             # It said meanwhile that it ends: its silence was no sign of a loss.
             self._take_back()
         runner = str(account.runner) if account else ""
-        return runner_lost_note(runner, how, self._since(now), table)
+        return runner_lost_note(runner, how, self._since(now), _own(table))
 
     def _tell(self, now: float, account: RunnerAccount, table: RunTable, *, ended: bool) -> None:
         self._told = self._loss(now, account)
         lost = RunnerLost(self._told, *self._at_work(now, table))
-        known = {run.id.task for run in table if run.at_work}
+        known = {run.id.task for run in _own(table) if run.at_work}
         at_work = [task for task in lost.tasks if task in known]
         if ended:
             self._news.append(replace(lost, ended=at_work))
@@ -139,8 +139,13 @@
         What was ordered after the first look without an answer did not take the runner down.
         """
         since = self._since(now)
-        began = (run for run in table if run.began < since or self._silent_since is None)
+        began = (run for run in _own(table) if run.began < since or self._silent_since is None)
         newest = {run.id.task: run for run in sorted(began, key=lambda run: run.began)}
         tasks = sorted(newest)
         worked = [max(0, round((since - newest[task].began) * 1000)) for task in tasks]
         return tasks, [newest[task].queue for task in tasks], worked
+
+
+def _own(table: RunTable) -> list[Run]:
+    """Return the runs that are the known life's own: none that the life before it was ordered."""
+    return [run for run in table if not run.outlived]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -57,6 +57,17 @@
     may_have_ended: bool = False
     """Whether an end was listed that may be its own: it can't be said to have never run."""
 
+    outlived: bool = False
+    """Whether the life that it was ordered of has ended, and the next one may have it yet."""
+
+    def outlive(self, now: float) -> None:
+        """Note that its life has ended: if the next one under the same id has it, it must stop."""
+        self.phase = Phase.STOPPING
+        self.unwanted = self.settled = now
+        self.doubted = None
+        self.ending = End.LOST
+        self.outlived = True
+
     def note_unread_end(self) -> None:
         """Note that an end was listed of which the run could not be read."""
         self.may_have_ended = True
@@ -72,7 +83,7 @@
 
 @final
 class RunTable:
-    """All runs of one runner's life."""
+    """All runs of one runner."""
 
     def __init__(self) -> None:
         self._runs: dict[RunId, Run] = {}
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -44,6 +44,9 @@
     def expect(self, life: RunnerLife | None) -> None:
         """Mean this life of the runner with what follows; None for any."""
 
+    def supersede(self) -> None:
+        """Have the runner refuse what it was ordered until now, once the next call reaches it."""
+
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         """Order a start, unless `may_send` says no right before the order leaves."""
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -10,7 +10,13 @@
 from paddleshunt_core.leased.entrychoice import EntryChoice
 from paddleshunt_core.leased.incarnations import Claim
 from paddleshunt_core.leased.linkpressure import PressureLevel
-from paddleshunt_core.leased.orders import LookAnswer, RunnerAccount, StartRun, StopRun
+from paddleshunt_core.leased.orders import (
+    LookAnswer,
+    RunnerAccount,
+    StartRun,
+    StopRun,
+    Supersede,
+)
 from paddleshunt_core.leased.refusals import Refusal
 from paddleshunt_core.leased.runnercontrol import Effect
 from paddleshunt_core.leased.runnerlife import RunnerLife
@@ -319,6 +325,8 @@
                     self._around.spawn(self._start_run(effect))
                 case StopRun():
                     self._around.spawn(self._stop_run(effect))
+                case Supersede():
+                    self._runner.supersede()
                 case Log():
                     self._log(effect)
         self._flush_soon()
--- a/testing/council/test_late_looks.py
+++ b/testing/council/test_late_looks.py
@@ -25,6 +25,9 @@
     def expect(self, life: RunnerLife | None) -> None:
         self._port.expect(life)
 
+    def supersede(self) -> None:
+        self._port.supersede()
+
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         answer = await self._port.start(order, may_send)
         self._started += answer is StartAnswer.STARTED
--- a/testing/council/test_standstill.py
+++ b/testing/council/test_standstill.py
@@ -29,6 +29,9 @@
     def expect(self, life: RunnerLife | None) -> None:
         self._port.expect(life)
 
+    def supersede(self) -> None:
+        self._port.supersede()
+
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         self.orders.append(order)
         seconds, self._seconds = self._seconds, 0.0
--- a/testing/council/test_withdrawn.py
+++ b/testing/council/test_withdrawn.py
@@ -32,6 +32,9 @@
     def expect(self, life: RunnerLife | None) -> None:
         self._port.expect(life)
 
+    def supersede(self) -> None:
+        self._port.supersede()
+
     async def start(self, order: StartRun, may_send: Callable[[], bool]) -> StartAnswer:
         self.waiting += 1
         await self.opened.wait()
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -21,6 +21,7 @@
     StartAnswer,
     StartRun,
     StopRun,
+    Supersede,
 )
 from paddleshunt_core.leased.outcomes import Failed, HandOn, JobOutcome
 from paddleshunt_core.leased.resources import Resources
@@ -447,6 +448,9 @@
                 if done:
                     runner.stop(self.now, effect.run)
                 self._act_target(name, worker.stop_answered(self.now, effect.run, done=done))
+            elif isinstance(effect, Supersede):
+                call = self._call(name)
+                self._calls[name] = replace(call, token=call.token + 1)
             else:
                 self._note(effect)
 
