Acknowledge a runner's word that it leaves only if it is followed

What callers saw: work on a runner after it had been told that its leaving was taken note of. Cause: all heartbeats were answered 200, also those that were passed over; and another writer's number up to 1,000 ahead made all that the runner said late for as many heartbeats, its leaving and its room too. Change: a passed-over word that its runner leaves is answered 503. A number more than 16 ahead counts only if the next one goes on from it (it was 1,000). Why it holds: an acknowledgement is given only when the word is in force or kept with the claim of a life that is yet to be confirmed; a runner without one says it again, with a higher number.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -22,9 +22,12 @@
 """Ended lives that are remembered: some per day, and a cut holds a heartbeat back for seconds."""
 
 
-MOST_SKIPPED = 1000
-"""Accounts of a life that may go missing in a row: a quarter of an hour of one per second. A life
-that counts in wider steps is followed with each second account."""
+MOST_SKIPPED = 16
+"""Accounts of a life that may go missing in a row: some 20 s, longer than cuts usually last.
+
+After a longer one the second account is followed, and so is each second one of a life that counts
+in wider steps. For so many accounts another writer's number can make the life's own seem late.
+"""
 
 
 class Claim(Enum):
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -120,3 +120,6 @@
 
     def acknowledge(self) -> Response:
         """Return the answer that takes note of it."""
+
+    def pass_over(self) -> Response:
+        """Return the answer to an account that nothing follows from; it is to be said again."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -206,11 +206,18 @@
             if len(self._claims) > MOST_CLAIMS:
                 del self._claims[next(iter(self._claims))]
             self._around.spawn(self._confirm(read))
-        else:
-            self._refresh_claim(read)
-            self._follow(read)
+        elif not self._take_account(read) and read.leaving:
+            # An acknowledgement would bind: without one the runner says it again.
+            exchange.respond(self._codec.pass_over())
+            return
         exchange.respond(self._codec.acknowledge())
 
+    def _take_account(self, account: RunnerAccount) -> bool:
+        """Follow an account, or keep it with a claim; return whether either was done."""
+        self._refresh_claim(account)
+        self._follow(account)
+        return account in (self._worker.account, self._claims.get(account.runner))
+
     def _refresh_claim(self, account: RunnerAccount) -> None:
         """Keep the newest account of a life that is yet to come: it may leave by now."""
         claimed = self._claims.get(account.runner)
--- /dev/null
+++ b/testing/council/test_acknowledged.py
@@ -0,0 +1,53 @@
+"""A runner's word that it leaves is acknowledged only if it is followed, or kept for later.
+
+Seen: a word that a runner leaves was answered as taken note of, and its target went on giving it
+work; in the soak another writer's heartbeat, numbered 1,000 ahead, had made all its own seem late.
+
+How it came about: each heartbeat was answered alike, also one that was passed over; and a number up
+to 1,000 ahead of the last was followed at once.
+
+Proof: after such a heartbeat the target's lines had `heartbeat_late` with the word that it leaves.
+
+Cause: the acknowledgement spoke of what was received, not of what was done. A runner that gets none
+says it again, with the next number.
+"""
+
+import json
+
+import pytest
+from councilsystem import BEAT, System, call, play
+from paddleshunt_core.leased.incarnations import MOST_SKIPPED
+
+HEARTBEAT = "/paddleshunt/Instances.Heartbeat/i-1"
+
+
+async def say(system: System, sequence: int, **fields: object) -> int:
+    """Have a heartbeat come in the runner's name; return the answer's status."""
+    body = json.dumps({**json.loads(BEAT), "sequence": sequence, **fields}).encode()
+    return (await call(system.registration, "POST", HEARTBEAT, body)).status
+
+
+@pytest.mark.parametrize("ahead", [MOST_SKIPPED, 1000, 2**40], ids=["near", "far", "farther"])
+def test_one_that_leaves_gets_no_new_work_once_it_is_told_so(ahead: int) -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        assert await say(system, 5) == 200
+        assert await say(system, 5 + ahead) == 200
+        sequence = 6
+        while await say(system, sequence, state="draining") != 200:
+            sequence += 1
+        assert sequence <= 6 + MOST_SKIPPED
+        assert system.target.describe()["state"] == "LEAVING"
+
+    play(scene)
+
+
+def test_a_late_word_that_it_leaves_is_not_acknowledged() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        assert await say(system, 5) == 200
+        assert await say(system, 4, state="draining") == 503
+        assert await say(system, 4) == 200
+        assert system.target.describe()["state"] == "READY"
+
+    play(scene)
