Let the soaks' runners leave as planned, and come back under the id they had

Cause: each stand-in took a new id with each life, as the platform's term had said, so no soak could show what goes by the id alone; and none had a runner that leaves. Change: in the core's soak and in that of the real programs runners start again with the old id or a new one, tell their start by a clock that may have been set, or tell none (each third); they crash for some 50 to 500 ms and leave as planned. New rule DRAIN. Other writers say odd starts as well.

--- a/testing/core/leased/test_soak.py
+++ b/testing/core/leased/test_soak.py
@@ -19,6 +19,9 @@
 SEEDS = int(os.environ.get("PADDLESHUNT_SOAK", "3"))
 SECONDS = 12.0
 JOBS_A_SECOND = 8
+STOP_SECONDS = 0.05
+"""Seconds that a stop takes where runners come back under their ids."""
+
 FAULT_SECONDS = 0.7
 """Mean pause between two faults."""
 
@@ -28,10 +31,15 @@
 class Soak:
     """One fleet, its callers and its faults."""
 
-    def __init__(self, seed: int, bounds: Bounds) -> None:
+    def __init__(self, seed: int, bounds: Bounds, *, returns: bool = False) -> None:
         self.rng = Random(seed)
         self.resend = bounds.resend
         self.fleet = Fleet(entries=4, targets=6, bounds=bounds)
+        if returns:
+            self.fleet.lives = Random(f"lives {seed}")
+            self.fleet.runners["t5"].born = 0
+            for runner in self.fleet.runners.values():
+                runner.stop_seconds = STOP_SECONDS
         for runner in list(self.fleet.runners.values())[::2]:
             runner.guards = False
         self.ends: list[tuple[float, Callable[[], None]]] = []
@@ -139,7 +147,7 @@
         runner = self.rng.choice([*self.fleet.runners.values()])
         if runner.up:
             runner.crash()
-            self.until(runner.restart)
+            self.until(lambda: self.fleet.bring_back(runner))
 
     def mute_runner(self) -> None:
         self._set("mute", True, False)
@@ -185,10 +193,8 @@
     return value
 
 
-@pytest.mark.parametrize("seed", range(SEEDS))
-def test_the_rules_hold_under_random_faults(seed: int, bounds: Bounds) -> None:
-    soak = Soak(seed, bounds)
-    soak.run()
+def check_refusals(soak: Soak) -> None:
+    """Check that no job has run that was refused."""
     fleet = soak.fleet
     started: set[TaskId] = {task for r in fleet.runners.values() for task in r.starts}
     keys = {task.job for task in started}
@@ -200,10 +206,8 @@
     assert not refused & keys, "a job that was refused has run"
 
 
-@pytest.mark.parametrize("seed", range(SEEDS))
-def test_work_goes_on_after_the_faults(seed: int, bounds: Bounds) -> None:
-    soak = Soak(seed, bounds)
-    soak.run()
+def check_that_work_goes_on(soak: Soak) -> None:
+    """Check that each entry's job is served once all is well again."""
     fleet = soak.fleet
     for name in [*fleet.entries, *fleet.targets]:
         fleet.thaw(name)
@@ -211,3 +215,25 @@
     callers = [fleet.submit(entry, f"after-{entry}", count=4) for entry in fleet.entries]
     fleet.run(2.0)
     assert [fleet.answers.get(caller) for caller in callers] == [Completed()] * len(callers)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_the_rules_hold_under_random_faults(seed: int, bounds: Bounds) -> None:
+    soak = Soak(seed, bounds)
+    soak.run()
+    check_refusals(soak)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_the_rules_hold_as_runners_come_back_under_their_ids(seed: int, bounds: Bounds) -> None:
+    soak = Soak(seed, bounds, returns=True)
+    soak.run()
+    check_refusals(soak)
+    check_that_work_goes_on(soak)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_work_goes_on_after_the_faults(seed: int, bounds: Bounds) -> None:
+    soak = Soak(seed, bounds)
+    soak.run()
+    check_that_work_goes_on(soak)
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from functools import partial
 from random import Random
-from time import monotonic
+from time import monotonic, time
 from typing import Any
 
 import soakwords
@@ -29,6 +29,18 @@
 AWAY_SECONDS = 3.4
 """Seconds after which a runner that a task has crashed is back, as another life."""
 
+DRAIN_SECONDS = 2.0
+"""Seconds for which a runner that leaves serves on after its word was acknowledged, at least."""
+
+LONGEST_DRAIN = 3.0
+"""The same, at most."""
+
+RETURNS = 0.6
+"""Share of the lives that bear the id of the one before, of runners that tell their start."""
+
+CLOCK_SET = 5000
+"""Milliseconds by which a host's clock may have been set, ahead or back, before a life starts."""
+
 
 @dataclass
 class Faults:
@@ -70,6 +82,8 @@
         guards: bool = True,
         hall: str = "hall",
         crashing: dict[str, float] | None = None,
+        returns: bool = False,
+        tells_start: bool = True,
     ) -> None:
         self.name = name
         self.faults = Faults()
@@ -93,6 +107,12 @@
         self._hall = hall
         self._crashing = {} if crashing is None else crashing
         self._lives = 0
+        self._ids = Random(f"ids of {name}") if returns else None
+        """Draws which life bears the id of the one before, if any does."""
+        self._tells_start = tells_start
+        self.born = 0
+        """When this life started (ms since 1970), by its host's clock; 0 if it is not told."""
+        self.leaving = False
         self._rate = 1.0
         self.life = ""
         self._server = HttpServer(self)
@@ -223,7 +243,13 @@
 
     def _live_anew(self) -> None:
         self._lives += 1
-        self.life = f"i-{self.name}-{self._lives}"
+        returns = self._ids is not None and self._tells_start and self._ids.random() < RETURNS
+        if not (self.life and returns):
+            self.life = f"i-{self.name}-{self._lives}"
+        if self._ids is not None and self._tells_start:
+            self.born = round(time() * 1000) + self._ids.randint(-CLOCK_SET, CLOCK_SET)
+        self.leaving = False
+        self._record.serves_again(self.name)
         self._sequence = 0
         self._born = monotonic()
         self._clock_base = self._rng.randrange(10_000, 900_000)
@@ -239,7 +265,32 @@
 
     async def _beat(self) -> bool:
         self._sequence += 1
-        return await self._register(json.dumps(self._account()).encode()) == 200
+        leaving, life = self.leaving, self._lives
+        done = await self._register(json.dumps(self._account()).encode()) == 200
+        if done and leaving and life == self._lives:
+            self._record.acknowledged(self.name, monotonic())
+        return done
+
+    async def leave(self, away: float) -> None:
+        """Say that it leaves, serve on for a while, end, and start again after so many seconds."""
+        if not self.up or self.leaving:
+            return
+        life, self.leaving = self._lives, True
+        while self._goes_on(life) and not await self._beat():
+            await asyncio.sleep(BEAT_RETRY_SECONDS)
+        await asyncio.sleep(self._rng.uniform(DRAIN_SECONDS, LONGEST_DRAIN))
+        if not self._goes_on(life):
+            return
+        told = {"born": self.born} if self.born and self._rng.random() < RETURNS else {}
+        await self._say("Deregister", json.dumps(told).encode() if told else b"")
+        if self._goes_on(life):
+            self._die(monotonic())
+            await asyncio.sleep(away)
+            if not self.up and life == self._lives:
+                self.restart()
+
+    def _goes_on(self, life: int) -> bool:
+        return self.up and life == self._lives
 
     async def speak_oddly(self, number: int) -> int | None:
         """Have another writer speak in its name; return the answer's status."""
@@ -250,13 +301,20 @@
         return {
             "service": "svc",
             "zone": self._hall,
-            "state": "ready",
+            "state": "draining" if self.leaving else "ready",
             "capacity": {"cpu": self._capacity, "mem_mb": 64000, "gpu": 0},
             "sequence": self._sequence,
+            **self._start_told(),
         }
 
+    def _start_told(self) -> dict[str, Any]:
+        return {"born": self.born} if self.born else {}
+
     async def _register(self, body: bytes) -> int | None:
-        path = f"/paddleshunt/Instances.Heartbeat/{self.life}"
+        return await self._say("Heartbeat", body)
+
+    async def _say(self, word: str, body: bytes) -> int | None:
+        path = f"/paddleshunt/Instances.{word}/{self.life}"
         try:
             return (await self._registration.call("POST", path, 0.5, body)).status
         except CallError:
@@ -269,18 +327,22 @@
             if kind == "hold":
                 self._take_note(now, asked)
             else:
-                self._do(now, kind, asked)
+                self._do(now, kind, asked, late=True)
 
-    def _do(self, now: float, kind: str, asked: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _do(
+        self, now: float, kind: str, asked: dict[str, Any], *, late: bool = False
+    ) -> tuple[int, dict[str, Any]]:
         if int(asked["fencing_token"]) < self._fence:
             return 409, {"reason": "fence"}
         self._fence = int(asked["fencing_token"])
         if kind == "run-stop":
             self._stop_run(now, str(asked["task"]), int(asked["run"]))
             return 200, {}
-        return self._start_run(now, asked)
+        return self._start_run(now, asked, late=late)
 
-    def _start_run(self, now: float, asked: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _start_run(
+        self, now: float, asked: dict[str, Any], *, late: bool
+    ) -> tuple[int, dict[str, Any]]:
         task, number = str(asked["task"]), int(asked["run"])
         deadline = int(asked["deadline_ms"])
         if deadline <= self.clock_ms(now):
@@ -300,7 +362,7 @@
                 self._record.over_capacity(self.name, now, used + need, self._counts(now))
         length = self._lengths[task.partition(".")[0]] / self.faults.speed
         lease_end = now + (self._deadline_ms - self.clock_ms(now)) / 1000 / self._rate
-        run = RunSeen(task, number, self.name, now, lease_end, now + length)
+        run = RunSeen(task, number, self.name, now, lease_end, now + length, late=late)
         run.notes.append(f"deadline {deadline - self.clock_ms(now):+d} ms")
         self.running[task] = run
         self._needs[task] = need
@@ -365,7 +427,7 @@
         ]
         if self.faults.odd_rows:
             rows = [*soakwords.ROWS, *(row[: len(row) // 2] for row in rows[:1]), *rows[1:]]
-        return {"running": rows, "finished": self._finished[:LISTED]}
+        return {"running": rows, "finished": self._finished[:LISTED], **self._start_told()}
 
     def _percent(self, run: RunSeen, now: float) -> int:
         length = self._lengths[run.task.partition(".")[0]]
--- a/testing/council/soakwords.py
+++ b/testing/council/soakwords.py
@@ -15,6 +15,10 @@
     {"zone": 5},
     {"labels": ["a"] * 1000},
     {"remaining_ms": 10**400},
+    {"born": "1764734759000"},
+    {"born": -1},
+    {"born": 2**53},
+    {"born": 17, "state": "draining"},
 )
 """What is changed in a runner's heartbeat; None: left out."""
 
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -37,6 +37,12 @@
 AWAY_SECONDS = 3.4
 """Seconds after which a runner that a task has crashed is back, as another life."""
 
+RETURNS = 0.7
+"""Share of the lives that bear the id of the one before, if any do."""
+
+CLOCK_SET = 5000
+"""Milliseconds by which a host's clock may have been set between two lives."""
+
 CAPACITY = Resources(8000, 8000, 0)
 QUEUE = Queue("q", "host", "/q/", "svc", max_attempts=2, stretch=1.6, latency=0.06)
 
@@ -113,6 +119,8 @@
         self._next_dial: dict[tuple[str, str], float] = {}
         self._beats: dict[str, float] = {}
         self._callers = 0
+        self.lives: Random | None = None
+        """Draws which life of a runner bears the id of the one before; without it, none does."""
         self.frames = 0
         """Frames that targets and entries have sent."""
         self._gossip = 0.0
@@ -195,6 +203,14 @@
         if link is not None and link.greeted:
             link.to_target.clear()
 
+    def bring_back(self, runner: Runner) -> None:
+        """Start a runner that has crashed again; its host's clock may have been set."""
+        if self.lives is None:
+            runner.restart()
+            return
+        moved = self.lives.choice([-1, 1]) * self.lives.randint(1, CLOCK_SET)
+        runner.restart(same_id=self.lives.random() < RETURNS, later_ms=moved)
+
     def heal(self) -> None:
         self.cuts.clear()
 
@@ -238,7 +254,7 @@
             if runner.up:
                 runner.step(self.now, STEP)
             elif runner.crashed_at is not None and self.now > runner.crashed_at + AWAY_SECONDS:
-                runner.restart()
+                self.bring_back(runner)
 
     def check(self) -> None:
         """Hold the rules that must never break."""
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -12,8 +12,9 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -72,6 +73,8 @@
     """How often it has been given another address."""
     awaited: int = 0
     """How many faults wait for its end, and start it again."""
+    on_start: Callable[[], None] = field(default=lambda: None)
+    """Called at each start."""
 
     @property
     def up(self) -> bool:
@@ -86,6 +89,7 @@
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(command, env=variables, stdout=log, stderr=log)
         self.paused = False
+        self.on_start()
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if it runs."""
@@ -124,6 +128,8 @@
     runners: dict[str, SoakRunner] = field(default_factory=dict)
     version: int = 0
     evacuated: set[str] = field(default_factory=set)
+    returns: bool = False
+    """Whether runners start again under the id that they had; each third tells no start."""
 
     def __post_init__(self) -> None:
         self.net = f"127.{self.rng.randrange(1, 250)}.{os.getpid() % 250}"
@@ -162,6 +168,8 @@
                 guards=guards,
                 hall=HALLS[number % len(HALLS)],
                 crashing=self.crashing,
+                returns=self.returns,
+                tells_start=number % 3 != 2,
             )
             await runner.start()
             self._loop_tasks.append(asyncio.ensure_future(runner.run()))
@@ -313,6 +321,7 @@
             self.folder / f"{name}.toml",
         )
         self.processes[name] = process
+        process.on_start = partial(self.record.serves_again, name)
         self.write_settings(process)
         await self.store.listen(name, (process.address, self.ports["store"]))
         return process
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -76,6 +76,18 @@
 LATEST_CRASH = 0.35
 """Seconds of work after which such a task takes its runner down, at most."""
 
+LEAVES = "leaves"
+"""A runner says that it leaves, ends as planned and starts again: drawn apart as well."""
+
+CRASHES = "crashes"
+"""A runner crashes and is back within a moment: drawn apart as well."""
+
+LEAVES_GAP = 4.0
+"""Mean seconds between two such faults."""
+
+BACK_SECONDS = (0.05, 0.5)
+"""Seconds until a runner is back."""
+
 EVACUATION_GAP = 5.0
 """Mean seconds between two evacuations."""
 
@@ -131,6 +143,13 @@
     return faults
 
 
+def returning_schedule(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of a seed by which runners start again, in order."""
+    leaves = _drawn_apart(f"leaves {seed}", seconds, LEAVES, LEAVES_GAP, BACK_SECONDS)
+    crashes = _drawn_apart(f"crashes {seed}", seconds, CRASHES, LEAVES_GAP, BACK_SECONDS)
+    return sorted(leaves + crashes, key=lambda fault: fault.at)
+
+
 class Injector:
     """Carries out a schedule on a deployment."""
 
@@ -152,7 +171,7 @@
         await asyncio.gather(*self._tasks)
 
     async def _inject(self, fault: Fault) -> None:
-        if fault.kind in (*RUNNER_KINDS, LOSES_STOPS, SHRINKS):
+        if fault.kind in (*RUNNER_KINDS, LOSES_STOPS, SHRINKS, LEAVES, CRASHES):
             await self._trouble_runner(fault)
         elif fault.kind in WIRE_KINDS:
             wires = [runner.wire for runner in self._deployment.runners.values()]
@@ -283,7 +302,10 @@
     async def _trouble_runner(self, fault: Fault) -> None:
         runners = list(self._deployment.runners.values())
         runner = runners[int(fault.whom * len(runners))]
-        if fault.kind == "crash":
+        if fault.kind == LEAVES:
+            await runner.leave(fault.seconds)
+            return
+        if fault.kind in ("crash", CRASHES):
             if runner.up:
                 runner.crash()
                 await asyncio.sleep(fault.seconds)
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -14,6 +14,9 @@
 """Seconds from the operator's word after which nothing may start in an evacuated hall."""
 
 
+DRAIN_SECONDS = 2.0
+"""Seconds from an acknowledged word that a runner leaves after which nothing may start there."""
+
 GONE_SECONDS = 3.0
 """Seconds after which nothing of a job is at work whose caller has left or was answered, or after
 a late start of it: the least `cancel_ms` and `contact_ms` of the users' pages."""
@@ -46,6 +49,8 @@
     """When the runner's lease ends, as far as it has been prolonged."""
     due: float
     """When its work is done."""
+    late: bool = False
+    """Whether the order was carried out late: no bound of time holds for it."""
     end: float | None = None
     how: str = ""
     notes: list[str] = field(default_factory=list)
@@ -94,6 +99,8 @@
         """Where each runner stands."""
         self._evacuated: dict[str, float] = {}
         """Since when a hall is evacuated."""
+        self._leaving: dict[str, float] = {}
+        """Since when a target has acknowledged that its runner leaves."""
         self._versions: dict[tuple[str, str], int] = {}
 
     def sent(self, job: str, tasks: int, entry: str, now: float) -> TrySeen:
@@ -112,6 +119,10 @@
         if since is not None and run.began > since + EVACUATION_SECONDS:
             text = f"{run.task}: started at {run.runner} {run.began - since:.3f} s after the word"
             self._broken("EVAC", run.began, text)
+        since = self._leaving.get(run.runner)
+        if since is not None and not run.late and run.began > since + DRAIN_SECONDS:
+            text = f"{run.task}: started at {run.runner} {run.began - since:.3f} s after the word"
+            self._broken("DRAIN", run.began, text)
         earlier = self.runs.setdefault(run.task, [])
         for other in earlier:
             if other.at_work(run.began):
@@ -124,6 +135,14 @@
         """Note the operator's word that a hall is to get nothing more."""
         self._evacuated[hall] = now
 
+    def acknowledged(self, runner: str, now: float) -> None:
+        """Note that a target has acknowledged that its runner leaves."""
+        self._leaving.setdefault(runner, now)
+
+    def serves_again(self, runner: str) -> None:
+        """Note that a runner has started again, or its target: it may have heard nothing yet."""
+        self._leaving.pop(runner, None)
+
     def taken_back(self, hall: str) -> None:
         """Note that a hall may get work again."""
         self._evacuated.pop(hall, None)
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -19,7 +19,7 @@
 
 import click
 from deployment import Deployment, deployed
-from faults import Injector, schedule
+from faults import Injector, returning_schedule, schedule
 from record import Record, Violation
 from soakcallers import Callers
 from widefaults import wide_schedule
@@ -48,6 +48,8 @@
     rate: float = 8.0
     seconds: float = 15.0
     wide: bool = False
+    returns: bool = False
+    """Whether runners leave, crash and start again under the id they had. Older seeds have none."""
 
 
 def known_seeds(*, ci: bool) -> list[int]:
@@ -81,7 +83,7 @@
 async def play(seed: int, size: Size, folder: Path) -> Result:
     """Play one seed."""
     record = Record()
-    deployment = Deployment(folder, record, Random(f"deployment {seed}"))
+    deployment = Deployment(folder, record, Random(f"deployment {seed}"), returns=size.returns)
     # Every other seed has runners that start whatever they are told.
     async with deployed(deployment, size.entries, size.targets, guards=seed % 2 == 0):
         callers = Callers(deployment, record, Random(f"callers {seed}"))
@@ -94,6 +96,8 @@
         faults = schedule(seed, size.seconds)
         if size.wide:
             faults += wide_schedule(seed, size.seconds)
+        if size.returns:
+            faults += returning_schedule(seed, size.seconds)
         await injector.run(sorted(faults, key=lambda fault: fault.at))
         handing_in.cancel()
         await _recover(deployment, callers, record)
@@ -138,6 +142,7 @@
 @click.option("--targets", default=6)
 @click.option("--rate", default=8.0, help="Jobs a second.")
 @click.option("--wide/--no-wide", default=True, help="Whether there are faults at many runners.")
+@click.option("--returns/--no-returns", default=True, help="Whether runners' ids come back.")
 @click.option("--at-once", default=1, help="Soaks played at the same time.")
 @click.option("--logs", type=click.Path(path_type=Path), default=None, help="Where logs are kept.")
 def main(
@@ -148,6 +153,7 @@
     targets: int,
     rate: float,
     wide: bool,
+    returns: bool,
     at_once: int,
     logs: Path | None,
 ) -> None:
@@ -158,8 +164,8 @@
     numbers = known_seeds(ci=False) if known else list(range(int(first), int(end)))
     folder = logs or Path(tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    # The seeds that are known were found without wide faults, and stay as they were.
-    size = Size(entries, targets, rate, seconds, wide and not known)
+    # The seeds that are known were found without these faults, and stay as they were.
+    size = Size(entries, targets, rate, seconds, wide and not known, returns and not known)
     if at_once > 1:
         sys.exit(_in_parts(numbers, at_once, size, folder))
     broken = 0
@@ -185,6 +191,7 @@
         f"--rate={size.rate}",
         f"--seconds={size.seconds}",
         "--wide" if size.wide else "--no-wide",
+        "--returns" if size.returns else "--no-returns",
         f"--logs={folder}",
     ]
     length = -(-len(numbers) // parts)
