Take a life that tells its start for another than one of its id that told none

What callers saw: in the soak of the real programs three tasks that were done were done again, after a runner had come back under its id and said for the first time when it started. Cause: an identity that was not told agreed with any other of its id, also once the runner's own lists had shown that it tells none. Change: a life whose lists don't say when it started is not the one that says so. A test of the real programs (crash, back under the id, leave as planned, no other fault) plays it, with rule DRAIN.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -49,6 +49,8 @@
 
     def __init__(self) -> None:
         self._current: RunnerLife | None = None
+        self._tells_none = False
+        """Whether its own lists did not say when it started: a life that says so is another."""
         self._sequence = 0
         self._leap: int | None = None
         """The number of the last account, if it was far ahead of those before."""
@@ -67,7 +69,7 @@
             return Claim.LATE
         if self._current is None:
             return Claim.NEW
-        if not self._current.agrees(account.runner):
+        if not self.is_current(account.runner):
             return Claim.LATE if account.runner in self._denied else Claim.DOUBTFUL
         if 0 < account.sequence <= self._sequence or not self._goes_on(account):
             return Claim.LATE
@@ -88,16 +90,22 @@
 
     def is_current(self, life: RunnerLife) -> bool:
         """Whether a life may be the one that is followed, as far as both are told."""
-        return self._current is not None and self._current.agrees(life)
+        if self._current is None or (self._tells_none and life.born):
+            return False
+        return self._current.agrees(life)
 
     def follow(self, account: RunnerAccount) -> None:
         """Follow the life that an account is of."""
-        self.answered_as(account.runner)
+        self._follow(account.runner)
         self._leap = None
         self._sequence = max(self._sequence, account.sequence)
 
     def answered_as(self, life: RunnerLife) -> None:
-        """Follow the life that the runner itself has said to be."""
+        """Follow the life that the runner itself has said to be in its lists."""
+        self._follow(life)
+        self._tells_none = self._current is not None and not self._current.born
+
+    def _follow(self, life: RunnerLife) -> None:
         if not self.is_current(life):
             self.end()
             self._current = life
@@ -109,6 +117,7 @@
         if self._current is not None and answered:
             self.note_ended(self._current)
         self._current = None
+        self._tells_none = False
         self._sequence = 0
         self._leap = None
         self._denied.clear()
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -253,9 +253,9 @@
         return [note("runner_reachable")] if was_unreachable else []
 
     def _life_of(self, answer: LookAnswer) -> RunnerLife | None:
-        """Return the life that gave an answer, if it says so."""
+        """Return the life that gave an answer, as far as it says; None if none was meant."""
         current = self.lives.current
-        return RunnerLife(current.id, answer.born) if current and answer.born else None
+        return None if current is None else RunnerLife(current.id, answer.born)
 
     def _read_lists(self, now: float, answer: LookAnswer) -> list[Effect]:
         effects: list[Effect] = []
--- a/testing/core/leased/test_incarnations.py
+++ b/testing/core/leased/test_incarnations.py
@@ -205,3 +205,25 @@
     assert found.state() is RunnerState.LEAVING
     found.runner_spoke(2.5, born(5000, 10))
     assert found.state() is RunnerState.READY
+
+
+def test_a_life_that_tells_its_start_follows_one_that_told_none() -> None:
+    """The runner's next software tells it."""
+    found = RunnerControl(lease_times(Bounds()))
+    found.runner_spoke(1.0, FIRST)
+    found.looked(1.1, LookAnswer(1.05, [], []))
+    assert found.lives.judge(born(6000)) is Claim.DOUBTFUL
+    found.looked(2.1, LookAnswer(2.0, [], [], born=6000))
+    assert found.lives.current == RunnerLife("i-1", 6000)
+    assert found.lives.judge(born(6000)) is Claim.CURRENT
+
+
+def test_lists_may_tell_a_start_that_heartbeats_do_not() -> None:
+    found = RunnerControl(lease_times(Bounds()))
+    found.runner_spoke(1.0, FIRST)
+    found.looked(1.1, LookAnswer(1.05, [], [], born=6000))
+    found.runner_spoke(1.2, replace(FIRST, sequence=6))
+    assert found.lives.current == RunnerLife("i-1", 6000)
+    assert found.state() is RunnerState.READY
+    found.looked(2.1, LookAnswer(2.0, [], [], born=5000))
+    assert found.state() is RunnerState.DOWN
--- a/testing/core/leased/test_returning.py
+++ b/testing/core/leased/test_returning.py
@@ -13,8 +13,12 @@
 """
 
 from itertools import product
+from random import Random
 
 from leasedfleet import STEP, Fleet
+from paddleshunt_core.leased.outcomes import GivenUp
+from paddleshunt_core.leased.retries import SILENT_RUNNERS
+from paddleshunt_core.leased.wire import TaskId
 
 LATE = [n * STEP for n in range(1, 12)]
 """Seconds from an order until it is carried out."""
@@ -80,3 +84,22 @@
     fleet.run(1.0)
     assert not fleet._late_orders
     assert not runner.starts
+
+
+class AlwaysTheSame(Random):
+    """Draws the old id for each life."""
+
+    def random(self) -> float:
+        return 0.0
+
+
+def test_each_crash_of_one_id_counts_as_a_lost_runner() -> None:
+    """By the id alone, a task could take the same runner down for as long as it is asked for."""
+    fleet = Fleet(entries=1, targets=1)
+    fleet.lives = AlwaysTheSame(1)
+    fleet.settle()
+    caller = fleet.submit_crashing("e0", "bad", count=1, deadline=20.0)
+    fleet.run(18.0)
+    assert fleet.answers[caller] == GivenUp(SILENT_RUNNERS)
+    assert fleet.crashes.crashed[TaskId("bad", 0, 0)] == 2
+    assert fleet.runners["t0"].id_number == 1
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -108,7 +108,8 @@
         self._crashing = {} if crashing is None else crashing
         self._lives = 0
         self._ids = Random(f"ids of {name}") if returns else None
-        """Draws which life bears the id of the one before, if any does."""
+        """Draws what tells the next life from the one before, if it may bear the same id."""
+        self._draws_old_id = lambda: self._ids is not None and self._ids.random() < RETURNS
         self._tells_start = tells_start
         self.born = 0
         """When this life started (ms since 1970), by its host's clock; 0 if it is not told."""
@@ -168,6 +169,11 @@
             return max(self._before, self._capacity)
         return self._capacity
 
+    def return_always(self) -> None:
+        """Start again under the present id from now on, and tell when."""
+        self._tells_start = True
+        self._draws_old_id = lambda: True
+
     def restart(self) -> None:
         """Come back as another life."""
         self._back_at = None
@@ -243,7 +249,7 @@
 
     def _live_anew(self) -> None:
         self._lives += 1
-        returns = self._ids is not None and self._tells_start and self._ids.random() < RETURNS
+        returns = self._tells_start and self._draws_old_id()
         if not (self.life and returns):
             self.life = f"i-{self.name}-{self._lives}"
         if self._ids is not None and self._tells_start:
@@ -261,6 +267,8 @@
         self._stopping: set[str] = set()
         self._needs: dict[str, int] = {}
         self._finished: list[list[Any]] = []
+        self._ended: dict[int, RunSeen] = {}
+        """Runs by the numbers of their ends."""
         self._highest: dict[str, int] = {}
 
     async def _beat(self) -> bool:
@@ -396,6 +404,8 @@
         if "deadline_ms" in asked:
             self._prolong(now, int(asked["deadline_ms"]))
         seen = int(asked["last_seen"])
+        for row in self._finished:
+            self._ended[row[0]].noted = row[0] <= seen
         self._finished = [row for row in self._finished if row[0] > seen]
         return True
 
@@ -419,6 +429,7 @@
         self._highest[run.task] = max(self._highest.get(run.task, 0), run.number)
         self._count += 1
         self._finished.append([self._count, run.task, run.number, how, ""])
+        self._ended[self._count] = run
 
     def _lists(self) -> dict[str, Any]:
         now = monotonic()
--- a/testing/soak/record.py
+++ b/testing/soak/record.py
@@ -53,6 +53,8 @@
     """Whether the order was carried out late: no bound of time holds for it."""
     end: float | None = None
     how: str = ""
+    noted: bool = False
+    """Whether its target has acknowledged its end."""
     notes: list[str] = field(default_factory=list)
 
     def at_work(self, now: float) -> bool:
