Let a call that a runner has put off die with its life in the soak; write the incident up

Cause: the soak's runner carried out, as its next life, calls that the last one had received and put off; while ids never came back the id kept that from happening. The term says that the next life holds nothing of before. Change: a put-off call dies with the life that received it. What is on its way to the next life is played by the core's fleet, as before.

--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -192,7 +192,8 @@
         life = request.headers.get("x-expected-instance", self.life)
         asked = json.loads(request.body)
         kind = request.path.rpartition("/")[2]
-        if self.wire.takes(exchange, partial(self._carry_out, life, kind, asked)):
+        meant = self._lives if life == self.life else 0
+        if self.wire.takes(exchange, partial(self._carry_out, meant, kind, asked)):
             return
         if life != self.life:
             self._respond(exchange, Response(421))
@@ -204,7 +205,7 @@
             return
         if self.faults.late and kind != "hold":
             loop = asyncio.get_running_loop()
-            loop.call_later(self.faults.late, self._carry_out, self.life, kind, asked)
+            loop.call_later(self.faults.late, self._carry_out, self._lives, kind, asked)
             return
         if kind == "hold":
             self._hold(now, exchange, asked)
@@ -328,8 +329,9 @@
         except CallError:
             return None
 
-    def _carry_out(self, life: str, kind: str, asked: dict[str, Any]) -> None:
-        if self.up and life == self.life:
+    def _carry_out(self, life: int, kind: str, asked: dict[str, Any]) -> None:
+        """Do what was put off, if it was received by this life: one holds nothing of before."""
+        if self.up and life == self._lives:
             now = monotonic()
             self.step(now)
             if kind == "hold":
