Keep the newest word of a life that is yet to come, in whatever order its words arrive

What callers could see: work on a runner that had said it leaves, if its words overtook each other while it was not yet confirmed which life is there. Cause: each doubtful account took the place of the one kept before, an older one as well, though the newer one, that it leaves, had been acknowledged. Change: a claim keeps its highest number; one path takes all accounts. The first account of a life that the lists had shown is told as `runner_found` too. Result: the new test fails without the change (READY for LEAVING); tests of the adapter pass.

--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -201,11 +201,6 @@
             return
         if isinstance(read, RunnerEnds):
             self._runner_ends(self._now(), read)
-        elif self._worker.judge(read) is Claim.DOUBTFUL:
-            self._claims[read.runner] = read
-            if len(self._claims) > MOST_CLAIMS:
-                del self._claims[next(iter(self._claims))]
-            self._around.spawn(self._confirm(read))
         elif not self._take_account(read) and read.leaving:
             # An acknowledgement would bind: without one the runner says it again.
             exchange.respond(self._codec.pass_over())
@@ -214,19 +209,27 @@
 
     def _take_account(self, account: RunnerAccount) -> bool:
         """Follow an account, or keep it with a claim; return whether either was done."""
-        self._refresh_claim(account)
-        self._follow(account)
+        is_claim = self._worker.judge(account) is Claim.DOUBTFUL
+        if is_claim or account.runner in self._claims:
+            self._keep_claim(account)
+        if is_claim:
+            self._around.spawn(self._confirm(account))
+        else:
+            self._follow(account)
         return account in (self._worker.account, self._claims.get(account.runner))
 
-    def _refresh_claim(self, account: RunnerAccount) -> None:
+    def _keep_claim(self, account: RunnerAccount) -> None:
         """Keep the newest account of a life that is yet to come: it may leave by now."""
         claimed = self._claims.get(account.runner)
-        if claimed is not None and account.sequence > claimed.sequence:
+        if claimed is None or account.sequence > claimed.sequence:
             self._claims[account.runner] = account
+        if len(self._claims) > MOST_CLAIMS:
+            del self._claims[next(iter(self._claims))]
 
     def _follow(self, account: RunnerAccount) -> None:
         """Follow the runner's account of itself."""
-        if self._worker.judge(account) in (Claim.NEW, Claim.DOUBTFUL):
+        is_new = self._worker.judge(account) in (Claim.NEW, Claim.DOUBTFUL)
+        if is_new or self._worker.account is None:
             self._claims.clear()
             name = str(account.runner)
             self._around.event("runner_found", runner=name, service=account.service)
--- a/testing/council/test_acknowledged.py
+++ b/testing/council/test_acknowledged.py
@@ -15,16 +15,16 @@
 import json
 
 import pytest
-from councilsystem import BEAT, System, call, play
+from councilsystem import BEAT, System, call, play, until_true
 from paddleshunt_core.leased.incarnations import MOST_SKIPPED
 
-HEARTBEAT = "/paddleshunt/Instances.Heartbeat/i-1"
+HEARTBEAT = "/paddleshunt/Instances.Heartbeat/"
 
 
-async def say(system: System, sequence: int, **fields: object) -> int:
+async def say(system: System, sequence: int, runner: str = "i-1", **fields: object) -> int:
     """Have a heartbeat come in the runner's name; return the answer's status."""
     body = json.dumps({**json.loads(BEAT), "sequence": sequence, **fields}).encode()
-    return (await call(system.registration, "POST", HEARTBEAT, body)).status
+    return (await call(system.registration, "POST", HEARTBEAT + runner, body)).status
 
 
 @pytest.mark.parametrize("ahead", [MOST_SKIPPED, 1000, 2**40], ids=["near", "far", "farther"])
@@ -51,3 +51,19 @@
         assert system.target.describe()["state"] == "READY"
 
     play(scene)
+
+
+def test_an_older_word_of_a_life_that_is_yet_to_come_takes_no_newer_one_back() -> None:
+    """What was acknowledged is in force once the life is followed."""
+
+    async def scene(system: System) -> None:
+        await system.open()
+        system.runner.silent = True
+        assert await say(system, 2, "i-2", state="draining") == 200
+        assert await say(system, 1, "i-2") == 200
+        system.runner.life = "i-2"
+        system.runner.silent = False
+        await until_true(lambda: system.target.describe()["runner"] == "i-2")
+        assert system.target.describe()["state"] == "LEAVING"
+
+    play(scene)
