Let only a runner's lists show that it tells no start

What callers could see: a runner that tells its start in its lists alone was taken for another life once, at its first look after a return, and served from its next heartbeat on only. Cause: a heartbeat that tells no start was noted as if the lists had told none. Change: meeting a life and hearing from its lists are two calls. Result: the new case fails without the change; tests of the leased core and the adapter pass.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -96,16 +96,17 @@
 
     def follow(self, account: RunnerAccount) -> None:
         """Follow the life that an account is of."""
-        self._follow(account.runner)
+        self.meet(account.runner)
         self._leap = None
         self._sequence = max(self._sequence, account.sequence)
 
     def answered_as(self, life: RunnerLife) -> None:
         """Follow the life that the runner itself has said to be in its lists."""
-        self._follow(life)
+        self.meet(life)
         self._tells_none = self._current is not None and not self._current.born
 
-    def _follow(self, life: RunnerLife) -> None:
+    def meet(self, life: RunnerLife) -> None:
+        """Follow a life, or learn more of the one that is followed."""
         if not self.is_current(life):
             self.end()
             self._current = life
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -197,7 +197,7 @@
     def runner_left(self, now: float, life: RunnerLife) -> list[Effect]:
         """Take the runner's word that it ends now."""
         current = self.lives.current
-        if current is None or not current.agrees(life):
+        if current is None or not self.lives.is_current(life):
             self.lives.note_ended(life)
             return []
         if self.account is not None:
@@ -558,7 +558,7 @@
         self.lives.end(answered=answered)
         self._meet(now)
         if life is not None:
-            self.lives.answered_as(life)
+            self.lives.meet(life)
         return effects
 
     def _meet(self, now: float) -> None:
--- a/testing/core/leased/test_incarnations.py
+++ b/testing/core/leased/test_incarnations.py
@@ -218,10 +218,13 @@
     assert found.lives.judge(born(6000)) is Claim.CURRENT
 
 
-def test_lists_may_tell_a_start_that_heartbeats_do_not() -> None:
+@pytest.mark.parametrize("before", [[], [NEXT]], ids=["first_life", "next_life"])
+def test_lists_may_tell_a_start_that_heartbeats_do_not(before: list[RunnerAccount]) -> None:
     found = RunnerControl(lease_times(Bounds()))
-    found.runner_spoke(1.0, FIRST)
+    for account in (*before, FIRST):
+        found.runner_spoke(1.0, account)
     found.looked(1.1, LookAnswer(1.05, [], [], born=6000))
+    assert found.account == FIRST
     found.runner_spoke(1.2, replace(FIRST, sequence=6))
     assert found.lives.current == RunnerLife("i-1", 6000)
     assert found.state() is RunnerState.READY
