Show that a configuration goes whole to all entries, and that odd rows from the start idle a target

Cause: EntryPeers hands each adopted configuration to every other entry and answers every older version in a round of gossip with the whole: 35 entries send some 1,200 copies of one change. A target counts its runner as clean only after a full list; a runner that lists a row that can't be read from its first look on never is, and its target tells no room for good. Putting them first shows it every time.

--- a/testing/council/test_words.py
+++ b/testing/council/test_words.py
@@ -7,7 +7,8 @@
 
 import msgspec
 import pytest
-from councilsystem import BEAT, System, call, play, until_true
+from councilsystem import BEAT, System, WorkingRunner, call, play, until_true
+from paddleshunt_core.leased.resources import NOTHING
 from paddleshunt_core.leased.wire import Entries, EntryAddress, Frame, Hello
 from paddleshunt_node.aio.httpclient import HttpClient
 from paddleshunt_node.aio.targetservice import LOOK_PAUSE
@@ -135,23 +136,35 @@
     play(scene)
 
 
+def list_odd_rows(runner: WorkingRunner) -> None:
+    """Let the runner list rows that can't be read beside what is at work from now on."""
+    looked = type(runner).answer
+    odd: list[object] = [["a.b.c.d", 1, "", 5], ["short"], 5]
+
+    def answer(
+        path: str, asked: dict[str, object], headers: dict[str, str]
+    ) -> tuple[int, object] | None:
+        answered = looked(runner, path, asked, headers)
+        if path.endswith("/hold") and answered is not None and answered[0] == 200:
+            content = dict(answered[1])  # type: ignore[call-overload]
+            content["running"] = [*odd, *content["running"]]
+            return 200, content
+        return answered
+
+    runner.answer = answer  # type: ignore[method-assign]
+
+
+def has_room(system: System) -> bool:
+    """Whether the entry knows of room on the runner."""
+    (target,) = system.entry._dispatcher.targets()
+    return target.free != NOTHING
+
+
 def test_an_odd_row_of_the_runner_takes_no_target_down() -> None:
     async def scene(system: System) -> None:
         await system.open()
-        looked = type(system.runner).answer
-        odd: list[object] = [["a.b.c.d", 1, "", 5], ["short"], 5]
-
-        def answer(
-            path: str, asked: dict[str, object], headers: dict[str, str]
-        ) -> tuple[int, object] | None:
-            answered = looked(system.runner, path, asked, headers)
-            if path.endswith("/hold") and answered is not None and answered[0] == 200:
-                content = dict(answered[1])  # type: ignore[call-overload]
-                content["running"] = [*odd, *content["running"]]
-                return 200, content
-            return answered
-
-        system.runner.answer = answer  # type: ignore[method-assign]
+        await until_true(lambda: has_room(system))
+        list_odd_rows(system.runner)
         await asyncio.sleep(0.2)
         await works(system)
         assert 'words_refused_total{word="runner_answer"}' in await figures(system, "target")
@@ -159,6 +172,16 @@
     play(scene)
 
 
+def test_odd_rows_from_the_first_look_on_take_no_target_down() -> None:
+    async def scene(system: System) -> None:
+        list_odd_rows(system.runner)
+        await system.open()
+        await until_true(lambda: has_room(system))
+        await works(system)
+
+    play(scene)
+
+
 def test_an_address_that_another_entry_tells_wrongly_is_refused_and_the_others_hold() -> None:
     async def scene(system: System) -> None:
         await system.open()
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -13,6 +13,8 @@
 from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import (
+    CatalogNews,
+    CatalogVersion,
     Entries,
     EntryAddress,
     EntryChanges,
@@ -218,6 +220,25 @@
     play(monkeypatch, [], scene)
 
 
+def test_a_new_configuration_is_not_handed_whole_to_entries_that_have_not_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = [Link() for _ in range(34)]
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        owner.catalog = Catalog(7, [], [])
+        peers.tell_catalog(owner.catalog)
+        for link in links:
+            # As its rounds of gossip say until the store has told it as well.
+            peers.heard(cast("PeerLink", link), Frame(1, 0, 0, 0, [CatalogVersion(6)]))
+        await asyncio.sleep(ROUND)
+        bodies = [body for link in links for frame in link.frames for body in frame.bodies]
+        assert not [body for body in bodies if isinstance(body, CatalogNews)]
+        assert bodies.count(CatalogVersion(7)) == len(links)
+
+    play(monkeypatch, links, scene)
+
+
 @pytest.mark.parametrize("news", [LOST, RETURNED, SILENT], ids=["lost", "returned", "silent"])
 def test_a_word_on_a_lost_runner_goes_to_all_other_entries(
     monkeypatch: pytest.MonkeyPatch, news: LossNews
