Count a runner as clean once all leases of before are over, whatever it lists

Cause: only a full list showed that nothing foreign is at work on a runner. Change: what an earlier life of the target ordered loses its lease; after the longest one, with none granted since, such rows count as gone.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -7,6 +7,7 @@
 from paddleshunt_core.leased.accounts import AccountCheck, contradiction_note
 from paddleshunt_core.leased.bounds import COLD_OVERRUN, LeaseTimes
 from paddleshunt_core.leased.evacuation import Evacuations
+from paddleshunt_core.leased.foreignruns import ForeignRuns
 from paddleshunt_core.leased.health import RunnerHealth
 from paddleshunt_core.leased.incarnations import Claim, Incarnations
 from paddleshunt_core.leased.orders import (
@@ -100,17 +101,19 @@
         self.health = RunnerHealth(cold_overrun)
         self.level = Health.GOOD
         self.leaving = False
-        self.clean = False
-        """Whether this life of the runner was seen with nothing foreign at work."""
         self._ends: list[tuple[Run, End]] = []
         self.losses = RunnerLosses()
         self._last_seen = 0
         self._lease = RunnerLease(times)
+        self._foreign = ForeignRuns(times, self._lease)
         self._failed_looks = 0
         self._waited = 0.0
         """Seconds that the last look may have waited at the runner."""
-        self._met = float("-inf")
-        self._foreign: set[RunId] = set()
+
+    @property
+    def clean(self) -> bool:
+        """Whether nothing foreign can be at work on this life of the runner."""
+        return self._foreign.clean
 
     def add(self, now: float, runs: list[Run]) -> list[Effect]:
         """Start what fits, and give back the rest at once: other targets may have room."""
@@ -147,6 +150,7 @@
     def runner_stood_still(self, seconds: float) -> None:
         """Note that the runner's clock and work may have stood still, as its host was suspended."""
         self._lease.stood_still(seconds)
+        self._foreign.stood_still(seconds)
         for run in self.table:
             run.moved += seconds
             run.seen += seconds
@@ -167,7 +171,7 @@
         if not self.lives.is_current(account.runner):
             if self.lives.current is not None:
                 effects += self._runner_replaced(now, account.runner)
-            self._meet(now)
+            self._foreign.meet(now)
             known = None
         elif known is not None:
             self.losses.spoke()
@@ -266,7 +270,8 @@
         for finished in answer.finished:
             effects += self._listed(now, shown, finished)
         running = {row.run: row.percent for row in answer.running}
-        effects += self._stop_foreign(running, answer)
+        self._foreign.read(answer, self.table)
+        effects += self._stop_foreign()
         for run in self.table:
             if answer.unread_end:
                 run.note_unread_end()
@@ -300,7 +305,7 @@
             run.settled = None
             run.ordered = now
             return [StopRun(run.id)]
-        if answer.partial or answer.sent < self._met:
+        if answer.partial or not self._foreign.is_met_by(answer):
             return []
         return self._ended(run, End.LOST, "runner_replaced")
 
@@ -473,7 +478,7 @@
 
     def _listed(self, now: float, shown: float, finished: FinishedRun) -> list[Effect]:
         self._last_seen = max(self._last_seen, finished.number)
-        self._foreign.discard(finished.run)
+        self._foreign.ended(finished.run)
         run = self.table.get(finished.run)
         if run is None:
             return []
@@ -517,12 +522,8 @@
             return self._ended(run, run.ending, "gone")
         return self._ended(run, End.LOST, "gone")
 
-    def _stop_foreign(self, running: dict[RunId, int], answer: LookAnswer) -> list[Effect]:
+    def _stop_foreign(self) -> list[Effect]:
         """Stop what an earlier life of this target has left; until it is gone, start nothing."""
-        ended = {row.run for row in answer.finished}
-        self._foreign = {id_ for id_ in running if self.table.get(id_) is None and id_ not in ended}
-        if not (self._foreign or self.clean or answer.partial) and answer.sent >= self._met:
-            self.clean = True
         effects: list[Effect] = []
         for id_ in self._foreign:
             effects.append(note("foreign_run_stopping", str(id_.task), run=id_.number))
@@ -553,19 +554,13 @@
         self.health = RunnerHealth(self._cold_overrun)
         self._cold_until = float("-inf")
         self._last_seen = 0
-        self._foreign = set()
         self.account = None
         self.lives.end(answered=answered)
-        self._meet(now)
+        self._foreign.meet(now)
         if life is not None:
             self.lives.meet(life)
         return effects
 
-    def _meet(self, now: float) -> None:
-        """Start nothing before a look that is sent from now on shows nothing foreign at work."""
-        self.clean = False
-        self._met = now
-
     def _ended(self, run: Run, end: End, reason: str) -> list[Effect]:
         self.table.drop(run)
         return [self._tell(run, end, reason)]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runtable.py
@@ -94,6 +94,9 @@
     def __len__(self) -> int:
         return len(self._runs)
 
+    def __contains__(self, run: object) -> bool:
+        return run in self._runs
+
     def __iter__(self) -> Iterator[Run]:
         return iter(list(self._runs.values()))
 
