Let an entry ask for a configuration that it lacks instead of being sent it by all

Cause: each entry handed each configuration that it adopted whole to all others, and again on each older version that it heard in a round of gossip. With 35 entries a growth by 1,400 routes brought 3.1 MB to each link of 25 Mbit/s, a second of it; sessions ended by the hundred and the store timed out. Change: entries tell versions only. One that the store has not told within 0.1 to 0.2 s asks one other entry, at most once in 0.4 s and then ever more rarely. Copies are packed by zlib, sent one after the other and at a quarter of the own link (new setting [link] mbps); who has got one hands it on (core leased/catalogspread.py, node aio/catalogpack.py).

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/catalog.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/catalog.py
@@ -50,10 +50,5 @@
     services: list[Service]
     limits: RequestLimits = RequestLimits()
 
-    def find(self, host: str, path: str) -> Queue | None:
-        """Return the queue of `host` with the longest prefix of `path`."""
-        found = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
-        return max(found, key=lambda queue: len(queue.prefix), default=None)
-
 
 EMPTY = Catalog(0, [], [])
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -181,16 +181,25 @@
 
 @final
 class CatalogNews(_Body, frozen=True, tag=7):
-    """A configuration in force at the sender."""
+    """A configuration in force at the sender, as processes of the version before hand it on."""
 
     catalog: Catalog
 
 
 @final
 class CatalogVersion(_Body, frozen=True, tag=8):
-    """The version in force at the sender; 0 for none."""
+    """The version in force at the sender; 0 for none. `wanted`: it asks for a newer one."""
 
     version: int
+    wanted: bool = False
+
+
+@final
+class PackedCatalog(_Body, frozen=True, tag=20):
+    """A configuration in force at the sender, packed; `version` is that of the content."""
+
+    version: int
+    content: bytes
 
 
 @final
@@ -300,6 +309,7 @@
     | EntryChanges
     | CatalogNews
     | CatalogVersion
+    | PackedCatalog
     | EvacuationNews
     | RunnerLost
     | RunnerReturned
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -1,11 +1,13 @@
 """What an entry knows of the other entries, and says to them: who lives, the operator's word."""
 
 import asyncio
+from random import Random
 from typing import Protocol, final
 
 from paddleshunt_core.leased.catalog import Catalog
+from paddleshunt_core.leased.catalogspread import LINK_MBPS, AskFor, CatalogSpread, HandOut
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
-from paddleshunt_core.leased.refusals import Refusal
+from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.wire import (
     Body,
@@ -18,6 +20,7 @@
     Frame,
     Hello,
     LossNews,
+    PackedCatalog,
     RunnerLost,
     RunnerReturned,
     RunnerSilent,
@@ -26,6 +29,7 @@
 )
 
 from paddleshunt_node.aio import clock
+from paddleshunt_node.aio.catalogpack import CatalogPackError, pack, unpack
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.peerwords import readable
@@ -44,6 +48,10 @@
 """Seconds for which newly met entries are collected before targets are told of them."""
 
 
+SPREAD_PAUSE = 0.02
+"""Shortest time between two looks at what the spreading of a configuration needs."""
+
+
 class PeerOwner(Protocol):
     """The entry that speaks to the others."""
 
@@ -95,7 +103,12 @@
     """The other entries, and the connections that this entry has made to them."""
 
     def __init__(
-        self, owner: PeerOwner, own: EntryAddress, greeting: Hello, silence: float
+        self,
+        owner: PeerOwner,
+        own: EntryAddress,
+        greeting: Hello,
+        silence: float,
+        link_mbps: float = LINK_MBPS,
     ) -> None:
         self._owner = owner
         self._own = own
@@ -107,6 +120,13 @@
         self._turn = 0
         self.sheds = False
         """Whether this host's link is pressed, so that what can wait is left out."""
+        self._spread = CatalogSpread(Random(), link_mbps)
+        self._askers: dict[str, PeerLink] = {}
+        """By name, the connection over which an entry has asked for the configuration."""
+        self._packed = PackedCatalog(0, b"")
+        self._spreading: asyncio.TimerHandle | None = None
+        self._spread_due = 0.0
+        """When that timer goes off."""
         self._dialer = Dialer(self, own.address, silence, lambda _: True)
 
     def seeds(self, addresses: set[str]) -> None:
@@ -153,8 +173,9 @@
             self._tell_soon()
 
     def tell_catalog(self, catalog: Catalog) -> None:
-        """Hand a configuration on to all."""
-        self._send_all(CatalogNews(catalog))
+        """Tell all which version is in force now; who can't get it elsewhere asks for it."""
+        self._spread.adopted(catalog.version)
+        self._send_all(CatalogVersion(catalog.version))
 
     def tell_evacuations(self, evacuated: EvacuatedHalls) -> None:
         """Tell all which halls are evacuated."""
@@ -212,6 +233,62 @@
             self._told = live
             self._owner.tell_targets(EntryChanges(joined, gone))
 
+    # The configuration.
+
+    def _take_version(self, link: PeerLink, told: CatalogVersion) -> None:
+        if told.wanted:
+            self._askers[link.peer] = link
+            self._spread.asked(link.peer, told.version)
+        else:
+            self._spread.told(clock.now(), link.peer, told.version)
+        self._spread_when_due()
+
+    def _unpack(self, link: PeerLink, packed: PackedCatalog) -> None:
+        try:
+            catalog = unpack(packed)
+        except CatalogPackError as problem:
+            self._owner.refuse(Refusal(Word.CONFIGURATION, link.peer, str(problem)))
+            return
+        self._owner.adopt(catalog, link.peer)
+
+    def _spread_when_due(self) -> None:
+        due = self._spread.due()
+        if due is None:
+            return
+        due = max(due, clock.now() + SPREAD_PAUSE)
+        if self._spreading is not None:
+            if self._spread_due <= due:
+                return
+            self._spreading.cancel()
+        self._spread_due = due
+        loop = asyncio.get_running_loop()
+        self._spreading = loop.call_later(due - clock.now(), self._spread_catalog)
+
+    def _spread_catalog(self) -> None:
+        """Ask for a configuration, or hand a copy out, if it is time."""
+        self._spreading = None
+        for step in self._spread.act(clock.now(), hands_out=not self.sheds):
+            match step:
+                case AskFor():
+                    self._ask_for_catalog(step.peer)
+                case HandOut():
+                    self._hand_out_catalog(step.peer)
+        self._spread_when_due()
+
+    def _ask_for_catalog(self, peer: str) -> None:
+        question = CatalogVersion(self._owner.catalog.version, wanted=True)
+        for link in self._dialer.links():
+            if link.peer == peer:
+                link.send(_loose(question))
+                return
+
+    def _hand_out_catalog(self, peer: str) -> None:
+        catalog = self._owner.catalog
+        if self._packed.version != catalog.version:
+            self._packed = pack(catalog)
+        self._askers.pop(peer).send(_loose(self._packed))
+        self._spread.handed_out(clock.now(), len(self._packed.content))
+
     # Connections that this entry has made.
 
     def opened(self, link: PeerLink) -> None:
@@ -219,7 +296,8 @@
         link.send(self._greeting)
         speeds = self._owner.speeds.known()
         known: list[Body] = [*self._owner.known_losses(), *([speeds] if speeds else [])]
-        link.send(_loose(Entries(self.live()), *known))
+        version = CatalogVersion(self._owner.catalog.version)
+        link.send(_loose(Entries(self.live()), version, *known))
 
     def greeted(self, link: PeerLink, hello: Hello) -> None:
         """Take the greeting of an entry that was dialled."""
@@ -246,9 +324,10 @@
                 self._owner.told_loss(body, link.peer)
             case CatalogNews():
                 self._owner.adopt(body.catalog, link.peer)
+            case PackedCatalog():
+                self._unpack(link, body)
             case CatalogVersion():
-                if body.version < self._owner.catalog.version:
-                    link.send(_loose(CatalogNews(self._owner.catalog)))
+                self._take_version(link, body)
             case _:
                 self._take_figures(link, body)
 
@@ -267,6 +346,7 @@
 
     def closed(self, link: PeerLink) -> None:
         """Make another connection."""
+        self._spread.left(link.peer)
         self._dialer.lost(link)
 
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -9,6 +9,7 @@
 from paddleshunt_core.events import Log
 from paddleshunt_core.leased.bounds import Bounds, lease_times
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
+from paddleshunt_core.leased.catalogspread import LINK_MBPS
 from paddleshunt_core.leased.dispatcher import Dispatcher, Effect
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
 from paddleshunt_core.leased.linkpressure import PressureLevel
@@ -67,7 +68,10 @@
 @final
 @dataclass(frozen=True, slots=True)
 class EntryConfig:
-    """Who an entry is and where it listens; addresses are host:port."""
+    """Who an entry is and where it listens; addresses are host:port.
+
+    `link_mbps` is what its host's link carries, in megabits a second.
+    """
 
     name: str
     hall: str
@@ -77,6 +81,7 @@
     metrics: str
     seeds: tuple[str, ...]
     bounds: Bounds
+    link_mbps: float = LINK_MBPS
 
 
 @final
@@ -112,7 +117,8 @@
         self._owed: set[str] = set()
         """Targets that a frame is due to, whether there is something to say or not."""
         own = EntryAddress(config.name, config.peers, self._life, config.hall)
-        self._peers = EntryPeers(self, own, self._hello(0, 0), self._times.session)
+        greeting, silence = self._hello(0, 0), self._times.session
+        self._peers = EntryPeers(self, own, greeting, silence, config.link_mbps)
         self._peers.seeds(set(config.seeds))
         self._follower = StoreFollower(store, surroundings, own, self)
         self._meter = LinkMeter(
--- a/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
+++ b/packages/paddleshunt-platform/src/paddleshunt_platform/leasedsettings.py
@@ -11,6 +11,7 @@
     BoundsError,
     lease_times,
 )
+from paddleshunt_core.leased.catalogspread import LINK_MBPS
 
 from paddleshunt_platform.settings import (
     Address,
@@ -68,6 +69,13 @@
     least_lease_ms: Milliseconds = 1000
 
 
+@final
+class LinkSettings(Section, frozen=True):
+    """The host's own link: megabits a second that it carries."""
+
+    mbps: Annotated[float, Meta(gt=0, le=1_000_000)] = LINK_MBPS
+
+
 @final
 class BoundSettings(Section, frozen=True):
     """Bounds of the deployment."""
@@ -93,6 +101,7 @@
     peers: PeerSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    link: LinkSettings = LinkSettings()
     runner: RunnerSettings | None = None
     log: LogSettings = LogSettings()
 
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -7,8 +7,9 @@
 import msgspec
 import pytest
 from paddleshunt_core.leased.catalog import EMPTY, Catalog
+from paddleshunt_core.leased.catalogspread import ASK_SECONDS
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations
-from paddleshunt_core.leased.refusals import Refusal
+from paddleshunt_core.leased.refusals import Refusal, Word
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.targets import TargetRecord
@@ -24,6 +25,7 @@
     KindSpeed,
     LossId,
     LossNews,
+    PackedCatalog,
     RunnerLost,
     RunnerReport,
     RunnerReturned,
@@ -33,6 +35,7 @@
     TaskId,
 )
 from paddleshunt_node.aio import entrypeers
+from paddleshunt_node.aio.catalogpack import pack, unpack
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 
@@ -59,12 +62,13 @@
         self.told_kinds: list[tuple[SpeedNews, str]] = []
         self.heard: list[tuple[LossNews, str]] = []
         self.refused: list[Refusal] = []
+        self.adopted: list[tuple[Catalog, str]] = []
 
     def refuse(self, refusal: Refusal) -> None:
         self.refused.append(refusal)
 
     def adopt(self, catalog: Catalog, source: str) -> None:
-        pass
+        self.adopted.append((catalog, source))
 
     def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
         pass
@@ -239,6 +243,63 @@
     play(monkeypatch, links, scene)
 
 
+def test_an_entry_that_asks_is_handed_the_configuration_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    link = Link()
+    link.peer = "e7"
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        owner.catalog = Catalog(7, [], [])
+        peers.tell_catalog(owner.catalog)
+        for _ in range(2):
+            question = Frame(1, 0, 0, 0, [CatalogVersion(6, wanted=True)])
+            peers.heard(cast("PeerLink", link), question)
+        await asyncio.sleep(4 * entrypeers.SPREAD_PAUSE)
+        assert [unpack(body) for body in packed(link)] == [owner.catalog]
+
+    play(monkeypatch, [], scene)
+
+
+def test_an_entry_that_is_behind_asks_one_of_those_that_are_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    links = [Link() for _ in range(5)]
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        for number, link in enumerate(links):
+            link.peer = f"e{number}"
+            version = CatalogVersion(number)
+            peers.heard(cast("PeerLink", link), Frame(1, 0, 0, 0, [version]))
+        await asyncio.sleep(ASK_SECONDS[1] + 4 * entrypeers.SPREAD_PAUSE)
+        asked = [link.peer for link in links if link.frames]
+        assert len(asked) == 1
+        assert asked != ["e0"]
+
+    play(monkeypatch, links, scene)
+
+
+def test_a_configuration_that_another_entry_hands_on_is_adopted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    link = Link()
+    link.peer = "e7"
+    catalog = Catalog(7, [], [])
+
+    async def scene(peers: EntryPeers, owner: Owner) -> None:
+        for body in (pack(catalog), CatalogNews(catalog), PackedCatalog(8, b"odd")):
+            peers.heard(cast("PeerLink", link), Frame(1, 0, 0, 0, [body]))
+        assert owner.adopted == [(catalog, "e7")] * 2
+        assert [refusal.word for refusal in owner.refused] == [Word.CONFIGURATION]
+
+    play(monkeypatch, [], scene)
+
+
+def packed(link: Link) -> list[PackedCatalog]:
+    bodies = [body for frame in link.frames for body in frame.bodies]
+    return [body for body in bodies if isinstance(body, PackedCatalog)]
+
+
 @pytest.mark.parametrize("news", [LOST, RETURNED, SILENT], ids=["lost", "returned", "silent"])
 def test_a_word_on_a_lost_runner_goes_to_all_other_entries(
     monkeypatch: pytest.MonkeyPatch, news: LossNews
