Refuse a job for being late only where others wait for room

Cause: whether a job is late is estimated, from its deadline and what its queue has taught; two in a thousand first tries were taken for ones sent again long ago, and refused with runners free. Change: where a runner is free only what is sure decides: a job is refused if even a task of 0.4 of its expected length can't end before its caller leaves (too_late). Without room the estimate decides as before, with a Retry-After of a second at least. While an entry meets its targets, a new job waits for them as long as one that was taken before does. The body of a 503 names the reason.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
@@ -1,9 +1,15 @@
-"""What an entry goes by when it takes a job or refuses it: room, and how long it would wait."""
+"""Whether an entry takes a job: it refuses one that can't end in time, or that has no room.
+
+How long a job's tasks take is only estimated, and so is when its caller sent it first. By these a
+job may seem to be late already. That decides where room is scarce: others that are in time had to
+wait for it. Where room is free nobody has, so only what is sure decides.
+"""
 
 from collections.abc import Iterable
 
 from paddleshunt_core.events import Log, note
 from paddleshunt_core.leased.jobs import JobRecord
+from paddleshunt_core.leased.outcomes import Refused
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.targets import TargetRecord
 
@@ -11,6 +17,32 @@
 """Seconds a job is expected to wait for a target when none is known."""
 
 
+RETRY_SECONDS = 1.0
+"""When a refused caller is told to come back, if nothing better is known."""
+
+SHORTEST = 0.4
+"""Part of its expected length that a task takes at the least."""
+
+
+def refusal(
+    now: float, job: JobRecord, wait: float, last_start: float, *, has_room: bool
+) -> Refused | None:
+    """Return why a job is refused at once, if it is; it would wait for `wait` seconds.
+
+    `last_start` is when it must start to be worth a place among others.
+    """
+    if now + SHORTEST * job.length > job.expires:
+        return Refused("too_late", RETRY_SECONDS)
+    if not has_room and now + wait > last_start:
+        return Refused("no_room", max(RETRY_SECONDS, wait))
+    return None
+
+
+def has_room(job: JobRecord, usable: Iterable[TargetRecord]) -> bool:
+    """Whether a task of the job can start at once, as far as is known."""
+    return any(job.request.need.fits(target.free) for target in usable)
+
+
 def expected_wait(
     job: JobRecord, usable: Iterable[TargetRecord], held: Iterable[JobRecord]
 ) -> float:
@@ -21,7 +53,7 @@
     able = [target for target in usable if target.could_run(job.request.need)]
     if not able:
         return NO_TARGET_WAIT
-    if any(job.request.need.fits(target.free) for target in able):
+    if has_room(job, able):
         return 0.0
     usual = sum(target.kind_factor for target in able) / len(able)
     capacity = sum(t.report.capacity.processor / t.kind_factor * usual for t in able if t.report)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -9,7 +9,14 @@
 from typing import final
 
 from paddleshunt_core.events import Log, note
-from paddleshunt_core.leased.admission import NO_TARGET_WAIT, expected_wait, room_note
+from paddleshunt_core.leased.admission import (
+    NO_TARGET_WAIT,
+    RETRY_SECONDS,
+    expected_wait,
+    has_room,
+    refusal,
+    room_note,
+)
 from paddleshunt_core.leased.answers import Answers
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import COLD_OVERRUN, HALL_PREFERENCE, LeaseTimes
@@ -62,9 +69,6 @@
     Stop,
 )
 
-RETRY_SECONDS = 1.0
-"""When a refused caller is told to come back, if nothing better is known."""
-
 BACKOFF_SECONDS = 0.05
 """Seconds in which a target that gave a task back is given none."""
 
@@ -211,9 +215,16 @@
         if self._ends is not None and now + wait + LEAVING_LENGTHS * job.length > self._ends:
             leaving = Refused("leaving", 0.0, elsewhere=True)
             return [*effects, self._refuse(caller, request, leaving)]
-        if now + wait > job.refuse_after:
-            refusal = self._refusal(caller, request, "no_room", wait)
-            return [*effects, room_note(now, job, wait, room), refusal]
+        refused = refusal(
+            now,
+            job,
+            wait,
+            self._last_start(now, job),
+            has_room=has_room(job, self._usable(job, room)),
+        )
+        if refused is not None:
+            why = room_note(now, job, wait, room)
+            return [*effects, why, self._refuse(caller, request, refused)]
         self._jobs.add(job)
         fields: dict[str, str | int | float] = {
             "queue": queue.name,
@@ -443,8 +454,9 @@
         """Give a job up if it can't be of use; `confined_room`: the room if a queue is confined."""
         if now > job.expires:
             return [self._give_up(now, job, "deadline", self._retry_after(now, job))]
-        # While targets are being met, room is about to be found: a late answer beats a refusal.
-        last_start = job.useful_start if self._is_settling(now) else job.refuse_after
+        if not job.is_awaited:
+            return []
+        last_start = self._last_start(now, job)
         if self._ends is not None:
             last_start = min(last_start, self._ends - job.length)
         if not job.begun and now > last_start:
@@ -458,6 +470,13 @@
                 return [self._give_up(now, job, "confined", max(RETRY_SECONDS, confined))]
         return []
 
+    def _last_start(self, now: float, job: JobRecord) -> float:
+        """Return when a job must start that has no room yet.
+
+        While targets are being met, room is about to be found: a late answer beats a refusal.
+        """
+        return job.useful_start if self._is_settling(now) else job.refuse_after
+
     def _give_up(self, now: float, job: JobRecord, reason: str, retry_after: float) -> AnswerJob:
         """Answer a job that can't be of use; the answer says truly whether it has run."""
         ran = job.begun or job.may_have_run
@@ -666,8 +685,11 @@
         return [t for t in self._targets.values() if not self._evacuations.covers(t.hall)]
 
     def _wait(self, job: JobRecord, room: RoomNow) -> float:
-        usable = self._containment.targets(job, room.usable(job.queue.service))
-        return expected_wait(job, usable, self._containment.rivals(job, self._jobs.all()))
+        rivals = self._containment.rivals(job, self._jobs.all())
+        return expected_wait(job, self._usable(job, room), rivals)
+
+    def _usable(self, job: JobRecord, room: RoomNow) -> list[TargetRecord]:
+        return self._containment.targets(job, room.usable(job.queue.service))
 
     def _place(self, now: float, room: RoomNow | None = None) -> list[Effect]:
         jobs = [job for job in self._jobs.all() if job.is_awaited]
--- a/testing/core/leased/test_admission.py
+++ b/testing/core/leased/test_admission.py
@@ -71,3 +71,24 @@
     assert isinstance(answer, Refused)
     assert answer.reason == "no_room"
     assert answer.retry_after > 0
+
+
+def test_a_job_that_can_not_end_before_its_caller_leaves_is_refused_at_once(fleet: Fleet) -> None:
+    caller = fleet.submit("e0", "late", count=1, length=2.0, deadline=0.5)
+    answer = fleet.answers[caller]
+    assert isinstance(answer, Refused)
+    assert answer.reason == "too_late"
+
+
+def test_a_short_job_is_not_refused_while_targets_are_being_met() -> None:
+    """All hosts are back from a loss of power; callers are there before the first target is."""
+    fleet = Fleet(entries=1, targets=2)
+    for target in fleet.targets:
+        fleet.kill(target)
+    fleet.run(0.1)
+    caller = fleet.submit("e0", "short", count=4, length=0.05)
+    assert caller not in fleet.answers
+    for target in fleet.targets:
+        fleet.start(target)
+    fleet.run(0.5)
+    assert fleet.answers[caller] == Completed()
--- a/testing/council/test_callers.py
+++ b/testing/council/test_callers.py
@@ -120,6 +120,11 @@
     assert dict(answer.headers).get("Retry-After") == retry
 
 
+def test_a_refusal_says_why() -> None:
+    answer = Callers().answer(Refused("too_late", 1.0))
+    assert msgspec.json.decode(answer.body) == {"reason": "too_late"}
+
+
 def raw(body: bytes, deadline: str = "2500") -> Request:
     return Request("POST", f"/q/{KEY}", {"host": "a.example", "x-deadline-ms": deadline}, body)
 
