Offer room to one entry at a time wherever what waits exceeds it

Change: a target's room is offered to one entry at a time not only when the runner is nearly full, but whenever several entries wait and there is not room for a task of each; and an entry that is shown less than before hears it at once.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/offers.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/offers.py
@@ -1,14 +1,15 @@
 """Which entry a target offers its room to while room is scarce.
 
 Entries tell what their most urgent waiting task needs. While all of them see the same room, they
-race for it: tasks bounce, and a less urgent one may win. So a target that is nearly full shows its
-room to one entry at a time, the one with the most urgent task that fits.
+race for it: tasks bounce, and a less urgent one may win. So a target that is nearly full, or has
+not enough for all that wait, shows its room to one entry at a time, the one with the most urgent
+task that fits.
 """
 
 from dataclasses import dataclass
 from typing import final
 
-from paddleshunt_core.leased.resources import Resources
+from paddleshunt_core.leased.resources import NOTHING, Resources
 
 OFFER_SECONDS = 0.012
 """Seconds for which room is kept for one entry: two messages there and back, and some delay."""
@@ -42,6 +43,13 @@
         if self._offered == entry:
             self._offered = None
 
+    def is_contended(self, free: Resources) -> bool:
+        """Whether several entries wait, and `free` room is not enough for a task of each."""
+        wanted = NOTHING
+        for each in self._wanted.values():
+            wanted += each.need
+        return len(self._wanted) > 1 and not wanted.fits(free)
+
     def holder(self, now: float, free: Resources) -> str | None:
         """Return the entry that `free` room is for; None if nobody waits for so much."""
         if self._offered is not None and now >= self._since + OFFER_SECONDS:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/reporting.py
@@ -53,7 +53,8 @@
                 pause = link.report_pause(self._times, report, plenty=plenty, held=held)
                 if sheds:
                     pause = max(pause, self._times.heartbeat)
-                due = now if holder == name else link.reported + pause
+                at_once = holder == name or (holder is not None and _takes_back(report, link))
+                due = now if at_once else link.reported + pause
                 if link.ends or now >= due:
                     link.send_report(now, report, plenty=plenty)
                 else:
@@ -69,7 +70,9 @@
 
     def _holder(self, now: float, free: Resources, plenty: bool) -> str | None:
         """Return the entry that alone is shown the room; None if all are shown it."""
-        if plenty or self._control.level is not Health.GOOD:
+        if self._control.level is not Health.GOOD:
+            return None
+        if plenty and not self._offers.is_contended(free):
             return None
         return self._offers.holder(now, free)
 
@@ -90,6 +93,12 @@
         )
 
 
+def _takes_back(report: RunnerReport, link: EntryLink) -> bool:
+    """Whether a report shows less room than the last one: what is sent for it would come back."""
+    last = link.report
+    return last is not None and report.free != last.free and report.free.fits(last.free)
+
+
 def _says_anew(now: float, report: RunnerReport, link: EntryLink) -> bool:
     """Whether a report says more than the last one: that a cold runner gets warmer needs none."""
     last = link.report
