Show that a returned runner that tells its start only now keeps the last life's token

Cause: whether two names are one life is decided twice. Incarnations takes a life that tells its start for another than one whose lists told none; Runner.expect in the adapter takes it for the same, so the token does not rise and an order for the last life that comes late is not refused.

--- a/testing/council/test_returning.py
+++ b/testing/council/test_returning.py
@@ -19,7 +19,7 @@
 import json
 import time
 
-from councilsystem import BEAT, BOUNDS, System, call, play, until
+from councilsystem import BEAT, BOUNDS, System, call, play, until, until_true
 
 HEARTBEAT = "/paddleshunt/Instances.Heartbeat/i-1"
 BORN = 1_764_734_759_000
@@ -80,3 +80,17 @@
             assert len(system.runner.started) == before + 3
 
     play(scene)
+
+
+def test_one_that_tells_its_start_only_now_refuses_what_the_last_life_was_ordered() -> None:
+    async def scene(system: System) -> None:
+        await system.open()
+        assert (await system.submit(f"{1:016x}", 100)).status == 200
+        last = system.runner.fence
+        await come_back(system, BORN)
+        life = f"i-1@{BORN}"
+        await until_true(lambda: system.target.describe()["runner"] == life)
+        assert (await system.submit(f"{2:016x}", 100)).status == 200
+        assert system.runner.fence > last
+
+    play(scene)
