Let the core alone say whether two names are one life of a runner

Change: the adapter is told of another life (expect) or of a fuller name of the one that is meant (rename); it judges no names itself any more.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/incarnations.py
@@ -49,6 +49,8 @@
 
     def __init__(self) -> None:
         self._current: RunnerLife | None = None
+        self.changes = 0
+        """How often another life has been followed than before, or none any more."""
         self._tells_none = False
         """Whether its own lists did not say when it started: a life that says so is another."""
         self._sequence = 0
@@ -110,6 +112,7 @@
         if not self.is_current(life):
             self.end()
             self._current = life
+            self.changes += 1
         elif life.born:
             self._current = life
 
@@ -117,6 +120,8 @@
         """Note that the followed life has ended; one that never `answered` may yet come."""
         if self._current is not None and answered:
             self.note_ended(self._current)
+        if self._current is not None:
+            self.changes += 1
         self._current = None
         self._tells_none = False
         self._sequence = 0
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -223,6 +223,11 @@
         """The life of the runner that is followed."""
         return self._control.lives.current
 
+    @property
+    def life_changes(self) -> int:
+        """How often that has become another life, or none; one may also be told more of."""
+        return self._control.lives.changes
+
     def life_denied(self, life: RunnerLife) -> None:
         """Note that the runner says it is not this life: it has ended, or is yet to come."""
         self._control.lives.deny(life)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -42,7 +42,10 @@
     """The runner beside a target."""
 
     def expect(self, life: RunnerLife | None) -> None:
-        """Mean this life of the runner with what follows; None for any."""
+        """Mean another life of the runner with what follows than before; None for any."""
+
+    def rename(self, life: RunnerLife) -> None:
+        """Take a fuller name of the life that is meant."""
 
     def supersede(self) -> None:
         """Have the runner refuse what it was ordered until now, once the next call reaches it."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -113,7 +113,7 @@
         self._life_meant: RunnerLife | None = None
         """The life that orders and looks are meant for."""
         self._changes = 0
-        """How often that has changed."""
+        """How often that has become another life, or none."""
         self._choice = EntryChoice(config.name, config.hall)
         self._dialer = Dialer(
             self, config.address, self._times.session, self._may_dial, self._dial_failed
@@ -258,10 +258,13 @@
     def _meet_life(self) -> None:
         """Mean the life that is followed now, if it is another one; ask again about claims."""
         life = self._worker.life
-        if life == self._life_meant:
+        if self._changes == self._worker.life_changes:
+            if life is not None and life != self._life_meant:
+                self._life_meant = life
+                self._runner.rename(life)
             return
+        self._changes = self._worker.life_changes
         self._life_meant = life
-        self._changes += 1
         self._runner.expect(life)
         for account in list(self._claims.values()):
             self._around.spawn(self._confirm(account))
--- a/testing/council/test_standstill.py
+++ b/testing/council/test_standstill.py
@@ -29,6 +29,9 @@
     def expect(self, life: RunnerLife | None) -> None:
         self._port.expect(life)
 
+    def rename(self, life: RunnerLife) -> None:
+        self._port.rename(life)
+
     def supersede(self) -> None:
         self._port.supersede()
 
--- a/testing/council/test_withdrawn.py
+++ b/testing/council/test_withdrawn.py
@@ -32,6 +32,9 @@
     def expect(self, life: RunnerLife | None) -> None:
         self._port.expect(life)
 
+    def rename(self, life: RunnerLife) -> None:
+        self._port.rename(life)
+
     def supersede(self) -> None:
         self._port.supersede()
 
