Log who asks whom for a configuration, and what is handed out

Cause: how a configuration reached an entry that the store turned away could be read only from the source in catalog_adopted. Change: catalog_asked_for and catalog_handed_out, with the packed bytes; OPERATIONS.md tells of them.

--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -66,6 +66,12 @@
     def adopt(self, catalog: Catalog, source: str) -> None:
         """Take a configuration that another entry has."""
 
+    def asked_for_catalog(self, peer: str) -> None:
+        """Take note that another entry was asked for its configuration."""
+
+    def handed_out_catalog(self, peer: str, packed_bytes: int) -> None:
+        """Take note that another entry was sent the configuration."""
+
     def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
         """Take the evacuated halls that another entry knows."""
 
@@ -280,14 +286,17 @@
         for link in self._dialer.links():
             if link.peer == peer:
                 link.send(_loose(question))
+                self._owner.asked_for_catalog(peer)
                 return
 
     def _hand_out_catalog(self, peer: str) -> None:
         catalog = self._owner.catalog
         if self._packed.version != catalog.version:
             self._packed = pack(catalog)
+        size = len(self._packed.content)
         self._askers.pop(peer).send(_loose(self._packed))
-        self._spread.handed_out(clock.now(), len(self._packed.content))
+        self._spread.handed_out(clock.now(), size)
+        self._owner.handed_out_catalog(peer, size)
 
     # Connections that this entry has made.
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -430,6 +430,17 @@
         self._around.event("catalog_adopted", version=catalog.version, before=before, source=source)
         self._peers.tell_catalog(catalog)
 
+    def asked_for_catalog(self, peer: str) -> None:
+        """Take note that another entry was asked for its configuration."""
+        self._around.event("catalog_asked_for", entry=peer, version=self.catalog.version)
+
+    def handed_out_catalog(self, peer: str, packed_bytes: int) -> None:
+        """Take note that another entry was sent the configuration."""
+        version = self.catalog.version
+        self._around.event(
+            "catalog_handed_out", entry=peer, version=version, packed_bytes=packed_bytes
+        )
+
     # The own link.
 
     def _connections(self) -> list[Metered]:
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -63,6 +63,8 @@
         self.heard: list[tuple[LossNews, str]] = []
         self.refused: list[Refusal] = []
         self.adopted: list[tuple[Catalog, str]] = []
+        self.asked: list[str] = []
+        self.handed_out: list[tuple[str, int]] = []
 
     def refuse(self, refusal: Refusal) -> None:
         self.refused.append(refusal)
@@ -70,6 +72,12 @@
     def adopt(self, catalog: Catalog, source: str) -> None:
         self.adopted.append((catalog, source))
 
+    def asked_for_catalog(self, peer: str) -> None:
+        self.asked.append(peer)
+
+    def handed_out_catalog(self, peer: str, packed_bytes: int) -> None:
+        self.handed_out.append((peer, packed_bytes))
+
     def learn(self, evacuated: EvacuatedHalls, source: str) -> None:
         pass
 
@@ -257,6 +265,7 @@
             peers.heard(cast("PeerLink", link), question)
         await asyncio.sleep(4 * entrypeers.SPREAD_PAUSE)
         assert [unpack(body) for body in packed(link)] == [owner.catalog]
+        assert owner.handed_out == [("e7", len(pack(owner.catalog).content))]
 
     play(monkeypatch, [], scene)
 
@@ -275,6 +284,7 @@
         asked = [link.peer for link in links if link.frames]
         assert len(asked) == 1
         assert asked != ["e0"]
+        assert owner.asked == asked
 
     play(monkeypatch, links, scene)
 
