Show whom a process turns away in the first moments after its start

Load: the second after all power returns. Cause: a process listens once all of it is imported, most of a start; a caller that is turned away comes back after 1.3 s, a runner with its next heartbeat.

--- /dev/null
+++ b/testing/council/test_starting.py
@@ -0,0 +1,43 @@
+"""A process that starts: whom it keeps waiting, and whom it turns away."""
+
+import socket
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from types import ModuleType
+
+import pytest
+from paddleshunt_council import starting
+from paddleshunt_platform.standins.ports import free_port
+from templates import filled
+
+LISTENS = {"entry": "listen.frontend", "target": "listen.control"}
+
+
+@pytest.fixture
+def reached(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[bool]]:
+    """Whether an address could be reached when the rest of the program was about to run."""
+    found: list[bool] = []
+    fake = ModuleType("paddleshunt_council.processes")
+
+    def run(settings: object, file: Path, *rest: object) -> None:
+        listen = settings.listen  # type: ignore[attr-defined]
+        host, _, port = (listen.callers or listen.runner).rpartition(":")
+        with socket.socket() as client:
+            found.append(client.connect_ex((host, int(port))) == 0)
+
+    fake.run = run  # type: ignore[attr-defined]
+    monkeypatch.setitem(sys.modules, fake.__name__, fake)
+    yield found
+
+
+@pytest.mark.parametrize("role", ["entry", "target"])
+def test_it_listens_before_the_rest_of_the_program_is_imported(
+    role: str, tmp_path: Path, reached: list[bool]
+) -> None:
+    """All hosts are back from a loss of power; who calls meanwhile would be turned away."""
+    file = tmp_path / "local.toml"
+    peers = {"internal_ports.0": free_port()}
+    file.write_text(filled(role, **{LISTENS[role]: f"127.0.0.1:{free_port()}"}, **peers))
+    assert starting.start(role, file) == 0
+    assert reached == [True]
--- a/testing/council/test_system.py
+++ b/testing/council/test_system.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from councilsystem import BOUNDS, System, play, until, until_true
+from councilsystem import BOUNDS, CONFIG, System, play, until, until_true
 from paddleshunt_node.aio.httpclient import NoAnswerError
 from paddleshunt_node.aio.sockets import split_address
 
@@ -33,6 +33,19 @@
     play(scene)
 
 
+def test_a_request_that_comes_before_the_configuration_waits_a_moment_for_it() -> None:
+    """All hosts are back from a loss of power, and callers come as soon as an entry listens."""
+
+    async def scene(system: System) -> None:
+        await until(system.beat)
+        job = asyncio.ensure_future(system.submit(KEY, 100))
+        await asyncio.sleep(0.1)
+        system.store.put("op/config", CONFIG)
+        assert (await job).status == 200
+
+    play(scene)
+
+
 def test_work_goes_on_while_the_store_is_down() -> None:
     async def scene(system: System) -> None:
         await system.open()
