Listen early in a start, and let requests wait a moment for the configuration

Cause: a process listened once all of it was imported; callers and runners that came before met a closed port and came back 1.3 s later or with the next heartbeat. What came between listening and the first configuration was refused. Change: the sockets for callers, peers and the runner's heartbeats are opened right after the settings are read (node listening.py); the loop takes them over.

--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import final
 
@@ -29,6 +29,7 @@
 )
 
 from paddleshunt_node.aio import clock
+from paddleshunt_node.aio.earlyrequests import EarlyRequests
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
@@ -36,7 +37,7 @@
 from paddleshunt_node.aio.loop import once_known
 from paddleshunt_node.aio.ports import CallerCodec, StorePort
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
-from paddleshunt_node.aio.sockets import split_address
+from paddleshunt_node.aio.sockets import serve
 from paddleshunt_node.aio.storefollower import StoreFollower
 
 LONELY_SECONDS = 3.0
@@ -113,6 +114,7 @@
         self.catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
         self._callers = HttpServer(self)
+        self._early = EarlyRequests(lambda: Response(503, headers=[(RETRY_AFTER, "1")]))
         self._links: dict[str, PeerLink] = {}
         self._owed: set[str] = set()
         """Targets that a frame is due to, whether there is something to say or not."""
@@ -161,14 +163,10 @@
         }
 
     async def _start(self) -> None:
-        loop = self._loop = asyncio.get_running_loop()
-        await self._callers.start(*split_address(self._config.callers))
-        ready = HttpServer(_Readiness(self))
-        await ready.start(*split_address(self._config.ready))
-        await loop.create_server(
-            lambda: PeerLink(self._target_side, self._times.session),
-            *split_address(self._config.peers),
-        )
+        self._loop = asyncio.get_running_loop()
+        await self._callers.start(self._config.callers)
+        await HttpServer(_Readiness(self)).start(self._config.ready)
+        await serve(lambda: PeerLink(self._target_side, self._times.session), self._config.peers)
         pages = OperatorPages(self._around.measures, self.describe)
         await serve_pages(pages, self._config.metrics, self._around)
         self._gauges()
@@ -259,15 +257,19 @@
     def handle(self, exchange: Exchange) -> None:
         """Take a caller's request."""
         if self.catalog.version == 0:
-            exchange.respond(Response(503, headers=[(RETRY_AFTER, "1")]))
+            self._early.hold(exchange)
             return
+        self._handle(exchange, 0.0)
+
+    def _handle(self, exchange: Exchange, waited: float) -> None:
+        """Take a request that came `waited` seconds ago."""
         read = self._codec.read(exchange.request, self.catalog)
         if isinstance(read, Response):
             exchange.respond(read)
             return
         self._waiting[exchange.number] = exchange
-        now = self._now()
-        self._act(self._dispatcher.submit(now, exchange.number, read.job, read.queue))
+        job = replace(read.job, deadline=max(0.0, read.job.deadline - waited))
+        self._act(self._dispatcher.submit(self._now(), exchange.number, job, read.queue))
         self._loop.call_later(self._config.bounds.caller_delay + TIMER_MARGIN, self._place_soon)
 
     def _place_soon(self) -> None:
@@ -276,6 +278,7 @@
 
     def abandoned(self, exchange: Exchange) -> None:
         """Stop the work of a caller that left."""
+        self._early.drop(exchange.number)
         if self._waiting.pop(exchange.number, None) is not None:
             self._act(self._dispatcher.caller_left(self._now(), exchange.number))
 
@@ -429,6 +432,8 @@
         limits.idle_timeout = catalog.limits.idle_timeout
         self._around.event("catalog_adopted", version=catalog.version, before=before, source=source)
         self._peers.tell_catalog(catalog)
+        for exchange, waited in self._early.release():
+            self._handle(exchange, waited)
 
     def asked_for_catalog(self, peer: str) -> None:
         """Take note that another entry was asked for its configuration."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/httpserver.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/httpserver.py
@@ -12,7 +12,7 @@
 
 from paddleshunt_node.aio.httptext import response_head
 from paddleshunt_node.aio.reading import ReadingProtocol
-from paddleshunt_node.aio.sockets import prepare
+from paddleshunt_node.aio.sockets import prepare, serve
 
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
@@ -97,10 +97,10 @@
         self.loop: asyncio.AbstractEventLoop
         self._server: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen; raises `OSError`."""
-        loop = self.loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Connection(self), host, port, backlog=1024)
+    async def start(self, address: str) -> None:
+        """Listen at host:port; raises `OSError`."""
+        self.loop = asyncio.get_running_loop()
+        self._server = await serve(lambda: _Connection(self), address)
 
     def stop_listening(self) -> None:
         """Take no new connections; those that are open go on."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/process.py
@@ -13,7 +13,6 @@
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
 from paddleshunt_node.aio.logline import COLLECT_SECONDS, LogLines
 from paddleshunt_node.aio.measures import Measures
-from paddleshunt_node.aio.sockets import split_address
 
 
 @final
@@ -109,6 +108,6 @@
 async def serve_pages(pages: OperatorPages, address: str, around: Surroundings) -> None:
     """Serve the operators' pages at host:port; without them the process still does its work."""
     try:
-        await HttpServer(pages).start(*split_address(address))
+        await HttpServer(pages).start(address)
     except OSError as problem:
         around.event("pages_unavailable", address=address, problem=str(problem))
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/sockets.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/sockets.py
@@ -3,6 +3,9 @@
 import asyncio
 import re
 import socket
+from collections.abc import Callable
+
+from paddleshunt_node import listening
 
 MOST_HOST = 253
 """Signs of a host's name, as in DNS; one of its parts has at most `MOST_PART`."""
@@ -34,6 +37,17 @@
     return all(0 < len(part) <= MOST_PART for part in host.split("."))
 
 
+async def serve(factory: Callable[[], asyncio.BaseProtocol], address: str) -> asyncio.Server:
+    """Serve at host:port, by the socket that listens there already if there is one.
+
+    Raises `AddressError` or `OSError`.
+    """
+    split_address(address)
+    loop = asyncio.get_running_loop()
+    listener = listening.take(address)
+    return await loop.create_server(factory, sock=listener, backlog=listening.BACKLOG)
+
+
 def prepare(transport: asyncio.BaseTransport, silence: float) -> None:
     """Send small writes at once, and break a connection that is silent for `silence` seconds."""
     sock = transport.get_extra_info("socket")
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -39,7 +39,6 @@
     Superseded,
 )
 from paddleshunt_node.aio.process import OperatorPages, Surroundings, serve_pages
-from paddleshunt_node.aio.sockets import split_address
 
 LOOK_PAUSE = 0.08
 """Seconds before the next look after one that got no answer, or one that can't be read in full."""
@@ -150,7 +149,7 @@
     async def _start(self) -> None:
         self._loop = asyncio.get_running_loop()
         registration = HttpServer(_Registration(self))
-        await registration.start(*split_address(self._config.registration))
+        await registration.start(self._config.registration)
         pages = OperatorPages(self._around.measures, self.describe)
         await serve_pages(pages, self._config.metrics, self._around)
         self._gauges()
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -124,7 +124,7 @@
 
     async def start(self) -> None:
         """Listen, and register for ever."""
-        await self._server.start(*self._address)
+        await self._server.start("{}:{}".format(*self._address))
 
     async def run(self) -> None:
         """Let time pass and register, until cancelled."""
--- a/testing/council/soakstore.py
+++ b/testing/council/soakstore.py
@@ -56,7 +56,7 @@
 
     async def listen(self, client: str, address: tuple[str, int]) -> None:
         """Serve one process."""
-        await HttpServer(_Listener(self, client)).start(*address)
+        await HttpServer(_Listener(self, client)).start(f"{address[0]}:{address[1]}")
 
     async def run(self) -> None:
         """Let leases and watches run out, until cancelled."""
--- a/testing/council/standins.py
+++ b/testing/council/standins.py
@@ -19,7 +19,7 @@
     async def start(self) -> None:
         port = free_port()
         self.address = f"127.0.0.1:{port}"
-        await HttpServer(self).start("127.0.0.1", port)
+        await HttpServer(self).start(f"127.0.0.1:{port}")
 
     def handle(self, exchange: Exchange) -> None:
         request = exchange.request
--- a/testing/council/test_soakwire.py
+++ b/testing/council/test_soakwire.py
@@ -25,8 +25,7 @@
         self.late = asyncio.Event()
 
     async def start(self) -> None:
-        host, _, port = self.address.partition(":")
-        await HttpServer(self).start(host, int(port))
+        await HttpServer(self).start(self.address)
 
     def handle(self, exchange: Exchange) -> None:
         if self.wire.takes(exchange, self._carry_out):
--- a/testing/node/aio/test_http.py
+++ b/testing/node/aio/test_http.py
@@ -34,7 +34,7 @@
         handler = Handler()
         server = HttpServer(handler, limits)
         port = free_port()
-        await server.start("127.0.0.1", port)
+        await server.start(f"127.0.0.1:{port}")
         await scene(server, handler, f"127.0.0.1:{port}")
         server.stop_listening()
 
