--- a/testing/council/councilsystem.py
+++ b/testing/council/councilsystem.py
@@ -117,6 +117,8 @@
         self.store = StoreStandIn()
         self.runner = WorkingRunner()
         self.peers = f"127.0.0.1:{free_port()}"
+        self.seeds: tuple[str, ...] = (self.peers,)
+        """What the target's settings name."""
         self.callers = f"127.0.0.1:{free_port()}"
         self.ready = f"127.0.0.1:{free_port()}"
         self.registration = f"127.0.0.1:{free_port()}"
@@ -141,7 +143,7 @@
                 "127.0.0.1:1",
                 self.registration,
                 self._free(),
-                (self.peers,),
+                self.seeds,
                 self.bounds,
             ),
             Registration(self.target_around.refuse),
--- a/testing/council/test_starting.py
+++ b/testing/council/test_starting.py
@@ -1,5 +1,6 @@
 """A process that starts: whom it keeps waiting, and whom it turns away."""
 
+import asyncio
 import socket
 import sys
 from collections.abc import Iterator
@@ -7,7 +8,9 @@
 from types import ModuleType
 
 import pytest
+from councilsystem import System, play, until_true
 from paddleshunt_council import starting
+from paddleshunt_node.aio import targetservice
 from paddleshunt_platform.standins.ports import free_port
 from templates import filled
 
@@ -41,3 +44,18 @@
     file.write_text(filled(role, **{LISTENS[role]: f"127.0.0.1:{free_port()}"}, **peers))
     assert starting.start(role, file) == 0
     assert reached == [True]
+
+
+def test_a_target_whose_seeds_do_not_answer_soon_asks_the_store_for_entries(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All hosts are back from a loss of power, and the seeds are not the first."""
+    monkeypatch.setattr(targetservice, "LONELY_SECONDS", 1000.0)
+
+    async def scene(system: System) -> None:
+        await system.open()
+        await asyncio.wait_for(until_true(lambda: bool(system.target._links)), 10)
+
+    system = System()
+    system.seeds = ()
+    play(scene, system)
