--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -46,12 +46,18 @@
 SHORT_PAUSE = 0.01
 """Seconds between two looks that don't wait."""
 
+FIRST_LONELY_SECONDS = 0.15
+"""Seconds after the start by which a seed has usually answered; the store is asked otherwise."""
+
 LONELY_SECONDS = 2.0
-"""Seconds without any session after which the store is asked for entries."""
+"""Seconds between two later looks whether no session is left and the store is to be asked."""
 
 END_MARGIN = 0.5
 """Seconds before SIGKILL at which the process ends, whatever runs."""
 
+STORE = ""
+"""The store's name among the entries that tell of others."""
+
 MISSED_HEARTBEATS = 1.2
 """Heartbeats without a word, when the next one is due, that show that the last had no answer."""
 
@@ -447,15 +453,25 @@
 
     async def _find_entries(self) -> None:
         """Ask the store for entries when none has been met for a while."""
+        pause = FIRST_LONELY_SECONDS
         while True:
-            await asyncio.sleep(LONELY_SECONDS)
-            if self._links:
-                continue
-            try:
-                for entry in await self._store.entries():
-                    self._dialer.want(self._now(), entry.address)
-            except StoreUnavailableError as problem:
-                self._around.event("store_unavailable", reason=str(problem))
+            await asyncio.sleep(pause)
+            pause = LONELY_SECONDS
+            if not self._links:
+                await self._ask_for_entries()
+
+    async def _ask_for_entries(self) -> None:
+        """Dial those of the announced entries that this target is to have sessions with."""
+        try:
+            entries = await self._store.entries()
+        except StoreUnavailableError as problem:
+            self._around.event("store_unavailable", reason=str(problem))
+            return
+        self._choice.told(STORE, entries)
+        self._names.update({entry.address: entry.name for entry in entries})
+        now = self._now()
+        for entry in self._wanted():
+            self._dialer.want(now, entry.address)
 
     # Time and sending.
 
--- a/testing/council/test_starting.py
+++ b/testing/council/test_starting.py
@@ -9,6 +9,8 @@
 
 import pytest
 from councilsystem import System, play, until_true
+from paddleshunt_core.leased.entrychoice import SESSIONS
+from paddleshunt_core.leased.wire import EntryAddress
 from paddleshunt_council import starting
 from paddleshunt_node.aio import targetservice
 from paddleshunt_platform.standins.ports import free_port
@@ -59,3 +61,20 @@
     system = System()
     system.seeds = ()
     play(scene, system)
+
+
+def test_a_target_dials_only_some_of_the_entries_that_the_store_knows() -> None:
+    """All targets of a large fleet ask at once; each entry is to meet its share of them."""
+    announced = [EntryAddress(f"e{n}", f"127.0.0.1:{n}", "life") for n in range(1, 40)]
+
+    async def entries() -> list[EntryAddress]:
+        return announced
+
+    async def scene(system: System) -> None:
+        system.target._store.entries = entries  # type: ignore[method-assign]
+        await system.target._ask_for_entries()
+        dialled = system.target._dialer._wanted.keys() - {system.peers}
+        assert len(dialled) == SESSIONS
+        assert dialled <= {entry.address for entry in announced}
+
+    play(scene)
