--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -32,7 +32,7 @@
     TaskRecord,
     new_job,
 )
-from paddleshunt_core.leased.lengths import Lengths
+from paddleshunt_core.leased.lessons import Lessons
 from paddleshunt_core.leased.outcomes import (
     AnswerJob,
     Completed,
@@ -46,7 +46,7 @@
 from paddleshunt_core.leased.retries import Retries
 from paddleshunt_core.leased.room import RoomNow
 from paddleshunt_core.leased.session import Session, good_echo_age
-from paddleshunt_core.leased.speeds import Speeds, kind_note, work_of
+from paddleshunt_core.leased.speeds import Speeds, kind_note
 from paddleshunt_core.leased.standstill import THAW_SECONDS, StandStill
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wants import Wants
@@ -117,7 +117,7 @@
         self._assigner = Assigner(self._placement, self._containment, self._speeds)
         self._jobs = JobBook()
         self._targets: dict[str, TargetRecord] = {}
-        self._lengths = Lengths()
+        self._lessons = Lessons(self._placement, self._speeds)
         self._wants = Wants()
         self._answers = Answers(times, self._jobs)
         self._evacuations = Evacuations()
@@ -168,19 +168,7 @@
             "evacuations_revision": self._evacuations.known.revision,
             "kinds": self._speeds.all(),
             "confined_queues": self._containment.describe(),
-            "targets": {
-                target.name: {
-                    "session": target.session.number if target.session else 0,
-                    "silent_s": round(now - target.heard, 2),
-                    "report": target.report,
-                    "placed": len(target.placed),
-                    "held": len(target.held),
-                    "asked_ms": round((now - target.asked) * 1000) if target.asked else 0,
-                    "answered": not target.unanswered,
-                    "deviation": round(target.deviation, 2),
-                }
-                for target in self._targets.values()
-            },
+            "targets": {t.name: t.describe(now) for t in self._targets.values()},
         }
 
     # Callers.
@@ -195,7 +183,7 @@
             return [*effects, self._hand_over(now, caller, held)]
         if self.turned_away is not None:
             return [*effects, self._refuse(caller, request, self.turned_away)]
-        expected = self._lengths.of(queue.name).expect(request.estimate, request.deadline)
+        expected = self._lessons.expect(queue, request)
         job = new_job(caller, request, queue, now, expected)
         job.place_from = now + self._caller_delay
         job.is_awaited = self._caller_delay == 0
@@ -613,9 +601,9 @@
             return []
         if end is End.DONE:
             task.phase = TaskPhase.DONE
-            self._learn(now, job, task, target)
+            self._lessons.ended(now, job, task, target)
             if all(other.phase is TaskPhase.DONE for other in job.tasks):
-                self._compare_tasks(job)
+                self._lessons.compare_tasks(job, self._targets)
                 return [self._answer(now, job, Completed())]
             return []
         task.phase = TaskPhase.WAITING
@@ -639,31 +627,6 @@
             task.avoid.add(target.name)
         return [log, *self._check_retries(now, job)]
 
-    def _learn(self, now: float, job: JobRecord, task: TaskRecord, target: TargetRecord) -> None:
-        """Learn from an end how long tasks take; one on a runner that is not well says nothing.
-
-        Nor does one that was sent to a cold runner.
-        """
-        if target.is_cold(task.placed_at):
-            return
-        if target.report is not None and target.report.health is Health.GOOD:
-            request = job.request
-            work = work_of(now - task.placed_at) / self._placement.away_factor(job, target)
-            task.work, task.ran_on = work, target.runner
-            sound = work * self._speeds.typical(job.queue.service) / target.slowness
-            lengths = self._lengths.of(job.queue.name)
-            lengths.ended(request.estimate, request.deadline, sound)
-
-    def _compare_tasks(self, job: JobRecord) -> None:
-        """Learn from what the tasks of a job took how slow hosts are."""
-        done = [
-            (target, task.work)
-            for task in job.tasks
-            if task.work and (target := self._targets.get(task.target)) is not None
-            if target.runner == task.ran_on
-        ]
-        self._speeds.compare_tasks(job.length, done)
-
     def _failed(
         self, now: float, target: TargetRecord, job: JobRecord, task: TaskRecord
     ) -> list[Effect]:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/targets.py
@@ -165,6 +165,19 @@
             and self.is_fresh(now, times)
         )
 
+    def describe(self, now: float) -> dict[str, object]:
+        """Return a summary for a dump."""
+        return {
+            "session": self.session.number if self.session else 0,
+            "silent_s": round(now - self.heard, 2),
+            "report": self.report,
+            "placed": len(self.placed),
+            "held": len(self.held),
+            "asked_ms": round((now - self.asked) * 1000) if self.asked else 0,
+            "answered": not self.unanswered,
+            "deviation": round(self.deviation, 2),
+        }
+
     @property
     def free(self) -> Resources:
         """Room there, less what is on its way."""
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -30,6 +30,7 @@
 
 from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.earlyrequests import EarlyRequests
+from paddleshunt_node.aio.entrygauges import EntryGauges
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
@@ -169,7 +170,12 @@
         await serve(lambda: PeerLink(self._target_side, self._times.session), self._config.peers)
         pages = OperatorPages(self._around.measures, self.describe)
         await serve_pages(pages, self._config.metrics, self._around)
-        self._gauges()
+        EntryGauges(
+            self._around.measures,
+            self._dispatcher,
+            lambda: self.catalog.version,
+            lambda: len(self._links),
+        )
         self._meter.show()
         self._around.event("started", role="entry", node=self._config.name, life=self._life)
         self._around.spawn(self._peers.dial_for_ever())
@@ -205,39 +211,6 @@
         """Adopt new settings."""
         self._peers.seeds(seeds)
 
-    def _gauges(self) -> None:
-        measures = self._around.measures
-        measures.gauge("paddleshunt_jobs", "Jobs held.", lambda: self._dispatcher.jobs)
-        measures.gauge(
-            "paddleshunt_catalog_version", "Version in force.", lambda: self.catalog.version
-        )
-        measures.gauge("paddleshunt_sessions", "Targets in session.", lambda: len(self._links))
-        measures.gauge(
-            "paddleshunt_confined_queues",
-            "Queues confined to a few targets, as their tasks met lost runners too often.",
-            lambda: self._dispatcher.confined_queues,
-        )
-        measures.gauge(
-            "paddleshunt_report_age_seconds", "Age of the oldest target's report.", self._report_age
-        )
-
-        measures.family(
-            "paddleshunt_kind_slowness",
-            "How many times as long tasks take on a kind of host as on a usual one.",
-            self._kind_slowness,
-        )
-
-    def _kind_slowness(self) -> list[tuple[dict[str, str], float]]:
-        return [
-            ({"service": word.service, "kind": word.kind}, word.slowness_thousandths / 1000)
-            for word in self._dispatcher.speeds.all()
-        ]
-
-    def _report_age(self) -> float:
-        now = self._now()
-        ages = [now - t.reported for t in self._dispatcher.targets() if t.report is not None]
-        return max(ages, default=0.0)
-
     def _now(self) -> float:
         return clock.now()
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -24,6 +24,7 @@
 from paddleshunt_core.leased.worker import Worker
 
 from paddleshunt_node.aio import clock
+from paddleshunt_node.aio.claims import Claims
 from paddleshunt_node.aio.dialer import Dialer
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
@@ -64,9 +65,6 @@
 TIMER_MARGIN = 0.001
 """Seconds that a timer may be early by the clock that it is checked with."""
 
-MOST_CLAIMS = 32
-"""Lives that the runner has not confirmed yet; a host sees some of them a day."""
-
 LAST_WORDS = 0.1
 """Seconds for the last frames to leave."""
 
@@ -113,8 +111,8 @@
         self._names: dict[str, str] = {}
         """Entries by the address at which they were met."""
         self._said: dict[PeerLink, float] = {}
-        self._claims: dict[RunnerLife, RunnerAccount] = {}
-        """Accounts of other lives than the known one that the runner has not confirmed."""
+        self._claims = Claims()
+        """Accounts of other lives than the known one."""
         self._life_meant: RunnerLife | None = None
         """The life that orders and looks are meant for."""
         self._changes = 0
@@ -216,20 +214,12 @@
         """Follow an account, or keep it with a claim; return whether either was done."""
         is_claim = self._worker.judge(account) is Claim.DOUBTFUL
         if is_claim or account.runner in self._claims:
-            self._keep_claim(account)
+            self._claims.keep(account)
         if is_claim:
             self._around.spawn(self._confirm(account))
         else:
             self._follow(account)
-        return account in (self._worker.account, self._claims.get(account.runner))
-
-    def _keep_claim(self, account: RunnerAccount) -> None:
-        """Keep the newest account of a life that is yet to come: it may leave by now."""
-        claimed = self._claims.get(account.runner)
-        if claimed is None or account.sequence > claimed.sequence:
-            self._claims[account.runner] = account
-        if len(self._claims) > MOST_CLAIMS:
-            del self._claims[next(iter(self._claims))]
+        return account in (self._worker.account, self._claims.newest(account.runner))
 
     def _follow(self, account: RunnerAccount) -> None:
         """Follow the runner's account of itself."""
@@ -251,7 +241,7 @@
         if changes != self._changes:
             # It may be of before that change; a claim that stands has been asked about again.
             return
-        account = self._claims.get(account.runner, account)
+        account = self._claims.newest(account.runner) or account
         event = {True: "life_confirmed", False: "life_denied", None: "life_unanswered"}[answer]
         self._around.event(event, runner=str(account.runner))
         claim = self._worker.judge(account)
@@ -271,12 +261,12 @@
         self._changes = self._worker.life_changes
         self._life_meant = life
         self._runner.expect(life)
-        for account in list(self._claims.values()):
+        for account in self._claims.all():
             self._around.spawn(self._confirm(account))
 
     def _runner_ends(self, now: float, ends: RunnerEnds) -> None:
         self._around.event("runner_left", runner=str(ends.runner))
-        self._claims.pop(ends.runner, None)
+        self._claims.drop(ends.runner)
         self._act(self._worker.runner_left(now, ends.runner))
 
     async def _look_for_ever(self) -> None:
