Believe a suspended host's next full list, and keep no request waiting at an entry that leaves

Cause (read in the diff): the time by which a host was suspended moved the moment since which lists count, so that a full list was passed over; and a request that waits for the configuration as its entry leaves could be cut off. Change: the pause counts only for leases; a leaving entry without a configuration answers at once, as before. Result: a test of each.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/admission.py
@@ -16,7 +16,6 @@
 NO_TARGET_WAIT = 0.1
 """Seconds a job is expected to wait for a target when none is known."""
 
-
 RETRY_SECONDS = 1.0
 """When a refused caller is told to come back, if nothing better is known."""
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/foreignruns.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/foreignruns.py
@@ -23,6 +23,8 @@
         self._runs: set[RunId] = set()
         self._met: float | None = None
         """When the life was met; with the first look of this process if nothing told of it."""
+        self._paused = 0.0
+        """Seconds since then for which the runner's clock may not have moved."""
         self.clean = False
         """Whether this life of the runner was seen with none, or none can be left."""
 
@@ -37,6 +39,7 @@
         self._runs = set()
         self.clean = False
         self._met = now
+        self._paused = 0.0
 
     def is_met_by(self, answer: LookAnswer) -> bool:
         """Whether an answer is to a look that was sent since this life was met."""
@@ -44,8 +47,7 @@
 
     def stood_still(self, seconds: float) -> None:
         """Note that the runner's clock may not have moved for so long."""
-        if self._met is not None:
-            self._met += seconds
+        self._paused += seconds
 
     def ended(self, run: RunId) -> None:
         """Note that a run has ended."""
@@ -64,5 +66,5 @@
 
     def _can_have_none(self, met: float, now: float) -> bool:
         """Whether all leases are over that were granted before `met`, or by this life since."""
-        left_by_earlier = met + self._times.strayed + self._times.overrun
+        left_by_earlier = met + self._paused + self._times.strayed + self._times.overrun
         return now > left_by_earlier and self._lease.has_killed(now)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -115,7 +115,7 @@
         self.catalog: Catalog = EMPTY
         self._waiting: dict[int, Exchange] = {}
         self._callers = HttpServer(self)
-        self._early = EarlyRequests(lambda: Response(503, headers=[(RETRY_AFTER, "1")]))
+        self._early = EarlyRequests(_unconfigured)
         self._links: dict[str, PeerLink] = {}
         self._owed: set[str] = set()
         """Targets that a frame is due to, whether there is something to say or not."""
@@ -230,7 +230,11 @@
     def handle(self, exchange: Exchange) -> None:
         """Take a caller's request."""
         if self.catalog.version == 0:
-            self._early.hold(exchange)
+            # One that comes as this process leaves might be cut off while it waits.
+            if self._leaving:
+                exchange.respond(_unconfigured())
+            else:
+                self._early.hold(exchange)
             return
         self._handle(exchange, 0.0)
 
@@ -514,6 +518,11 @@
         return Hello(config.name, self._life, True, config.hall, config.peers, session, received)
 
 
+def _unconfigured() -> Response:
+    """Return the answer to a request that comes without a configuration to go by."""
+    return Response(503, headers=[(RETRY_AFTER, "1")])
+
+
 @final
 class _Readiness:
     def __init__(self, service: EntryService) -> None:
--- a/testing/core/leased/test_foreignruns.py
+++ b/testing/core/leased/test_foreignruns.py
@@ -81,6 +81,13 @@
     assert not foreign.clean
 
 
+def test_a_host_that_was_suspended_is_believed_its_next_full_list(foreign: ForeignRuns) -> None:
+    foreign.meet(1.0)
+    foreign.stood_still(3.0)
+    foreign.read(LookAnswer(1.1, [], []), {})
+    assert foreign.clean
+
+
 def test_a_readable_foreign_run_is_no_matter_of_time(foreign: ForeignRuns) -> None:
     foreign.meet(1.0)
     foreign.read(LookAnswer(5.0 + LONGEST, LISTED, [], partial=True), {})
--- a/testing/council/test_system.py
+++ b/testing/council/test_system.py
@@ -5,6 +5,7 @@
 
 import pytest
 from councilsystem import BOUNDS, CONFIG, System, play, until, until_true
+from paddleshunt_node.aio import earlyrequests
 from paddleshunt_node.aio.httpclient import NoAnswerError
 from paddleshunt_node.aio.sockets import split_address
 
@@ -46,6 +47,19 @@
     play(scene)
 
 
+def test_a_leaving_entry_without_a_configuration_keeps_no_request_waiting(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(earlyrequests, "HOLD_SECONDS", 1000.0)
+
+    async def scene(system: System) -> None:
+        system.entry_around.stopping.set()
+        await until_true(lambda: system.entry.describe()["leaving"] is True)
+        assert (await system.submit(KEY, 100, wait=5.0)).status == 503
+
+    play(scene)
+
+
 def test_work_goes_on_while_the_store_is_down() -> None:
     async def scene(system: System) -> None:
         await system.open()
