--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/catalogspread.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/catalogspread.py
@@ -30,8 +30,8 @@
 LINK_SHARE = 0.25
 """Share of an entry's link that copies may take: sessions and answers go on beside them."""
 
-
 BYTES_A_MEGABIT = 125_000
+"""Bytes a second of a link that carries a megabit a second."""
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -177,7 +177,8 @@
         """Take a job, or refuse it."""
         effects = self._notice_pause(now)
         if self._pauses.just_ended(now):
-            return [*effects, self._refusal(caller, request, "stood_still", THAW_SECONDS)]
+            stood_still = Refused("stood_still", THAW_SECONDS)
+            return [*effects, self._refuse(caller, request, stood_still)]
         held = self._jobs.of_key(request.key)
         if held is not None:
             return [*effects, self._hand_over(now, caller, held)]
@@ -195,21 +196,16 @@
         effects += self._containment.serves(now, queue, self._open_targets)
         confined = self._containment.refuses(job, room)
         if confined is not None:
-            retry_after = max(RETRY_SECONDS, confined)
-            return [*effects, self._refusal(caller, request, "confined", retry_after)]
-        wait = self._wait(job, room)
+            refused_confined = Refused("confined", max(RETRY_SECONDS, confined))
+            return [*effects, self._refuse(caller, request, refused_confined)]
+        is_room = has_room(job, self._usable(job, room))
+        wait = 0.0 if is_room else self._wait(job, room)
         if self._is_settling(now):
             wait = min(wait, NO_TARGET_WAIT)
         if self._ends is not None and now + wait + LEAVING_LENGTHS * job.length > self._ends:
             leaving = Refused("leaving", 0.0, elsewhere=True)
             return [*effects, self._refuse(caller, request, leaving)]
-        refused = refusal(
-            now,
-            job,
-            wait,
-            self._last_start(now, job),
-            has_room=has_room(job, self._usable(job, room)),
-        )
+        refused = refusal(now, job, wait, self._last_start(now, job), has_room=is_room)
         if refused is not None:
             why = room_note(now, job, wait, room)
             return [*effects, why, self._refuse(caller, request, refused)]
@@ -427,11 +423,6 @@
 
     # Inside: callers.
 
-    def _refusal(
-        self, caller: int, request: JobRequest, reason: str, retry_after: float
-    ) -> AnswerJob:
-        return self._refuse(caller, request, Refused(reason, retry_after))
-
     def _refuse(self, caller: int, request: JobRequest, refused: Refused) -> AnswerJob:
         """Refuse a job, unless an earlier try of it may have run: it is not known to be unrun."""
         ran = self._jobs.may_have_run(request.key)
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/foreignruns.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/foreignruns.py
@@ -49,10 +49,6 @@
         """Note that the runner's clock may not have moved for so long."""
         self._paused += seconds
 
-    def ended(self, run: RunId) -> None:
-        """Note that a run has ended."""
-        self._runs.discard(run)
-
     def read(self, answer: LookAnswer, ordered: Container[RunId]) -> None:
         """Take the runner's lists; `ordered` are the runs of this life of the target."""
         ended = {row.run for row in answer.finished}
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -478,7 +478,6 @@
 
     def _listed(self, now: float, shown: float, finished: FinishedRun) -> list[Effect]:
         self._last_seen = max(self._last_seen, finished.number)
-        self._foreign.ended(finished.run)
         run = self.table.get(finished.run)
         if run is None:
             return []
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/catalogpack.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/catalogpack.py
@@ -11,7 +11,7 @@
 """Bytes of a configuration, above which a packed one is refused."""
 
 PACK_LEVEL = 1
-"""Routes are alike, so that the fastest level packs them nearly as well as the best."""
+"""Level of zlib: the one that takes the least processor time."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Catalog)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -30,7 +30,7 @@
 
 from paddleshunt_node.aio import clock
 from paddleshunt_node.aio.earlyrequests import EarlyRequests
-from paddleshunt_node.aio.entrygauges import EntryGauges
+from paddleshunt_node.aio.entrygauges import add_entry_gauges
 from paddleshunt_node.aio.entrypeers import EntryPeers
 from paddleshunt_node.aio.framing import PeerLink
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
@@ -170,7 +170,7 @@
         await serve(lambda: PeerLink(self._target_side, self._times.session), self._config.peers)
         pages = OperatorPages(self._around.measures, self.describe)
         await serve_pages(pages, self._config.metrics, self._around)
-        EntryGauges(
+        add_entry_gauges(
             self._around.measures,
             self._dispatcher,
             lambda: self.catalog.version,
@@ -245,7 +245,9 @@
             exchange.respond(read)
             return
         self._waiting[exchange.number] = exchange
-        job = replace(read.job, deadline=max(0.0, read.job.deadline - waited))
+        job = read.job
+        if waited:
+            job = replace(job, deadline=max(0.0, job.deadline - waited))
         self._act(self._dispatcher.submit(self._now(), exchange.number, job, read.queue))
         self._loop.call_later(self._config.bounds.caller_delay + TIMER_MARGIN, self._place_soon)
 
