Review, case 3: a task starts on a runner that lacks the label it requires

Cause: an assignment doesn't name the label, and the target doesn't check it; the entry chooses by its last report, which an idle session holds back for 0.25 s while the runner's state stays ready.

The stand-ins' runner can now close idle connections.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -234,6 +234,8 @@
         self.leaves_unanswered = lambda kind, asked: False
         """Which orders get no answer, and are carried out some seconds later."""
         self.beating = None
+        self.idle_s = None
+        """After how many seconds it closes a connection without a call; None for never."""
         self.live(labels)
 
     def live(self, labels):
@@ -329,7 +331,7 @@
         life = self.lives
         try:
             while True:
-                request = await read_request(reader)
+                request = await self._next_request(reader, life)
                 if request is None:
                     break
                 if not self.up or life != self.lives:
@@ -349,6 +351,15 @@
         finally:
             writer.close()
 
+    async def _next_request(self, reader, life):
+        """Return the next request; None at the end, or if none comes for too long."""
+        try:
+            return await read_request(reader, self.idle_s)
+        except TimeoutError:
+            if self.up and life == self.lives:
+                return None
+            await asyncio.sleep(3600)
+
     async def _handle(self, request):
         method, path, headers, raw = request
         self.step()
@@ -455,9 +466,14 @@
     return ports
 
 
-async def read_request(reader):
-    """Return the method, path, headers and body of the next request; None at the end."""
-    head = await reader.readuntil(b"\r\n\r\n") if not reader.at_eof() else b""
+async def read_request(reader, patience=None):
+    """Return the method, path, headers and body of the next request; None at the end.
+
+    Raises `TimeoutError` if its head isn't there within `patience` seconds.
+    """
+    head = b""
+    if not reader.at_eof():
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), patience)
     if not head:
         return None
     first, *lines = head.decode("latin-1").split("\r\n")
