--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -11,6 +11,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -27,7 +28,10 @@
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 RESEND_S, HOLD_MAX_MS, STOP_S, BEAT_S = 1.3, 1000, 0.05, 1.5
-"""Bounds of the small sites: `resend_ms`, `hold_max_ms`, `stop_timeout_ms`, `heartbeat_ms`."""
+"""Of the small sites: `resend_ms`, `hold_max_ms`, `stop_timeout_ms`, `heartbeat_ms`."""
+
+METRICS_PORT = 9464
+"""The port of the operators' pages in the templates of the settings."""
 
 HOST, PREFIX, SERVICE = "jobs.example", "/q/", "svc"
 RUN_LINES = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
@@ -150,7 +154,7 @@
 
     async def _sessions(self, name):
         try:
-            reader, writer = await asyncio.open_connection(self.addresses[name], 9464)
+            reader, writer = await asyncio.open_connection(self.addresses[name], METRICS_PORT)
         except OSError:
             return 0
         writer.write(b"GET /dump HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
@@ -456,7 +460,6 @@
 
 def free_ports(address, count):
     """Return ports that nothing listens on at `address`."""
-    import socket
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
         each.bind((address, 0))
@@ -483,7 +486,7 @@
     return method, path, headers, body
 
 
-async def ask(host, port, method, path, body=b"", headers=(), timeout=2.0, from_=None):
+async def ask(host, port, method, path, body=b"", headers=(), timeout=2.0):
     """Call once on a connection of its own; return the status, or `silence` or `broken`.
 
     A job's 200 is returned as its state.
