A runner's notice of its end does not end its runs

Cause: RunnerControl.runner_deregistered treated the notice like the answer of a successor and reported every run as lost. The notice announces an end; the runner ends once it has the acknowledgement, which the target can't see, or later.

Change: the notice stops the runs; each ends when the runner's lists, a successor or the end of its lease show it. The soak's runner now serves on for five seconds if its notice isn't acknowledged.

--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnercontrol.py
@@ -198,7 +198,7 @@
         return [note("runner_cold", runner=str(status.runner), left_ms=left)]
 
     def runner_deregistered(self, now: float, incarnation: RunnerIncarnation) -> list[Effect]:
-        """Handle the runner's notice that it ends now."""
+        """Handle the runner's notice that it is about to end: stop its runs, and start no more."""
         current = self.incarnations.current
         if current is None or not self.incarnations.is_current(incarnation):
             self.incarnations.mark_ended(incarnation)
@@ -211,7 +211,15 @@
             # heartbeat, and runs continue until polls show that they have ended.
             return [note("runner_leaving", runner=str(current))]
         self.incarnations.mark_ended(incarnation)
-        return self._runner_replaced(now, None)
+        if not len(self.table):
+            return self._runner_replaced(now, None)
+        # The runner is up until it receives the acknowledgement, or for seconds more: its runs are
+        # over only when its lists or the end of its lease show it.
+        self.losses.end_announced()
+        effects: list[Effect] = [note("runner_ending", runner=str(current), runs=len(self.table))]
+        for run in self.table:
+            effects += self.cancel(now, run, "runner_ending")
+        return effects
 
     def next_poll(self, now: float, *, renew: bool) -> Poll:
         """Return the poll to send now, and count it as sent; `renew`: whether to renew the lease.
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/runnerlosses.py
@@ -71,6 +71,11 @@
         """
         self._unconfirmed = None
 
+    def end_announced(self) -> None:
+        """Withdraw what was reported, as an incarnation that announces its end didn't crash."""
+        self._unconfirmed = None
+        self._withdraw()
+
     def poll_failed(self, now: float) -> None:
         """Record that a poll had no answer."""
         if self._silent_since is None:
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/worker.py
@@ -233,7 +233,7 @@
         return self._control.heartbeat_received(now, status)
 
     def runner_deregistered(self, now: float, incarnation: RunnerIncarnation) -> list[Effect]:
-        """Handle the runner's notice that it ends now."""
+        """Handle the runner's notice that it is about to end: stop its runs, and start no more."""
         return self._control.runner_deregistered(now, incarnation)
 
     def next_poll(self, now: float) -> Poll:
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/targetservice.py
@@ -65,6 +65,15 @@
 TIMER_MARGIN = 0.001
 """Seconds added to timers, as the event loop may fire them early by `clock.now`."""
 
+DEREGISTRATION_HOLD_SECONDS = 0.5
+"""Maximum seconds for which a runner's notice of its end is not acknowledged while runs end.
+
+The runner waits a second for the acknowledgement, and ends with its runs when it receives it.
+"""
+
+DEREGISTRATION_CHECK_SECONDS = 0.01
+"""Seconds between two checks whether these runs have ended."""
+
 FINAL_FLUSH_SECONDS = 0.1
 """Seconds allowed for sending the last frames."""
 
@@ -202,7 +211,9 @@
             return
         if isinstance(parsed, RunnerDeregistration):
             self._deregister(self._now(), parsed)
-        elif not self._accept_status(parsed) and parsed.leaving:
+            self._context.spawn(self._acknowledge_deregistration(exchange))
+            return
+        if not self._accept_status(parsed) and parsed.leaving:
             # The runner repeats a heartbeat that isn't acknowledged.
             exchange.respond(self._codec.decline())
             return
@@ -275,6 +286,16 @@
         self._unconfirmed.drop(deregistration.runner)
         self._act(self._worker.runner_deregistered(now, deregistration.runner))
 
+    async def _acknowledge_deregistration(self, exchange: Exchange) -> None:
+        """Acknowledge a runner's notice of its end once its runs have ended, or after a while.
+
+        Runs that end first can be placed elsewhere at once; otherwise their leases must expire.
+        """
+        acknowledge_by = self._now() + DEREGISTRATION_HOLD_SECONDS
+        while not self._worker.idle and self._now() < acknowledge_by:
+            await asyncio.sleep(DEREGISTRATION_CHECK_SECONDS)
+        exchange.respond(self._codec.acknowledge())
+
     async def _poll_forever(self) -> None:
         failures = 0
         while True:
--- a/testing/council/soakrunner.py
+++ b/testing/council/soakrunner.py
@@ -35,6 +35,12 @@
 LONGEST_DRAIN = 3.0
 """The same, at most."""
 
+ACKNOWLEDGE_SECONDS = 1.0
+"""Seconds for which a runner waits until its notice of its end is acknowledged."""
+
+UNACKNOWLEDGED_SECONDS = 5.0
+"""Seconds for which it serves on if that doesn't happen."""
+
 RETURNS = 0.6
 """Share of the lives that bear the id of the one before, of runners that tell their start."""
 
@@ -91,6 +97,8 @@
         self.up = True
         self.on_start: Callable[[], None] | None = None
         """Called once, when the next order to start arrives."""
+        self.on_notice: Callable[[], None] = lambda: None
+        """Called as it sends the notice of its end."""
         self._address = address
         self._registration = HttpClient(registration)
         self._record = record
@@ -280,8 +288,11 @@
             self._record.acknowledged(self.name, monotonic())
         return done
 
-    async def leave(self, away: float) -> None:
-        """Say that it leaves, serve on for a while, end, and start again after so many seconds."""
+    async def leave(self, away: float, *, loses_acknowledgement: bool = False) -> None:
+        """Say that it leaves, serve on for a while, end, and start again after so many seconds.
+
+        If its last notice isn't acknowledged, or the acknowledgement is lost, it ends later.
+        """
         if not self.up or self.leaving:
             return
         life, self.leaving = self._lives, True
@@ -291,7 +302,11 @@
         if not self._goes_on(life):
             return
         told = {"born": self.born} if self.born and self._rng.random() < RETURNS else {}
-        await self._say("Deregister", json.dumps(told).encode() if told else b"")
+        body = json.dumps(told).encode() if told else b""
+        self.on_notice()
+        status = await self._say("Deregister", body, ACKNOWLEDGE_SECONDS)
+        if status != 200 or loses_acknowledgement:
+            await asyncio.sleep(UNACKNOWLEDGED_SECONDS)
         if self._goes_on(life):
             self._die(monotonic())
             await asyncio.sleep(away)
@@ -322,10 +337,10 @@
     async def _register(self, body: bytes) -> int | None:
         return await self._say("Heartbeat", body)
 
-    async def _say(self, word: str, body: bytes) -> int | None:
+    async def _say(self, word: str, body: bytes, timeout: float = 0.5) -> int | None:
         path = f"/paddleshunt/Instances.{word}/{self.life}"
         try:
-            return (await self._registration.call("POST", path, 0.5, body)).status
+            return (await self._registration.call("POST", path, timeout, body)).status
         except CallError:
             return None
 
