A cancelled job stops, wherever its cancellation arrives

Cause: HttpCallerCodec.read answered each GET and DELETE of a job with 410 by itself, and nothing behind it could cancel a job.

Change: the dispatcher cancels: it answers the waiting caller 200 `cancelled`, stops the runs and places what waits. Entries remember cancelled jobs for a minute, start nothing of them, send them to each other (also on a new connection) and confirm them. A DELETE at another entry is answered once one entry held the job (200) or all live ones have confirmed that they don't (410); 503 while one hasn't. A GET is answered from the jobs that the entry holds. `paddleshunt explain` names the cancellation.

--- a/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
+++ b/packages/paddleshunt-cli/src/paddleshunt_cli/explain.py
@@ -121,6 +121,9 @@
         return _explain_refused(own, answers[-1])
     if answers and "outcome=failed" in answers[-1].text:
         return _explain_failed(own, answers[-1])
+    if answers and "outcome=cancelled" in answers[-1].text:
+        cancelled = [line for line in own if line.event == "job_cancelled"]
+        return "cancelled by a caller", [*cancelled, answers[-1]]
     if answers and "outcome=givenup" in answers[-1].text:
         return _explain_given_up(own, process_lines, answers[-1])
     caller_left = [line for line in own if line.event == "caller_left"]
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/dispatcher.py
@@ -20,6 +20,7 @@
 )
 from paddleshunt_core.leased.assigner import Assigner
 from paddleshunt_core.leased.bounds import COLD_OVERRUN, HALL_PREFERENCE, LeaseTimes
+from paddleshunt_core.leased.cancellations import CancelledJobs
 from paddleshunt_core.leased.catalog import Queue
 from paddleshunt_core.leased.containment import Containment
 from paddleshunt_core.leased.evacuation import EvacuatedHalls, Evacuations, evacuation_log
@@ -27,6 +28,7 @@
     STALE_STEP,
     JobRecord,
     JobRequest,
+    JobState,
     TaskPhase,
     TaskRecord,
     new_job,
@@ -36,6 +38,7 @@
 from paddleshunt_core.leased.outcomes import (
     AnswerJob,
     BroadcastLoss,
+    Cancelled,
     Completed,
     Failed,
     GivenUp,
@@ -53,6 +56,7 @@
 from paddleshunt_core.leased.targetsnapshot import TargetSnapshot
 from paddleshunt_core.leased.wire import (
     Body,
+    CancelledJob,
     End,
     Ended,
     EvacuationUpdate,
@@ -117,6 +121,7 @@
         self._containment = Containment(times.hold)
         self._assigner = Assigner(self._placement, self._containment, self._speeds)
         self._jobs = JobTable()
+        self._cancelled = CancelledJobs()
         self._targets: dict[str, TargetRecord] = {}
         self._estimator = RuntimeEstimator(self._placement, self._speeds)
         self._resource_requests = ResourceRequests()
@@ -166,6 +171,7 @@
         """Return a summary of the state for the state dump."""
         return {
             "jobs": len(self._jobs),
+            "cancelled_jobs": len(self._cancelled),
             "waiting_tasks": sum(len(job.waiting()) for job in self._jobs.all()),
             "evacuated_halls": self._evacuations.known.halls,
             "evacuations_revision": self._evacuations.known.revision,
@@ -177,6 +183,9 @@
     def submit(self, now: float, caller: int, request: JobRequest, queue: Queue) -> list[Effect]:
         """Admit a job, or refuse it."""
         effects = self._handle_pause(now)
+        if request.key in self._cancelled:
+            cancelled = Cancelled("cancelled_before")
+            return [*effects, AnswerJob(caller, request.key, cancelled, 0.0)]
         if self._pauses.recently_resumed(now):
             stood_still = Refused("stood_still", RESUME_GRACE_SECONDS)
             return [*effects, self._refuse(caller, request, stood_still)]
@@ -236,6 +245,34 @@
         age = round((now - job.arrived) * 1000)
         return [*effects, note("caller_left", job.request.key, after_ms=age), *self._place(now)]
 
+    def cancel(self, now: float, cancelled: CancelledJob, source: str) -> tuple[bool, list[Effect]]:
+        """Cancel a job, and start it no more if it is submitted again; return whether it was held.
+
+        Its caller is answered, and the resources of its runs go to the jobs that wait for them.
+        """
+        effects = self._handle_pause(now)
+        is_new = self._cancelled.add(now, cancelled)
+        job = self._jobs.by_key(cancelled.key)
+        held = job is not None
+        if is_new or held:
+            effects.append(note("job_cancelled", cancelled.key, held=int(held), source=source))
+        if job is None:
+            return False, effects
+        answer = self._answer(now, job, Cancelled("cancelled"))
+        return True, [*effects, answer, *self._place(now)]
+
+    def known_cancellations(self, now: float) -> list[CancelledJob]:
+        """Return the remembered cancelled jobs, to send to an entry that has just connected."""
+        self._cancelled.expire(now)
+        return self._cancelled.export(now)
+
+    def job_state(self, key: str) -> JobState | None:
+        """Return the state of a job that this entry holds or knows to be cancelled."""
+        job = self._jobs.by_key(key)
+        if job is None:
+            return JobState.CANCELLED if key in self._cancelled else None
+        return JobState.RUNNING if job.may_have_started else JobState.QUEUED
+
     def _is_settling(self, now: float) -> bool:
         return self._first_session_at is None or now < self._first_session_at + SETTLE_SECONDS
 
@@ -406,6 +443,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Check timeouts, and place waiting tasks."""
         effects = self._handle_pause(now)
+        self._cancelled.expire(now)
         for target in list(self._targets.values()):
             effects += self._check_target(now, target)
         self._speeds.tick(now, self._targets.values())
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/jobs.py
@@ -52,6 +52,14 @@
     """Maximum number of the tasks on one runner; 0 for no limit."""
 
 
+class JobState(Enum):
+    """State of an unanswered or cancelled job. QUEUED: no task may have started."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    CANCELLED = "cancelled"
+
+
 class TaskPhase(Enum):
     """State of a task. HELD: its target's session has ended, and it may still run there."""
 
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/outcomes.py
@@ -48,6 +48,14 @@
     reason: str
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Cancelled:
+    """A caller has cancelled the job: its runs are being stopped, and no more will start."""
+
+    reason: str
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class BroadcastLoss:
@@ -56,7 +64,7 @@
     update: LossUpdate
 
 
-JobOutcome = Completed | Failed | Refused | GivenUp
+JobOutcome = Completed | Failed | Refused | GivenUp | Cancelled
 
 
 @final
--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/wire.py
@@ -300,6 +300,32 @@
     worked_ms: list[int]
 
 
+@final
+class CancelledJob(msgspec.Struct, frozen=True, array_like=True):
+    """A cancelled job, and the milliseconds since its cancellation was requested."""
+
+    key: str
+    ago_ms: int = 0
+
+
+@final
+class CancelJobs(_Body, frozen=True, tag=21):
+    """Request from an entry to cancel jobs and to start them no more.
+
+    Only entries whose hello says so handle it; they answer with `JobsCancelled`.
+    """
+
+    jobs: list[CancelledJob]
+
+
+@final
+class JobsCancelled(_Body, frozen=True, tag=22):
+    """Confirms that jobs are cancelled; the sender held those in `held`."""
+
+    keys: list[str]
+    held: list[str]
+
+
 Body = (
     Assign
     | Stop
@@ -318,6 +344,8 @@
     | SpeedUpdate
     | SessionCount
     | RunnerSilent
+    | CancelJobs
+    | JobsCancelled
 )
 
 LossUpdate = RunnerLost | RunnerReturned | RunnerSilent
@@ -331,7 +359,8 @@
     `incarnation` changes with each start of the process. `entry`: whether the sender is an entry.
     In a target's message `session` is the session to resume, or 0 if it has none; in an entry's
     answer it is the session to use, or 0 if the named one can't be resumed. `received` is the
-    number of the last body that the sender received in it.
+    number of the last body that the sender received in it. `handles_cancellations`: whether the
+    sender handles `CancelJobs`; it comes last, as processes without the field ignore it.
     """
 
     name: str
@@ -341,6 +370,7 @@
     address: str
     session: int
     received: int
+    handles_cancellations: bool = False
 
 
 @final
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entrypeers.py
@@ -11,6 +11,8 @@
 from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.wire import (
     Body,
+    CancelJobs,
+    CancelledJob,
     CatalogUpdate,
     CatalogVersion,
     Entries,
@@ -19,6 +21,7 @@
     EvacuationUpdate,
     Frame,
     Hello,
+    JobsCancelled,
     LossUpdate,
     PackedCatalog,
     RunnerLost,
@@ -80,6 +83,15 @@
     def receive_loss(self, update: LossUpdate, source: str) -> None:
         """Process another entry's report on a lost runner."""
 
+    def known_cancellations(self) -> list[CancelledJob]:
+        """Return the remembered cancelled jobs."""
+
+    def receive_cancellation(self, job: CancelledJob, source: str) -> bool:
+        """Cancel a job that another entry was asked to cancel; return whether it was held."""
+
+    def cancellation_confirmed(self, entry: str, key: str, *, held: bool) -> None:
+        """Record that another entry has cancelled a job, and whether it held it."""
+
     @property
     def speeds(self) -> Speeds:
         """The measured slowness of each kind of host."""
@@ -126,6 +138,8 @@
         self._announced: dict[str, EntryAddress] = {own.name: own}
         """The entries last announced to targets, by name."""
         self._announcing = False
+        self._cancelling: set[PeerLink] = set()
+        """Connections to the entries that handle cancellations."""
         self._list_index = 0
         """Index of the connection to which the list of live entries was last sent."""
         self.network_overloaded = False
@@ -195,6 +209,13 @@
         """Send all entries a report on a lost runner."""
         self._send_all(update)
 
+    def broadcast_cancellation(self, job: CancelledJob) -> set[str]:
+        """Send all entries a cancelled job; return the names of those that have to confirm it."""
+        frame = _sessionless_frame(CancelJobs([job]))
+        for link in self._cancelling:
+            link.send(frame)
+        return {entry.name for entry in self.live()} - {self._own.name}
+
     async def dial_forever(self) -> None:
         """Keep a connection to each entry until cancelled."""
         await self._dialer.run()
@@ -308,8 +329,13 @@
         link.send(_sessionless_frame(Entries(self.live()), version, *updates))
 
     def hello_received(self, link: PeerLink, hello: Hello) -> None:
-        """Record an entry that was dialled."""
+        """Record an entry that was dialled, and send it the cancelled jobs."""
         self.record_entry(EntryAddress(hello.name, hello.address, hello.incarnation, hello.hall))
+        if hello.handles_cancellations:
+            self._cancelling.add(link)
+            cancelled = self._owner.known_cancellations()
+            if cancelled:
+                link.send(_sessionless_frame(CancelJobs(cancelled)))
 
     def frame_received(self, link: PeerLink, frame: Frame) -> None:
         """Process a frame of another entry, whichever side opened the connection."""
@@ -336,9 +362,20 @@
                 self._handle_packed_catalog(link, body)
             case CatalogVersion():
                 self._handle_version(link, body)
+            case CancelJobs() | JobsCancelled():
+                self._handle_cancellations(link, body)
             case _:
                 self._handle_statistics(link, body)
 
+    def _handle_cancellations(self, link: PeerLink, body: CancelJobs | JobsCancelled) -> None:
+        """Cancel jobs and confirm it to the sender, or handle its confirmation."""
+        if isinstance(body, JobsCancelled):
+            for key in body.keys:
+                self._owner.cancellation_confirmed(link.peer, key, held=key in body.held)
+            return
+        held = [job.key for job in body.jobs if self._owner.receive_cancellation(job, link.peer)]
+        link.send(_sessionless_frame(JobsCancelled([job.key for job in body.jobs], held)))
+
     def _handle_statistics(self, link: PeerLink, body: Body) -> None:
         match body:
             case SpeedUpdate():
@@ -354,6 +391,7 @@
 
     def connection_closed(self, link: PeerLink) -> None:
         """Drop the peer's pending request, and dial it again."""
+        self._cancelling.discard(link)
         self._catalog_sync.peer_left(link.peer)
         self._requesters.pop(link.peer, None)
         self._dialer.redial(link)
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/entryservice.py
@@ -19,6 +19,7 @@
 from paddleshunt_core.leased.session import Session
 from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.wire import (
+    CancelledJob,
     Entries,
     EntryAddress,
     EntryChanges,
@@ -29,6 +30,7 @@
 )
 
 from paddleshunt_node.aio import clock
+from paddleshunt_node.aio.cancelling import CancellationHandler
 from paddleshunt_node.aio.earlyrequests import EarlyRequests
 from paddleshunt_node.aio.entrygauges import add_entry_gauges
 from paddleshunt_node.aio.entrypeers import EntryPeers
@@ -36,7 +38,13 @@
 from paddleshunt_node.aio.httpserver import Exchange, HttpServer, Response
 from paddleshunt_node.aio.linkmeter import LinkMeter, MeteredConnection
 from paddleshunt_node.aio.loop import call_after_pending_io
-from paddleshunt_node.aio.ports import CallerCodec, StorePort
+from paddleshunt_node.aio.ports import (
+    CallerCodec,
+    Cancellation,
+    StateRequest,
+    StorePort,
+    Submission,
+)
 from paddleshunt_node.aio.process import OperatorPages, ProcessContext, serve_pages
 from paddleshunt_node.aio.sockets import serve
 from paddleshunt_node.aio.storefollower import StoreFollower
@@ -123,6 +131,9 @@
         hello, ack_timeout = self._hello(0, 0), self._times.session
         self._peers = EntryPeers(self, own, hello, ack_timeout, config.link_mbps)
         self._peers.set_seeds(set(config.seeds))
+        self._cancellations = CancellationHandler(
+            self._dispatcher, self._peers, codec, context, self._act
+        )
         self._store_follower = StoreFollower(store, context, own, self)
         self._meter = LinkMeter(
             context,
@@ -197,9 +208,10 @@
             await asyncio.sleep(SHUTDOWN_CHECK_SECONDS)
         # The balancer sends no new connections now; callers may still use keep-alive ones.
         self._caller_server.close_idle()
-        while self._now() < answer_by and self._dispatcher.job_count:
+        while self._now() < answer_by and (self._dispatcher.job_count or self._cancellations):
             await asyncio.sleep(SHUTDOWN_CHECK_SECONDS)
         self._act(self._dispatcher.finish(self._now()))
+        self._cancellations.finish()
         self._flush()
         self._caller_server.stop_listening()
         self._caller_server.close_idle()
@@ -229,7 +241,7 @@
         )
 
     def handle(self, exchange: Exchange) -> None:
-        """Submit a caller's request, or hold it until the first configuration is known."""
+        """Process a caller's request, or hold it until the first configuration is known."""
         if self.catalog.version == 0:
             # A held request might not be answered before a stopping process exits.
             if self._leaving:
@@ -237,19 +249,28 @@
             else:
                 self._early_requests.hold(exchange)
             return
-        self._submit(exchange, 0.0)
+        self._process(exchange, 0.0)
 
-    def _submit(self, exchange: Exchange, waited: float) -> None:
-        """Submit a request that arrived `waited` seconds ago."""
+    def _process(self, exchange: Exchange, waited: float) -> None:
+        """Process a request that arrived `waited` seconds ago."""
         parsed = self._codec.read(exchange.request, self.catalog)
-        if isinstance(parsed, Response):
-            exchange.respond(parsed)
-            return
+        match parsed:
+            case Response():
+                exchange.respond(parsed)
+            case Submission():
+                self._submit(exchange, parsed, waited)
+            case Cancellation():
+                self._cancellations.handle(exchange, parsed.key)
+            case StateRequest():
+                state = self._dispatcher.job_state(parsed.key)
+                exchange.respond(self._codec.answer_state(state))
+
+    def _submit(self, exchange: Exchange, submission: Submission, waited: float) -> None:
         self._exchanges[exchange.number] = exchange
-        job = parsed.job
+        job = submission.job
         if waited:
             job = replace(job, deadline=max(0.0, job.deadline - waited))
-        self._act(self._dispatcher.submit(self._now(), exchange.number, job, parsed.queue))
+        self._act(self._dispatcher.submit(self._now(), exchange.number, job, submission.queue))
         self._loop.call_later(self._config.bounds.caller_delay + TIMER_MARGIN, self._place_soon)
 
     def _place_soon(self) -> None:
@@ -259,8 +280,9 @@
         )
 
     def abandoned(self, exchange: Exchange) -> None:
-        """Withdraw the job of a caller that disconnected."""
+        """Withdraw the request of a caller that disconnected; a cancellation stays in force."""
         self._early_requests.drop(exchange.number)
+        self._cancellations.abandoned(exchange.number)
         if self._exchanges.pop(exchange.number, None) is not None:
             self._act(self._dispatcher.caller_left(self._now(), exchange.number))
 
@@ -368,6 +390,18 @@
         """Process another entry's report on a lost runner."""
         self._act(self._dispatcher.handle_loss_update(self._now(), update, source))
 
+    def known_cancellations(self) -> list[CancelledJob]:
+        """Return the remembered cancelled jobs."""
+        return self._dispatcher.known_cancellations(self._now())
+
+    def receive_cancellation(self, job: CancelledJob, source: str) -> bool:
+        """Cancel a job that another entry was asked to cancel; return whether it was held."""
+        return self._cancellations.cancel_here(job, source)
+
+    def cancellation_confirmed(self, entry: str, key: str, *, held: bool) -> None:
+        """Record that another entry has cancelled a job, and whether it held it."""
+        self._cancellations.confirmed(entry, key, held=held)
+
     @property
     def speeds(self) -> Speeds:
         """The measured slowness of each kind of host."""
@@ -413,7 +447,7 @@
         )
         self._peers.announce_catalog(catalog)
         for exchange, waited in self._early_requests.release():
-            self._submit(exchange, waited)
+            self._process(exchange, waited)
 
     def catalog_requested(self, peer: str) -> None:
         """Log that another entry was asked for its configuration."""
@@ -466,6 +500,7 @@
             self._apply_link_pressure()
             self._readiness.record_own_count(self._now(), len(self._target_links))
             self._act(self._dispatcher.tick(self._now()))
+            self._cancellations.expire()
             self._flush()
             if self._dispatcher.has_new_jobs:
                 self._place_soon()
@@ -519,7 +554,14 @@
     def _hello(self, session: int, received: int) -> Hello:
         config = self._config
         return Hello(
-            config.name, self._incarnation, True, config.hall, config.peers, session, received
+            config.name,
+            self._incarnation,
+            True,
+            config.hall,
+            config.peers,
+            session,
+            received,
+            handles_cancellations=True,
         )
 
 
--- a/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
+++ b/packages/paddleshunt-node/src/paddleshunt_node/aio/ports.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 from typing import Protocol, final
 
+from paddleshunt_core.leased.cancellations import CancelResult
 from paddleshunt_core.leased.catalog import Catalog, Queue
 from paddleshunt_core.leased.evacuation import EvacuatedHalls
-from paddleshunt_core.leased.jobs import JobRequest
+from paddleshunt_core.leased.jobs import JobRequest, JobState
 from paddleshunt_core.leased.orders import (
     Poll,
     PollAnswer,
@@ -97,15 +98,40 @@
     job: JobRequest
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Cancellation:
+    """A decoded request that cancels a job."""
+
+    key: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class StateRequest:
+    """A decoded request for the state of a job."""
+
+    key: str
+
+
+CallerRequest = Submission | Cancellation | StateRequest
+
+
 class CallerCodec(Protocol):
     """Decodes callers' requests, and encodes outcomes as responses."""
 
-    def read(self, request: Request, catalog: Catalog) -> Submission | Response:
-        """Return the submitted job, or the response to an invalid request."""
+    def read(self, request: Request, catalog: Catalog) -> CallerRequest | Response:
+        """Return the decoded request, or the response to any other one."""
 
     def answer(self, outcome: JobOutcome) -> Response:
         """Return the response for an outcome."""
 
+    def answer_cancellation(self, result: CancelResult) -> Response:
+        """Return the response to a request that cancels a job."""
+
+    def answer_state(self, state: JobState | None) -> Response:
+        """Return the response to a request for a job's state; None if the job is unknown."""
+
 
 @final
 @dataclass(frozen=True, slots=True)
--- a/testing/cli/test_explain.py
+++ b/testing/cli/test_explain.py
@@ -115,6 +115,15 @@
     assert deciding == ["stood_still", "session_ended", "run_stopping"]
 
 
+def test_cancelled_job_is_not_reported_as_delayed() -> None:
+    failed = ("t1", "event=run_ended job=k.0.0 run=1 end=failed")
+    cancelled = ("e1", "event=job_cancelled job=k held=1 source=caller")
+    answered = ("e1", "event=job_answered job=k outcome=cancelled reason=cancelled")
+    cause, deciding = explained(ADMITTED, STARTED, failed, cancelled, answered)
+    assert cause == "cancelled by a caller"
+    assert deciding == ["job_cancelled", "job_answered"]
+
+
 def test_given_up_job_is_not_reported_as_delayed() -> None:
     failed = ("t1", "event=run_ended job=k.0.0 run=1 end=failed")
     answered = ("e1", "event=job_answered job=k outcome=givenup reason=deadline")
--- a/testing/council/soakcallers.py
+++ b/testing/council/soakcallers.py
@@ -20,6 +20,14 @@
 FOR_EVER = 120.0
 """Seconds, longer than any soak: a caller's connection stays open behind its back."""
 
+CANCEL_TIMEOUT = 2.0
+"""Seconds for which a caller waits until a cancellation is answered."""
+
+CANCEL_PAUSE = 0.2
+"""Seconds before it sends one again that was not acknowledged."""
+
+ACKNOWLEDGED = (200, 410)
+
 READY_PATH = "/paddleshunt/readiness"
 ASK_SECONDS = 0.5
 UNSENT_PAUSE = 0.1
@@ -97,6 +105,18 @@
         task.add_done_callback(self._jobs.discard)
         return key
 
+    async def cancel(self, key: str, entry: Process) -> float:
+        """Cancel a job at an entry, again until that is acknowledged; return when it was."""
+        client = HttpClient(f"{entry.address}:{self._deployment.ports['callers']}")
+        while True:
+            try:
+                answer = await client.call("DELETE", f"{PREFIX}{key}", CANCEL_TIMEOUT)
+                if answer.status in ACKNOWLEDGED:
+                    return monotonic()
+            except CallError:
+                pass
+            await asyncio.sleep(CANCEL_PAUSE)
+
     async def finish(self) -> None:
         """Wait for the answers that are due yet."""
         await asyncio.gather(*self._jobs)
@@ -114,7 +134,7 @@
                 seen = self._record.sent(key, job.count, entry.name, monotonic())
                 seen.outcome = await self._try(entry, seen, job)
                 seen.ended = monotonic()
-                if seen.outcome in ("completed", "failed", "refused", "left"):
+                if seen.outcome in ("completed", "failed", "refused", "left", "cancelled"):
                     return
                 if seen.outcome == "unsent":
                     await asyncio.sleep(UNSENT_PAUSE)
--- a/testing/leasedfleet.py
+++ b/testing/leasedfleet.py
@@ -26,7 +26,7 @@
 from paddleshunt_core.leased.outcomes import BroadcastLoss, Failed, JobOutcome
 from paddleshunt_core.leased.resources import Resources
 from paddleshunt_core.leased.runnerincarnation import RunnerIncarnation
-from paddleshunt_core.leased.wire import Frame, Hello, SpeedUpdate, TaskId
+from paddleshunt_core.leased.wire import CancelledJob, Frame, Hello, SpeedUpdate, TaskId
 from paddleshunt_core.leased.worker import Worker
 
 STEP = 0.01
@@ -163,6 +163,16 @@
         """Let a caller go."""
         self._act_entry(entry, self.dispatchers[entry].caller_left(self.now, caller))
 
+    def cancel(self, entry: str, key: str) -> bool:
+        """Cancel a job at an entry, which hands it on; return whether an entry held it."""
+        others = [name for name, node in self.entries.items() if node.moves and name != entry]
+        held = False
+        for name in (entry, *others):
+            found, effects = self.dispatchers[name].cancel(self.now, CancelledJob(key), entry)
+            self._act_entry(name, effects)
+            held = held or found
+        return held
+
     def kill(self, name: str) -> None:
         """End a process; its connections break at once."""
         self._node(name).up = False
--- a/testing/node/aio/test_entrypeers.py
+++ b/testing/node/aio/test_entrypeers.py
@@ -14,6 +14,8 @@
 from paddleshunt_core.leased.speeds import Speeds
 from paddleshunt_core.leased.targets import TargetRecord
 from paddleshunt_core.leased.wire import (
+    CancelJobs,
+    CancelledJob,
     CatalogUpdate,
     CatalogVersion,
     Entries,
@@ -22,6 +24,7 @@
     Frame,
     Health,
     Hello,
+    JobsCancelled,
     KindSpeed,
     LossId,
     LossUpdate,
@@ -65,6 +68,20 @@
         self.adopted: list[tuple[Catalog, str]] = []
         self.requested_from: list[str] = []
         self.sent: list[tuple[str, int]] = []
+        self.cancelled: list[CancelledJob] = []
+        self.held: set[str] = set()
+        """Keys of the jobs that this entry holds."""
+        self.confirmed: list[tuple[str, str, bool]] = []
+
+    def known_cancellations(self) -> list[CancelledJob]:
+        return self.cancelled
+
+    def receive_cancellation(self, job: CancelledJob, source: str) -> bool:
+        self.cancelled.append(job)
+        return job.key in self.held
+
+    def cancellation_confirmed(self, entry: str, key: str, *, held: bool) -> None:
+        self.confirmed.append((entry, key, held))
 
     def refuse(self, refusal: Refusal) -> None:
         self.refused.append(refusal)
@@ -405,3 +422,70 @@
         assert owner.received_speeds == [(KINDS, "e7")]
 
     run_scenario(monkeypatch, [], scenario)
+
+
+def hello_of(number: int, *, handles_cancellations: bool = True) -> Hello:
+    name, address = entry(number).name, entry(number).address
+    return Hello(name, "life", True, "hall", address, 0, 0, handles_cancellations)
+
+
+def peer_link(number: int) -> Link:
+    link = Link()
+    link.peer = entry(number).name
+    return link
+
+
+def cancelled_in(link: Link) -> list[str]:
+    """Return the keys of the jobs that an entry was asked to cancel."""
+    bodies = [body for frame in link.frames for body in frame.bodies]
+    return [job.key for body in bodies if isinstance(body, CancelJobs) for job in body.jobs]
+
+
+def test_cancellation_goes_to_all_entries_that_handle_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An entry that doesn't can't confirm it, so it is not acknowledged."""
+    links = [peer_link(1), peer_link(2)]
+
+    async def scenario(peers: EntryPeers, owner: Owner) -> None:
+        peers.hello_received(cast("PeerLink", links[0]), hello_of(1))
+        peers.hello_received(cast("PeerLink", links[1]), hello_of(2, handles_cancellations=False))
+        asked = peers.broadcast_cancellation(CancelledJob("job"))
+        assert asked == {entry(1).name, entry(2).name}
+        assert [cancelled_in(link) for link in links] == [["job"], []]
+
+    run_scenario(monkeypatch, links, scenario)
+
+
+def test_new_connection_gets_the_known_cancellations(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An entry that was cut off or has just started may be sent a cancelled job."""
+    link = peer_link(1)
+
+    async def scenario(peers: EntryPeers, owner: Owner) -> None:
+        owner.cancelled.append(CancelledJob("job", 1500))
+        peers.hello_received(cast("PeerLink", link), hello_of(1))
+        assert CancelJobs([CancelledJob("job", 1500)]) in link.frames[-1].bodies
+
+    run_scenario(monkeypatch, [link], scenario)
+
+
+def test_received_cancellation_is_confirmed(monkeypatch: pytest.MonkeyPatch) -> None:
+    link = peer_link(1)
+
+    async def scenario(peers: EntryPeers, owner: Owner) -> None:
+        owner.held = {"b"}
+        jobs = [CancelledJob("a"), CancelledJob("b", 20)]
+        peers.frame_received(cast("PeerLink", link), Frame(1, 0, 0, 0, [CancelJobs(jobs)]))
+        assert owner.cancelled == jobs
+        assert link.frames[-1].bodies == [JobsCancelled(["a", "b"], ["b"])]
+
+    run_scenario(monkeypatch, [link], scenario)
+
+
+def test_confirmation_is_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    link = peer_link(1)
+
+    async def scenario(peers: EntryPeers, owner: Owner) -> None:
+        frame = Frame(1, 0, 0, 0, [JobsCancelled(["a", "b"], ["b"])])
+        peers.frame_received(cast("PeerLink", link), frame)
+        assert owner.confirmed == [(link.peer, "a", False), (link.peer, "b", True)]
+
+    run_scenario(monkeypatch, [link], scenario)
