--- a/packages/paddleshunt-core/src/paddleshunt_core/leased/cancellations.py
+++ b/packages/paddleshunt-core/src/paddleshunt_core/leased/cancellations.py
@@ -40,6 +40,8 @@
     def __init__(self) -> None:
         self._since: dict[str, float] = {}
         """When each job was cancelled, by key, in the order in which that became known."""
+        self._expires_at = float("inf")
+        """When the first retention is over."""
 
     def __contains__(self, key: object) -> bool:
         return key in self._since
@@ -56,15 +58,20 @@
         if job.key in self._since or now >= since + RETENTION_SECONDS:
             return False
         self._since[job.key] = since
+        self._expires_at = min(self._expires_at, since + RETENTION_SECONDS)
         if len(self._since) > MAX_CANCELLED:
             del self._since[next(iter(self._since))]
         return True
 
     def expire(self, now: float) -> None:
         """Forget the jobs whose retention is over."""
-        for key, since in list(self._since.items()):
-            if now >= since + RETENTION_SECONDS:
-                del self._since[key]
+        if now < self._expires_at:
+            return
+        self._since = {
+            key: since for key, since in self._since.items() if now < since + RETENTION_SECONDS
+        }
+        oldest = min(self._since.values(), default=float("inf"))
+        self._expires_at = oldest + RETENTION_SECONDS
 
     def export(self, now: float) -> list[CancelledJob]:
         """Return all remembered jobs, to send to another entry."""
--- a/testing/core/leased/test_cancellations.py
+++ b/testing/core/leased/test_cancellations.py
@@ -135,6 +135,17 @@
     assert "job" not in cancelled
 
 
+def test_each_cancelled_job_is_forgotten_at_its_own_time() -> None:
+    cancelled = CancelledJobs()
+    for key, ago_ms in [("middle", 20_000), ("first", 40_000), ("last", 0)]:
+        cancelled.add(50.0, CancelledJob(key, ago_ms))
+    left = []
+    for now in (69.0, 70.0, 90.0, 110.0):
+        cancelled.expire(now)
+        left.append([job.key for job in cancelled.export(now)])
+    assert left == [["middle", "first", "last"], ["middle", "last"], ["last"], []]
+
+
 def test_entries_that_tell_each_other_do_not_prolong_the_retention() -> None:
     first, second = CancelledJobs(), CancelledJobs()
     first.add(5.0, CancelledJob("job"))
