Review: a pending assignment starts on a runner that came back as another kind

Cause: what waits at a target for an entry's echo stays pending while its runner is replaced, and the target can't check label and service, as the assignment names neither (ROUTE).

--- a/review/standins-2/scene.py
+++ b/review/standins-2/scene.py
@@ -103,7 +103,8 @@
             self._server.close()
             self._server = None
         for writer in list(self._writers):
-            writer.transport.abort()
+            with suppress(RuntimeError):
+                writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
@@ -121,7 +122,7 @@
                 raw = json.dumps(content).encode()
                 writer.write(message(f"HTTP/1.1 {status} X", raw))
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             self._writers.discard(writer)
@@ -322,6 +323,7 @@
     number: int
     runner: str
     life: str
+    labels: tuple[str, ...]
     began: float
     due: float
     end: float | None = None
@@ -364,11 +366,12 @@
         self.life = f"i-{self.name}-{self._lives}"
         self.state = "ready"
         self.acknowledged: float | None = None
-        self._born = time.monotonic()
+        self._born = self._beat_at = time.monotonic()
         self._sequence = 0
         self._fence = 0
         self._deadline = 0
         self._ends = 0
+        self._seen = 0
         self._finished: list[list[Any]] = []
         self._running: dict[str, Run] = {}
         self._highest: dict[str, int] = {}
@@ -394,9 +397,14 @@
     def _clock(self) -> int:
         return 10_000 + int((time.monotonic() - self._born) * 1000)
 
+    def next_beat_in(self) -> float:
+        """Return the seconds until the next heartbeat."""
+        return self._beat_at - time.monotonic()
+
     async def _beat(self) -> None:
         while True:
             status = await self.say()
+            self._beat_at = time.monotonic() + (self.BEAT if status == 200 else 0.3)
             await asyncio.sleep(self.BEAT if status == 200 else 0.3)
 
     async def say(self) -> int:
@@ -485,7 +493,8 @@
         if self.guards and sum(self._needs.values()) + need > self.capacity["cpu"]:
             return 409, {"clock_ms": clock, "reason": "room"}
         now = time.monotonic()
-        run = Run(task, number, self.name, self.life, now, now + length / 1000)
+        labels = tuple(self.labels)
+        run = Run(task, number, self.name, self.life, labels, now, now + length / 1000)
         self._running[task], self._needs[task] = run, need
         self.runs.append(run)
         self.log.write("run_started", runner=self.name, life=self.life, task=task, run=number)
@@ -503,17 +512,19 @@
         if "deadline_ms" in body:
             self._prolong(int(body["deadline_ms"]))
         seen = int(body.get("last_seen", 0))
-        self._finished = [row for row in self._finished if row[0] > seen]
+        self._seen = max(self._seen, seen)
+        self._finished = [row for row in self._finished if row[0] > self._seen]
         due = time.monotonic() + int(body.get("wait_ms", 0)) / 1000
         while not self._finished and (left := due - time.monotonic()) > 0:
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._moved.wait(), left)
         now = time.monotonic()
+        finished = [row for row in self._finished if row[0] > self._seen]
         running = [
             [r.task, r.number, "", min(99, int(100 * (now - r.began) / (r.due - r.began + 1e-9))), 0]
             for r in self._running.values()
         ]
-        return {"clock_ms": self._clock(), "running": running, "finished": self._finished[:500]}
+        return {"clock_ms": self._clock(), "running": running, "finished": finished[:500]}
 
 
 # The record and the processes
@@ -754,16 +765,21 @@
         found = [run for runner in self.runners for run in runner.runs if run.task.startswith(key)]
         return sorted(found, key=lambda run: run.began)
 
-    def close(self) -> None:
+    def stop(self) -> None:
+        """End all processes and stand-ins."""
         for process in (*self.entries, *self.targets):
             process.end()
         for runner in self.runners:
             if runner.up:
                 runner.crash()
         self.store.server.stop()
+
+    def close(self) -> None:
+        """Close the record and remove the settings and logs."""
         self.record.write("closed")
         self.record.close()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _free_ports(count: int) -> list[int]:
@@ -787,7 +803,11 @@
     scene = Scene(folder)
 
     async def run() -> list[str]:
-        return await asyncio.wait_for(story(scene, trouble), seconds)
+        try:
+            return await asyncio.wait_for(story(scene, trouble), seconds)
+        finally:
+            scene.stop()
+            await asyncio.sleep(0.05)
 
     status = CANNOT_RUN
     try:
