--- a/review/standins-2/scene.py
+++ b/review/standins-2/scene.py
@@ -379,6 +379,7 @@
         self._needs: dict[str, int] = {}
         self._moved = asyncio.Event()
         self.up = True
+        self.log.write("runner_started", runner=self.name, life=self.life, labels=self.labels)
         self._server = Server(self.handle)
         await self._server.start(self.address)
         self._tasks = [asyncio.ensure_future(self._beat()), asyncio.ensure_future(self._step())]
@@ -394,6 +395,7 @@
         for run in self._running.values():
             run.end, run.how = now, "died"
         self._running = {}
+        self.log.write("runner_crashed", runner=self.name, life=self.life)
 
     def _clock(self) -> int:
         return 10_000 + int((time.monotonic() - self._born) * 1000)
@@ -457,6 +459,8 @@
         self.log.write("run_ended", runner=self.name, task=run.task, run=run.number, how=how)
 
     async def handle(self, asked: Call) -> tuple[int, dict[str, Any]] | None:
+        if not self.up:
+            return None
         if asked.path == "/health":
             return 200, {}
         if asked.headers.get("x-expected-instance", self.life) != self.life:
@@ -515,8 +519,8 @@
         seen = int(body.get("last_seen", 0))
         self._seen = max(self._seen, seen)
         self._finished = [row for row in self._finished if row[0] > self._seen]
-        due = time.monotonic() + int(body.get("wait_ms", 0)) / 1000
-        while not self._finished and (left := due - time.monotonic()) > 0:
+        life, due = self._lives, time.monotonic() + int(body.get("wait_ms", 0)) / 1000
+        while life == self._lives and not self._finished and (left := due - time.monotonic()) > 0:
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._moved.wait(), left)
         now = time.monotonic()
