--- a/review/standins-2/random_play.py
+++ b/review/standins-2/random_play.py
@@ -113,7 +113,8 @@
         while process.up:
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.3)
-        process.start()
+        if not working[0].cancelled():
+            process.start()
 
     async def go_on(process: Process, seconds: float) -> None:
         await asyncio.sleep(seconds)
